--- /dev/null
+++ b/src/gentianbank/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering: look-ups, request path and control."""
--- /dev/null
+++ b/src/gentianbank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/gentianbank/cli/main.py
@@ -0,0 +1,274 @@
+"""The operators' command line."""
+
+from __future__ import annotations
+
+import datetime
+import getpass
+import os
+from pathlib import Path
+import sys
+from typing import Any
+from typing import NoReturn
+from typing import TYPE_CHECKING
+import uuid
+
+from expression import Result
+import fire
+import yaml
+
+from gentianbank.cli.client import OperatorsClient
+from gentianbank.cli.exit_codes import ExitCode
+from gentianbank.cli.tables import render_json
+from gentianbank.cli.tables import render_table
+from gentianbank.domain import documents
+from gentianbank.domain import schema
+from gentianbank.domain.configuration import read_configuration
+from gentianbank.rpc import conversion
+from gentianbank.rpc import operators_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from google.protobuf.message import Message
+
+NODE_VARIABLE = 'GENTIANBANK_NODE'
+DEFAULT_NODE = '127.0.0.1:7003'
+_MS_PER_S = 1_000
+
+
+class Commands:
+    """Operates a gentianbank fleet.
+
+    Parameters
+    ----------
+    node
+        Operators' address of a node, or several with commas between them;
+        by default the value of GENTIANBANK_NODE.
+    json
+        Print JSON in place of tables.
+    """
+
+    def __init__(self, node: str = '', json: bool = False) -> None:
+        given = node or os.environ.get(NODE_VARIABLE, DEFAULT_NODE)
+        parts = given if isinstance(given, tuple | list) else [given]
+        nodes = [n for part in parts for n in str(part).split(',') if n]
+        self._client = OperatorsClient(tuple(nodes))
+        self._json = json
+
+    def apply(
+        self,
+        file: str,
+        base_revision: int | None = None,
+        author: str = '',
+        change_id: str = '',
+    ) -> None:
+        """Replace the configuration by a file, checked before it is sent."""
+        request = pb.ApplyRequest(
+            configuration=_load(file),
+            author=_author(author),
+            change_id=_change_id(change_id),
+        )
+        if base_revision is not None:
+            request.base_revision = _whole(base_revision, '--base_revision')
+        self._change('Apply', request)
+
+    def diff(self, file: str) -> None:
+        """Show what a file would change; exit code 7 if anything."""
+        request = pb.DiffRequest(configuration=_load(file))
+        reply = self._read('Diff', request)
+        rows = [(d.path, d.before, d.after) for d in reply.differences]
+        self._print(reply, ('path', 'before', 'after'), rows)
+        if rows:
+            raise SystemExit(ExitCode.DIFFERENT)
+
+    def get(self) -> None:
+        """Print the accepted configuration."""
+        reply = self._read('Get', pb.GetRequest())
+        document = conversion.to_document(reply.configuration)
+        if self._json:
+            print(render_json(conversion.to_document(reply)))
+            return
+        print(f'# revision {reply.revision}')
+        print(yaml.safe_dump(document, sort_keys=False), end='')
+
+    def history(self, limit: int = 20) -> None:
+        """Print the audit trail, the newest change first."""
+        request = pb.HistoryRequest(limit=_whole(limit, '--limit'))
+        reply = self._read('History', request)
+        rows = [
+            (
+                entry.revision,
+                entry.base_revision,
+                _time(entry.time_ms),
+                entry.author,
+                entry.change_id,
+                entry.summary,
+            )
+            for entry in reply.entries
+        ]
+        titles = ('revision', 'from', 'time', 'author', 'change', 'summary')
+        self._print(reply, titles, rows)
+
+    def drain(self, target: str, author: str = '') -> None:
+        """Take a target out of new work."""
+        self._set_draining(target, True, author)
+
+    def undrain(self, target: str, author: str = '') -> None:
+        """Take a target back into new work."""
+        self._set_draining(target, False, author)
+
+    def status(self) -> None:
+        """Print what a node knows of the fleet and its targets."""
+        reply = self._read('Status', pb.StatusRequest())
+        if self._json:
+            print(render_json(conversion.to_document(reply)))
+            return
+        role = 'relay' if reply.relay else 'ordinary node'
+        print(f'{reply.vm}: revision {reply.revision}, {role}\n')
+        print(_member_table(reply), end='\n\n')
+        print(_target_table(reply))
+
+    def explain(self, request_id: str) -> None:
+        """Tell what a node did with a request, by its X-Request-Id."""
+        request = pb.ExplainRequest(request_id=str(request_id))
+        reply = self._read('Explain', request)
+        rows = [
+            (name, ', '.join(value) if isinstance(value, list) else value)
+            for name, value in conversion.to_document(reply).items()
+        ]
+        self._print(reply, ('field', 'value'), rows)
+
+    def lookup(self, client: str) -> None:
+        """Answer a look-up for a client's address."""
+        reply = self._read('Lookup', pb.LookupRequest(client=str(client)))
+        rows = [
+            (e.vm, e.address, e.region, e.weight_percent)
+            for e in reply.entries
+        ]
+        titles = ('vm', 'address', 'region', 'weight percent')
+        self._print(reply, titles, rows)
+
+    def _set_draining(self, target: str, draining: bool, author: str) -> None:
+        request = pb.SetDrainingRequest(
+            target=str(target),
+            draining=draining,
+            author=_author(author),
+            change_id=_change_id(''),
+        )
+        self._change('SetDraining', request)
+
+    def _read(self, method: str, request: Message) -> Any:
+        return _unwrap(self._client.read(method, request))
+
+    def _change(self, method: str, request: Message) -> None:
+        reply = _unwrap(self._client.change(method, request))
+        if self._json:
+            print(render_json(conversion.to_document(reply)))
+        else:
+            print(f'revision {reply.revision}: {reply.summary}')
+
+    def _print(
+        self, reply: Message, titles: Sequence[str], rows: list[Any]
+    ) -> None:
+        if self._json:
+            print(render_json(conversion.to_document(reply)))
+        else:
+            print(render_table(titles, rows))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands, name='gentianbank')
+
+
+def _member_table(reply: pb.StatusReply) -> str:
+    titles = ('vm', 'region', 'failure domain', 'http', 'state')
+    return render_table(
+        titles,
+        [
+            (m.vm, m.region, m.failure_domain, m.http, m.state)
+            for m in reply.members
+        ],
+    )
+
+
+def _target_table(reply: pb.StatusReply) -> str:
+    titles = (
+        'service',
+        'target',
+        'region',
+        'state',
+        'in flight',
+        'latency ms',
+    )
+    return render_table(
+        titles,
+        [
+            (
+                t.service,
+                t.target,
+                t.region,
+                t.state,
+                t.in_flight,
+                f'{t.latency_ms:.1f}',
+            )
+            for t in reply.targets
+        ],
+    )
+
+
+def _load(file: str) -> pb.Configuration:
+    try:
+        data = Path(str(file)).read_bytes()
+    except OSError as error:
+        _fail(ExitCode.BAD_INPUT, f'{file}: {error.strerror}')
+    result = documents.load_yaml(data, str(file)).bind(
+        lambda raw: read_configuration(raw, str(file))
+    )
+    return conversion.to_message(schema.dump(_unwrap_input(result)))
+
+
+def _unwrap_input(result: Result[Any, Any]) -> Any:
+    match result:
+        case Result(tag='ok', ok=value):
+            return value
+        case Result(error=error):
+            _fail(ExitCode.BAD_INPUT, str(error))
+    raise AssertionError('a result is either ok or an error')
+
+
+def _unwrap(result: Result[Any, Any]) -> Any:
+    match result:
+        case Result(tag='ok', ok=value):
+            return value
+        case Result(error=failure):
+            _fail(failure.exit_code, str(failure))
+    raise AssertionError('a result is either ok or an error')
+
+
+def _fail(code: ExitCode, message: str) -> NoReturn:
+    print(message, file=sys.stderr)
+    raise SystemExit(code)
+
+
+def _author(given: object) -> str:
+    return str(given or getpass.getuser())
+
+
+def _change_id(given: object) -> str:
+    return str(given or uuid.uuid4())
+
+
+def _whole(value: object, name: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        _fail(ExitCode.BAD_INPUT, f'{name}: expected a whole number')
+    return value
+
+
+def _time(time_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(time_ms / _MS_PER_S, datetime.UTC)
+    return moment.isoformat(timespec='seconds')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/gentianbank/control/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and the spread of configuration between nodes."""
--- /dev/null
+++ b/src/gentianbank/control/agent.py
@@ -0,0 +1,315 @@
+"""Carries out the effects of the control state.
+
+One task owns the state and takes events from an inbox; tasks beside it read
+the store and the list of VMs and put what they find into the inbox.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.control.peers import Connected
+from gentianbank.control.peers import Disconnected
+from gentianbank.control.peers import PeerEvent
+from gentianbank.control.peers import Received
+from gentianbank.control.peers import Unreachable
+from gentianbank.control.state import ControlState
+from gentianbank.control.state import Effect
+from gentianbank.control.state import FetchBodies
+from gentianbank.control.state import Install
+from gentianbank.control.state import Send
+from gentianbank.domain import revision as revisions
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from gentianbank.control.peers import Peers
+    from gentianbank.domain.revision import Head
+    from gentianbank.domain.revision import Snapshot
+    from gentianbank.platform.revisions import RevisionStore
+    from gentianbank.platform.vm_list import ListedVM
+    from gentianbank.platform.vm_list import VMList
+
+TICK_S = 0.25
+VM_LIST_RELAY_S = 2.0
+VM_LIST_OTHERS_S = 30.0
+STORE_RETRY_MIN_S = 0.2
+STORE_RETRY_MAX_S = 3.0
+FIRST_READ_DELAY_S = 1.0
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreHead:
+    head: Head
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreBodies:
+    bodies: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class _Installed:
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class _Rejected:
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    vms: tuple[ListedVM, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class _Leave:
+    heir: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Stop:
+    pass
+
+
+_Event = (
+    PeerEvent
+    | _StoreHead
+    | _StoreBodies
+    | _Installed
+    | _Rejected
+    | _Listed
+    | _Tick
+    | _Leave
+    | _Stop
+)
+SnapshotSink = Callable[['Snapshot'], None]
+
+
+def now_ms() -> float:
+    """Return the monotonic time in milliseconds."""
+    return time.monotonic() * _MS_PER_S
+
+
+class ControlAgent:
+    """Runs the control part of a node.
+
+    Parameters
+    ----------
+    state
+        State that this agent owns from now on.
+    seeds
+        Peer addresses that are dialled while no peer is known.
+    on_snapshot
+        Called with each snapshot that comes into force.
+    """
+
+    def __init__(
+        self,
+        state: ControlState,
+        store: RevisionStore,
+        vm_list: VMList,
+        seeds: tuple[str, ...],
+        on_snapshot: SnapshotSink,
+    ) -> None:
+        self.state = state
+        self._store = store
+        self._vm_list = vm_list
+        self._seeds = seeds
+        self._on_snapshot = on_snapshot
+        self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
+        self._is_relay = False
+        self._relay_changed = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._peers: Peers
+
+    def attach(self, peers: Peers) -> None:
+        """Take the connections that the agent uses."""
+        self._peers = peers
+
+    def put(self, event: PeerEvent) -> None:
+        """Queue an event of the connections."""
+        self._inbox.put_nowait(event)
+
+    def offer_head(self, head: Head) -> None:
+        """Queue a head that this node has just seen accepted."""
+        self._inbox.put_nowait(_StoreHead(head))
+
+    def leave(self, heir: str) -> None:
+        """Declare that this node stops as planned."""
+        self._inbox.put_nowait(_Leave(heir))
+
+    def stopped(self) -> None:
+        """Declare that this node has stopped."""
+        self._inbox.put_nowait(_Stop())
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        for work in (
+            self._tick(),
+            self._read_vm_list(),
+            self._watch_store(),
+            self._read_store_once(),
+        ):
+            self._spawn(work)
+        try:
+            while True:
+                self._dispatch(await self._inbox.get())
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    def _dispatch(self, event: _Event) -> None:
+        effects = self._handle(event)
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _handle(self, event: _Event) -> list[Effect]:
+        now = now_ms()
+        match event:
+            case Received(vm, message):
+                return self.state.on_message(vm, message, now)
+            case Connected(vm):
+                return self.state.on_connected(vm, now)
+            case Disconnected(vm):
+                return self.state.on_disconnected(vm, now, planned=False)
+            case Unreachable(vm):
+                return self.state.on_unreachable(vm, now)
+            case _StoreHead(head):
+                return self.state.on_store_head(head)
+            case _StoreBodies(bodies):
+                return self.state.on_store_bodies(bodies)
+            case _Installed(snapshot):
+                return self._put_in_force(snapshot)
+            case _Rejected(revision):
+                return self.state.on_rejected(revision)
+            case _Listed(vms):
+                self.state.on_vm_list(vms)
+            case _Leave(heir):
+                return self.state.leave(heir)
+            case _Stop():
+                return self.state.stop()
+            case _Tick():
+                self._adjust_connections(now)
+                return self.state.on_tick(now)
+        return []
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(vm, message):
+                self._peers.send(vm, message)
+            case FetchBodies(digests):
+                self._spawn(self._fetch_bodies(digests))
+            case Install(revision, bodies):
+                self._spawn(self._install(revision, bodies))
+
+    def _put_in_force(self, snapshot: Snapshot) -> list[Effect]:
+        before = self.state.revision
+        effects = self.state.on_installed(snapshot)
+        if self.state.revision > before:
+            logging.info('revision %d in force', snapshot.revision)
+            self._on_snapshot(snapshot)
+        return effects
+
+    def _adjust_connections(self, now: float) -> None:
+        plan = self.state.plan(now)
+        if plan.is_relay != self._is_relay:
+            self._is_relay = plan.is_relay
+            self._relay_changed.set()
+        for vm in (*plan.dial, *self.state.probe(now)):
+            address = self.state.address_of(vm)
+            if address is not None:
+                self._peers.dial(vm, address)
+        if not self.state.connected:
+            for address in self._seeds:
+                if address != self.state.me.peer:
+                    self._peers.dial(f'seed {address}', address)
+
+    async def _tick(self) -> None:
+        while True:
+            self._inbox.put_nowait(_Tick())
+            await asyncio.sleep(TICK_S)
+
+    async def _read_vm_list(self) -> None:
+        while True:
+            match await self._vm_list.read():
+                case Result(tag='ok', ok=vms):
+                    self._inbox.put_nowait(_Listed(vms))
+                    relay_s, other_s = VM_LIST_RELAY_S, VM_LIST_OTHERS_S
+                case _:
+                    relay_s, other_s = VM_LIST_RELAY_S, VM_LIST_RELAY_S
+            await asyncio.sleep(relay_s if self._is_relay else other_s)
+
+    async def _read_store_once(self) -> None:
+        """Read the store directly while peers have given no revision."""
+        while True:
+            await asyncio.sleep(FIRST_READ_DELAY_S * random.uniform(0.5, 1.5))
+            if self.state.revision:
+                return
+            match await self._store.read_head():
+                case Result(tag='ok', ok=stored) if stored.head.revision:
+                    self._inbox.put_nowait(_StoreHead(stored.head))
+
+    async def _watch_store(self) -> None:
+        delay_s = STORE_RETRY_MIN_S
+        while True:
+            if not self._is_relay:
+                self._relay_changed.clear()
+                await self._relay_changed.wait()
+                continue
+            match await self._store.read_head():
+                case Result(tag='ok', ok=stored):
+                    delay_s = STORE_RETRY_MIN_S
+                    if stored.head.revision:
+                        self._inbox.put_nowait(_StoreHead(stored.head))
+                    await self._follow(stored.mod_revision)
+                case _:
+                    delay_s = min(delay_s * 2, STORE_RETRY_MAX_S)
+            await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
+
+    async def _follow(self, mod_revision: int) -> None:
+        async for head in self._store.watch(mod_revision):
+            self._inbox.put_nowait(_StoreHead(head))
+            if not self._is_relay:
+                return
+
+    async def _fetch_bodies(self, digests: tuple[str, ...]) -> None:
+        for digest in digests:
+            match await self._store.read_body(digest):
+                case Result(tag='ok', ok=body):
+                    self._inbox.put_nowait(_StoreBodies({digest: body}))
+                case Result(error=error):
+                    logging.warning('%s', error)
+
+    async def _install(self, revision: int, bodies: dict[str, bytes]) -> None:
+        held = self.state.snapshot
+        result = await asyncio.to_thread(
+            revisions.join, revision, bodies, held
+        )
+        match result:
+            case Result(tag='ok', ok=snapshot):
+                self._inbox.put_nowait(_Installed(snapshot))
+            case Result(error=error):
+                logging.error('%s', error)
+                self._inbox.put_nowait(_Rejected(revision))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/gentianbank/control/assembly.py
@@ -0,0 +1,148 @@
+"""Putting revisions together from change sets and bodies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gentianbank.control.messages import ChangeSet
+from gentianbank.domain import revision as revisions
+
+if TYPE_CHECKING:
+    from gentianbank.domain.revision import Head
+    from gentianbank.domain.revision import Snapshot
+
+INLINE_BYTES = 256 * 1024
+LOG_LENGTH = 64
+
+
+@dataclass(slots=True)
+class Assembly:
+    """A revision of which bodies may still be missing."""
+
+    revision: int
+    digests: dict[str, str]
+    _held: dict[str, bytes] = field(default_factory=dict)
+    handed_out: bool = False
+
+    @classmethod
+    def begin(cls, head: Head, snapshot: Snapshot | None) -> Assembly:
+        """Begin with a whole head and the bodies of a snapshot."""
+        assembly = cls(head.revision, dict(head.digests))
+        if snapshot is not None:
+            assembly._reuse(
+                {
+                    digest: snapshot.bodies[name]
+                    for name, digest in snapshot.head.digests.items()
+                }
+            )
+        return assembly
+
+    @classmethod
+    def continue_from(
+        cls,
+        change: ChangeSet,
+        snapshot: Snapshot | None,
+        pending: Assembly | None,
+    ) -> Assembly | None:
+        """Apply a change set, or return nothing when its base is not held."""
+        base: dict[str, str] = {}
+        if change.base_revision:
+            if pending and pending.revision == change.base_revision:
+                base = pending.digests
+            elif snapshot and snapshot.revision == change.base_revision:
+                base = snapshot.head.digests
+            else:
+                return None
+        digests = {**base, **change.digests}
+        for name in change.removed:
+            digests.pop(name, None)
+        head = revisions.Head(change.revision, digests)
+        assembly = cls.begin(head, snapshot)
+        if pending is not None:
+            assembly._reuse(pending._held)
+        assembly.add(change.bodies)
+        return assembly
+
+    @property
+    def missing(self) -> set[str]:
+        """Return the digests of the bodies not held yet."""
+        return set(self.digests.values()) - set(self._held)
+
+    def add(self, bodies: dict[str, bytes]) -> None:
+        """Take bodies that match their digests and are wanted."""
+        wanted = set(self.digests.values())
+        for digest, body in bodies.items():
+            if digest in wanted and revisions.digest(body) == digest:
+                self._held[digest] = body
+
+    def bodies(self) -> dict[str, bytes]:
+        """Return every body by its name."""
+        return {
+            name: self._held[digest] for name, digest in self.digests.items()
+        }
+
+    def _reuse(self, held: dict[str, bytes]) -> None:
+        """Take bodies whose digests were verified before."""
+        wanted = set(self.digests.values())
+        for digest, body in held.items():
+            if digest in wanted:
+                self._held[digest] = body
+
+
+@dataclass(slots=True)
+class ChangeLog:
+    """The latest change sets, for peers that are a little behind."""
+
+    _changes: list[ChangeSet] = field(default_factory=list)
+
+    def append(self, old: Snapshot | None, new: Snapshot) -> ChangeSet | None:
+        """Record the step between two snapshots, if there is a base."""
+        if old is None:
+            self._changes.clear()
+            return None
+        change = _difference(old, new)
+        self._changes = [*self._changes[-LOG_LENGTH + 1 :], change]
+        return change
+
+    def since(self, revision: int, snapshot: Snapshot) -> list[ChangeSet]:
+        """Return the change sets that lead from a revision to the snapshot."""
+        for index, change in enumerate(self._changes):
+            if change.base_revision == revision:
+                return self._changes[index:]
+        return [_whole(snapshot)]
+
+
+def _difference(old: Snapshot, new: Snapshot) -> ChangeSet:
+    before, after = old.head.digests, new.head.digests
+    changed = {n: d for n, d in after.items() if before.get(n) != d}
+    return ChangeSet(
+        base_revision=old.revision,
+        revision=new.revision,
+        digests=changed,
+        removed=tuple(sorted(set(before) - set(after))),
+        bodies=_inline(changed, new),
+    )
+
+
+def _whole(snapshot: Snapshot) -> ChangeSet:
+    digests = snapshot.head.digests
+    return ChangeSet(
+        base_revision=0,
+        revision=snapshot.revision,
+        digests=digests,
+        removed=(),
+        bodies=_inline(digests, snapshot),
+    )
+
+
+def _inline(names: dict[str, str], snapshot: Snapshot) -> dict[str, bytes]:
+    bodies: dict[str, bytes] = {}
+    room = INLINE_BYTES
+    for name, digest in names.items():
+        body = snapshot.bodies[name]
+        if len(body) <= room:
+            bodies[digest] = body
+            room -= len(body)
+    return bodies
--- /dev/null
+++ b/src/gentianbank/control/loans.py
@@ -0,0 +1,202 @@
+"""Loans of budgets: the keeper of a region, and its borrowers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.control.messages import LoanReply
+from gentianbank.control.messages import LoanRequest
+from gentianbank.domain.budget import Keeper
+from gentianbank.domain.budget import KEEPER_LEASE_MS
+from gentianbank.platform.store import Expected
+from gentianbank.platform.store import Put
+
+if TYPE_CHECKING:
+    from gentianbank.control.peers import Peers
+    from gentianbank.control.state import ControlState
+    from gentianbank.domain.budget import Demand
+    from gentianbank.domain.configuration import Configuration
+    from gentianbank.platform.store import Store
+
+RENEW_S = 2.0
+BORROW_S = 1.0
+REQUEST_TIMEOUT_MS = 1_000
+_MS_PER_S = 1_000
+
+AcceptLoan = Callable[[str, float, float], None]
+
+
+class RegionKeeper:
+    """Lends the budgets of this node's region while it holds the lease.
+
+    The first node of the region's tree runs for the lease; the lease in the
+    store decides.
+    """
+
+    def __init__(
+        self,
+        state: ControlState,
+        store: Store,
+        key_prefix: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._key = f'{key_prefix}/keeper/{state.me.region}'
+        self._clock = clock
+        self._keepers: dict[str, Keeper] = {}
+        self._lease = 0
+
+    def update(self, configuration: Configuration) -> None:
+        """Take the caps of a configuration."""
+        caps: dict[str, float] = {}
+        region = configuration.regions.get(self._state.me.region)
+        if region is not None:
+            caps[self._state.me.region] = region.max_in_flight
+        for link in configuration.links:
+            if link.source == self._state.me.region:
+                caps[link.name] = link.cap_bytes_per_s
+        for name, cap in caps.items():
+            keeper = self._keepers.get(name)
+            if keeper is not None:
+                keeper.cap = cap
+            elif not self._lease:
+                self._keepers[name] = Keeper(cap)
+            else:
+                # A budget that appears during a term waits like a new term.
+                self._keepers[name] = keeper = Keeper(cap)
+                keeper.acquire(self._clock(), self._clock())
+        for stale in set(self._keepers) - set(caps):
+            del self._keepers[stale]
+
+    def lend(self, borrower: str, budget: str, wanted: float) -> float:
+        """Lend to a node; 0 when this node is not the keeper."""
+        keeper = self._keepers.get(budget)
+        if keeper is None:
+            return 0
+        return keeper.lend(borrower, wanted, self._clock())
+
+    async def run(self) -> None:
+        """Hold the lease while this node is the first of its region."""
+        while True:
+            if self._is_first():
+                await self._hold()
+            elif self._lease:
+                await self._release()
+            await asyncio.sleep(RENEW_S * random.uniform(0.8, 1.0))
+
+    def _is_first(self) -> bool:
+        order = self._state.region_relays(self._state.me.region)
+        return bool(order) and order[0] == self._state.me.vm
+
+    async def _hold(self) -> None:
+        requested_ms = self._clock()
+        if not self._lease:
+            await self._acquire(requested_ms)
+            return
+        match await self._store.keep_alive(self._lease):
+            case Result(tag='ok', ok=True):
+                for keeper in self._keepers.values():
+                    keeper.renew(requested_ms)
+            case Result(tag='ok', ok=False):
+                self._end_term()
+
+    async def _acquire(self, requested_ms: float) -> None:
+        match await self._store.grant_lease(KEEPER_LEASE_MS // _MS_PER_S):
+            case Result(tag='ok', ok=lease):
+                pass
+            case _:
+                return
+        value = self._state.me.vm.encode()
+        match await self._store.commit(
+            Expected(self._key, 0), [Put(self._key, value, lease)]
+        ):
+            case Result(tag='ok', ok=True):
+                self._lease = lease
+                logging.info('keeper of region %s', self._state.me.region)
+                for keeper in self._keepers.values():
+                    keeper.acquire(requested_ms, self._clock())
+            case _:
+                await self._store.revoke(lease)
+
+    async def _release(self) -> None:
+        lease = self._lease
+        self._end_term()
+        await self._store.revoke(lease)
+
+    def _end_term(self) -> None:
+        self._lease = 0
+        for keeper in self._keepers.values():
+            keeper.release()
+
+
+class Borrower:
+    """Asks keepers for what the recent use of this node needs.
+
+    Parameters
+    ----------
+    demands
+        Returns the loans that are wanted.
+    accept
+        Takes a loan: budget, amount, and the time of the request.
+    """
+
+    def __init__(
+        self,
+        state: ControlState,
+        keeper: RegionKeeper,
+        demands: Callable[[], list[Demand]],
+        accept: AcceptLoan,
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._keeper = keeper
+        self._demands = demands
+        self._accept = accept
+        self._clock = clock
+        self._peers: Peers
+
+    def attach(self, peers: Peers) -> None:
+        """Take the connections that requests go through."""
+        self._peers = peers
+
+    async def run(self) -> None:
+        """Ask for loans until cancelled."""
+        while True:
+            await asyncio.sleep(BORROW_S * random.uniform(0.8, 1.2))
+            await asyncio.gather(*map(self._borrow, self._demands()))
+
+    async def _borrow(self, demand: Demand) -> None:
+        order = self._state.region_relays(demand.keeper_region)
+        if not order:
+            return
+        requested_ms = self._clock()
+        me = self._state.me
+        if order[0] == me.vm:
+            amount = self._keeper.lend(
+                me.incarnation, demand.budget, demand.wanted
+            )
+        else:
+            amount = await self._request(order[0], demand)
+        if amount > 0:
+            self._accept(demand.budget, amount, requested_ms)
+
+    async def _request(self, vm: str, demand: Demand) -> float:
+        address = self._state.address_of(vm)
+        if address is None:
+            return 0
+        request = LoanRequest(
+            request_id=0, budget=demand.budget, wanted=demand.wanted
+        )
+        match await self._peers.request(
+            vm, address, request, REQUEST_TIMEOUT_MS
+        ):
+            case Result(tag='ok', ok=LoanReply(amount=amount)):
+                return amount
+        return 0
--- /dev/null
+++ b/src/gentianbank/control/wire_outcomes.py
@@ -0,0 +1,57 @@
+"""Outcomes as they travel between nodes."""
+
+from __future__ import annotations
+
+from gentianbank.control.messages import WireHeader
+from gentianbank.control.messages import WireOutcome
+from gentianbank.domain.outcome import Answered
+from gentianbank.domain.outcome import Header
+from gentianbank.domain.outcome import Mismatch
+from gentianbank.domain.outcome import NotRun
+from gentianbank.domain.outcome import Outcome
+from gentianbank.domain.outcome import Pending
+from gentianbank.domain.outcome import Unknown
+
+MAX_CAUSE_LENGTH = 1_000
+
+
+def to_wire(report: Outcome | Pending | Mismatch) -> WireOutcome:
+    """Return the message part for a report."""
+    match report:
+        case Answered(status, headers, body):
+            return WireOutcome(
+                kind='answered',
+                status=status,
+                headers=tuple(
+                    WireHeader(name=item.name, value=item.value)
+                    for item in headers
+                ),
+                body=body or b'',
+                has_body=body is not None,
+            )
+        case NotRun(cause):
+            return WireOutcome(kind='not-run', cause=cause[:MAX_CAUSE_LENGTH])
+        case Unknown(cause):
+            return WireOutcome(kind='unknown', cause=cause[:MAX_CAUSE_LENGTH])
+        case Pending():
+            return WireOutcome(kind='pending')
+        case Mismatch():
+            return WireOutcome(kind='mismatch')
+
+
+def from_wire(wire: WireOutcome) -> Outcome | Pending | Mismatch:
+    """Return the report of a message part."""
+    match wire.kind:
+        case 'answered':
+            headers = tuple(
+                Header(item.name, item.value) for item in wire.headers
+            )
+            body = wire.body if wire.has_body else None
+            return Answered(wire.status, headers, body)
+        case 'not-run':
+            return NotRun(wire.cause, sealed=True)
+        case 'pending':
+            return Pending()
+        case 'mismatch':
+            return Mismatch()
+    return Unknown(wire.cause)
--- /dev/null
+++ b/src/gentianbank/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups and the request path."""
--- /dev/null
+++ b/src/gentianbank/dataplane/attempts.py
@@ -0,0 +1,280 @@
+"""Sending a request to targets until one answers or none may be tried."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.dataplane import headers as http_headers
+from gentianbank.dataplane.refusal import Refusal
+from gentianbank.dataplane.refusal import RefusalKind
+from gentianbank.dataplane.routing import is_large
+from gentianbank.dataplane.routing import Permit
+from gentianbank.dataplane.routing import Unavailable
+from gentianbank.platform.target_transport import MaybeSent
+from gentianbank.platform.target_transport import NotSent
+from gentianbank.platform.target_transport import SendError
+from gentianbank.platform.target_transport import TargetRequest
+from gentianbank.policy.retry import MAX_ATTEMPTS
+from gentianbank.policy.retry import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from gentianbank.dataplane.budgets import BudgetBook
+    from gentianbank.dataplane.request import Request
+    from gentianbank.dataplane.routing import Routing
+    from gentianbank.domain.settings import Limits
+    from gentianbank.platform.target_transport import TargetAnswer
+    from gentianbank.platform.target_transport import TargetTransport
+    from gentianbank.telemetry.metrics import Metrics
+
+MIN_WAIT_MS = 1.0
+_MS_PER_S = 1_000
+
+
+@dataclass(slots=True)
+class Attempted:
+    """An answer whose body is still to be read.
+
+    Parameters
+    ----------
+    chunks
+        Body to read in place of the answer's own.
+    """
+
+    answer: TargetAnswer
+    permit: Permit
+    routing: Routing
+    chunks: AsyncIterator[bytes] | None = None
+
+    async def close(self) -> None:
+        """Give up the answer and the permit."""
+        try:
+            await self.answer.close()
+        finally:
+            self.routing.release(self.permit)
+
+
+@dataclass(frozen=True, slots=True)
+class _Shed:
+    """The target says that it did not run the request."""
+
+    cause: str
+
+
+_Failure = SendError | _Shed
+
+
+class Attempts:
+    """Runs the attempts of requests.
+
+    Parameters
+    ----------
+    node, region
+        VM and region of this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        region: str,
+        limits: Limits,
+        routing: Routing,
+        budgets: BudgetBook,
+        transport: TargetTransport,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._node = node
+        self._region = region
+        self._limits = limits
+        self._routing = routing
+        self._budgets = budgets
+        self._transport = transport
+        self._metrics = metrics
+        self._clock = clock
+        self._retries: dict[str, RetryBudget] = {}
+
+    async def run(
+        self,
+        request: Request,
+        body: AsyncIterator[bytes] | None,
+        key: str,
+        tried: list[str],
+    ) -> Result[Attempted, Refusal]:
+        """Send a request until a target answers.
+
+        What may have run is sent again only when it is idempotent.
+
+        Parameters
+        ----------
+        tried
+            Takes the names of the targets that are tried.
+        """
+        source = _OnceBody(body) if body is not None else None
+        retries = self._retries.setdefault(request.name, RetryBudget())
+        retries.on_request()
+        while True:
+            match await self._acquire(request, set(tried)):
+                case Result(tag='ok', ok=permit):
+                    tried.append(permit.target.name)
+                case Result(error=refusal):
+                    return Error(refusal)
+            match await self._send(request, source, key, permit, len(tried)):
+                case Result(tag='ok', ok=answer):
+                    return Ok(Attempted(answer, permit, self._routing))
+                case Result(error=failure):
+                    self._routing.release(permit)
+            may_retry = (
+                self._is_safe(request, failure)
+                and not (source and source.begun)
+                and len(tried) < MAX_ATTEMPTS
+                and self._clock() < request.end_ms
+            )
+            if not may_retry or not retries.try_spend():
+                return Error(_refusal_of(failure))
+            self._metrics.on_retry(request.name)
+
+    async def _acquire(
+        self, request: Request, tried: set[str]
+    ) -> Result[Permit, Refusal]:
+        """Wait for a permit as long as the deadline can still be met."""
+        end_ms = float('inf') if is_large(request.service) else request.end_ms
+        while True:
+            choice = self._routing.choose(
+                request.name, request.service, end_ms, tried
+            )
+            if isinstance(choice, Permit):
+                return Ok(choice)
+            if isinstance(choice, Unavailable):
+                cause = 'no target of the service may take work'
+                return Error(Refusal(RefusalKind.NO_TARGET, cause))
+            refusal = await self._wait(request)
+            if refusal is not None:
+                return Error(refusal)
+
+    async def _wait(self, request: Request) -> Refusal | None:
+        expected_ms = self._routing.expected_ms(request.name)
+        patience_ms = request.end_ms - self._clock() - expected_ms
+        if patience_ms < MIN_WAIT_MS:
+            cause = 'the deadline cannot be met'
+            return Refusal(RefusalKind.DEADLINE, cause)
+        waiter: asyncio.Future[None] = asyncio.Future()
+        if not self._routing.join_queue(request.name, waiter):
+            return Refusal(RefusalKind.OVERLOADED, 'the queue is full')
+        try:
+            async with asyncio.timeout(patience_ms / _MS_PER_S):
+                await waiter
+        except TimeoutError:
+            return Refusal(RefusalKind.DEADLINE, 'no target became free')
+        finally:
+            self._routing.leave_queue(request.name, waiter)
+        return None
+
+    async def _send(
+        self,
+        request: Request,
+        source: _OnceBody | None,
+        key: str,
+        permit: Permit,
+        attempt: int,
+    ) -> Result[TargetAnswer, _Failure]:
+        now_ms = self._clock()
+        attempt_id = f'{request.request_id}-{attempt}'
+        message = TargetRequest(
+            address=permit.target.address,
+            method=request.method,
+            path=request.path,
+            headers=http_headers.for_target(
+                request.received_headers,
+                address=permit.target.address,
+                attempt_id=attempt_id,
+                timeout_ms=request.end_ms - now_ms,
+                key=key,
+                node=self._node,
+                client=request.client,
+                chunked=request.chunked,
+            ),
+            body=self._pace(source, request, permit) if source else None,
+            max_connections=self._routing.connections_of(permit.target),
+            connect_timeout_ms=self._limits.connect_timeout_ms,
+            headers_timeout_ms=request.end_ms - now_ms,
+        )
+        try:
+            sent = await self._transport.send(message)
+        except BaseException:
+            self._routing.release(permit)
+            raise
+        match sent:
+            case Result(tag='ok', ok=answer):
+                return await self._check(answer, attempt_id, permit, now_ms)
+            case Result(error=error):
+                self._routing.on_failure(permit)
+                return Error(error)
+
+    async def _check(
+        self,
+        answer: TargetAnswer,
+        attempt_id: str,
+        permit: Permit,
+        sent_ms: float,
+    ) -> Result[TargetAnswer, _Failure]:
+        """Refuse answers to other requests and notice refusals to run."""
+        in_flight = http_headers.reported_in_flight(answer.headers)
+        if in_flight is not None:
+            self._routing.on_report(permit.target.name, in_flight)
+        echo = http_headers.find(answer.headers, http_headers.REQUEST_ID)
+        if echo is not None and echo != attempt_id.encode():
+            await answer.close()
+            self._routing.on_failure(permit)
+            self._metrics.on_crossed(permit.service)
+            return Error(MaybeSent('the answer is to another request'))
+        if http_headers.find(answer.headers, http_headers.NOT_RUN) == b'true':
+            await answer.close()
+            return Error(_Shed(f'the target answered {answer.status}'))
+        self._routing.on_answer(permit, self._clock() - sent_ms)
+        return Ok(answer)
+
+    async def _pace(
+        self, source: _OnceBody, request: Request, permit: Permit
+    ) -> AsyncIterator[bytes]:
+        large = is_large(request.service)
+        async for chunk in source.chunks():
+            await self._budgets.pace(
+                self._region, permit.region, len(chunk), large=large
+            )
+            yield chunk
+
+    def _is_safe(self, request: Request, failure: _Failure) -> bool:
+        return request.idempotent or not isinstance(failure, MaybeSent)
+
+
+class _OnceBody:
+    """A body that can be sent once; it notes whether that has begun."""
+
+    def __init__(self, source: AsyncIterator[bytes]) -> None:
+        self._source = source
+        self.begun = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        self.begun = True
+        async for chunk in self._source:
+            yield chunk
+
+
+def _refusal_of(failure: _Failure) -> Refusal:
+    match failure:
+        case NotSent(cause):
+            return Refusal(RefusalKind.UNREACHABLE, cause)
+        case _Shed(cause):
+            return Refusal(RefusalKind.SHED, cause)
+        case MaybeSent(cause):
+            return Refusal(RefusalKind.OUTCOME_UNKNOWN, cause)
--- /dev/null
+++ b/src/gentianbank/dataplane/budgets.py
@@ -0,0 +1,179 @@
+"""What this node may use of regions and links, and what it does use."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gentianbank.domain.budget import Allowance
+from gentianbank.domain.budget import Demand
+from gentianbank.domain.budget import floor_of
+from gentianbank.domain.configuration import link_name
+from gentianbank.domain.token_bucket import TokenBucket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.domain.configuration import Configuration
+
+DEMAND_FRACTION = 0.6
+DEMAND_HEADROOM = 1.5
+_MS_PER_S = 1_000
+
+
+@dataclass(slots=True)
+class _RegionBudget:
+    allowance: Allowance
+    in_use: int = 0
+    peak: int = 0
+    refused: int = 0
+
+
+@dataclass(slots=True)
+class _LinkBudget:
+    allowance: Allowance
+    source: str
+    bucket: TokenBucket = field(default_factory=TokenBucket)
+    used_bytes: int = 0
+    waiting: int = 0
+    measured_ms: float = 0.0
+
+
+class BudgetBook:
+    """Allowances of this node by the name of their budget.
+
+    Parameters
+    ----------
+    region
+        Region of this node.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(self, region: str, clock: Callable[[], float]) -> None:
+        self._region = region
+        self._clock = clock
+        self._regions: dict[str, _RegionBudget] = {}
+        self._links: dict[str, _LinkBudget] = {}
+
+    def update(self, configuration: Configuration) -> None:
+        """Take the caps and floors of a configuration."""
+        nodes = {n: r.declared_nodes for n, r in configuration.regions.items()}
+        for name, region in configuration.regions.items():
+            floor = floor_of(region.max_in_flight, sum(nodes.values()))
+            held = self._regions.get(name)
+            if held is None:
+                self._regions[name] = _RegionBudget(Allowance(floor))
+            else:
+                held.allowance.floor = floor
+        for link in configuration.links:
+            if self._region not in (link.source, link.destination):
+                continue
+            senders = nodes[link.source] + nodes[link.destination]
+            floor = floor_of(link.cap_bytes_per_s, senders)
+            known = self._links.get(link.name)
+            if known is None:
+                allowance = Allowance(floor)
+                self._links[link.name] = _LinkBudget(allowance, link.source)
+            else:
+                known.allowance.floor = floor
+        for stale in set(self._regions) - set(configuration.regions):
+            del self._regions[stale]
+        for stale in set(self._links) - set(configuration.links_by_name()):
+            del self._links[stale]
+
+    def try_enter(self, region: str, end_ms: float) -> bool:
+        """Count a request into a region if its budget holds until the end.
+
+        Parameters
+        ----------
+        end_ms
+            Time by which the request has ended for certain.
+        """
+        budget = self._regions.get(region)
+        if budget is None:
+            return False
+        if budget.in_use + 1 > budget.allowance.limit_until(end_ms):
+            budget.refused += 1
+            return False
+        budget.in_use += 1
+        budget.peak = max(budget.peak, budget.in_use)
+        return True
+
+    def leave(self, region: str) -> None:
+        """Count a request out of a region."""
+        budget = self._regions.get(region)
+        if budget is not None:
+            budget.in_use -= 1
+
+    def room(self, region: str, end_ms: float) -> float:
+        """Return how many requests more a region may take until a time."""
+        budget = self._regions.get(region)
+        if budget is None:
+            return 0.0
+        return budget.allowance.limit_until(end_ms) - budget.in_use
+
+    async def pace(
+        self, source: str, destination: str, size_bytes: int, *, large: bool
+    ) -> None:
+        """Wait until bytes may cross the link between two regions."""
+        if source == destination:
+            return
+        budget = self._links.get(link_name(source, destination))
+        if budget is None:
+            return
+        budget.waiting += 1
+        try:
+            while wait_ms := self._take(budget, size_bytes, large=large):
+                await asyncio.sleep(wait_ms / _MS_PER_S)
+        finally:
+            budget.waiting -= 1
+        budget.used_bytes += size_bytes
+
+    def accept_loan(
+        self, budget: str, amount: float, requested_ms: float
+    ) -> None:
+        """Take a loan of a keeper."""
+        held = self._regions.get(budget) or self._links.get(budget)
+        if held is not None:
+            held.allowance.accept(amount, requested_ms)
+
+    def demands(self) -> list[Demand]:
+        """Return the loans that the recent use asks for."""
+        now_ms = self._clock()
+        demands = []
+        for name, region in self._regions.items():
+            peak = region.peak + region.refused
+            region.peak, region.refused = region.in_use, 0
+            demands += _demand(name, name, peak, region.allowance, now_ms)
+        for name, link in self._links.items():
+            elapsed_s = (now_ms - link.measured_ms) / _MS_PER_S
+            used = link.used_bytes / max(elapsed_s, 1e-3)
+            link.used_bytes, link.measured_ms = 0, now_ms
+            if link.waiting > 1:
+                used = max(used, link.allowance.limit(now_ms))
+            demands += _demand(name, link.source, used, link.allowance, now_ms)
+        return demands
+
+    def _take(
+        self, budget: _LinkBudget, size_bytes: int, *, large: bool
+    ) -> float:
+        now_ms = self._clock()
+        rate = budget.allowance.limit(now_ms)
+        return budget.bucket.take(size_bytes, rate, now_ms, large=large)
+
+
+def _demand(
+    budget: str,
+    keeper_region: str,
+    used: float,
+    allowance: Allowance,
+    now_ms: float,
+) -> list[Demand]:
+    if used <= allowance.floor * DEMAND_FRACTION:
+        return []
+    limit = allowance.limit(now_ms)
+    wanted = max(used, min(limit, used * 2)) * DEMAND_HEADROOM
+    return [Demand(budget, keeper_region, max(wanted - allowance.floor, 1.0))]
--- /dev/null
+++ b/src/gentianbank/dataplane/exchange.py
@@ -0,0 +1,131 @@
+"""One HTTP exchange with a caller, over ASGI."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gentianbank.platform.target_transport import RawHeaders
+
+ASGIMessage = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[ASGIMessage]]
+SendMessage = Callable[[ASGIMessage], Awaitable[None]]
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection before the exchange ended."""
+
+
+class Exchange:
+    """Request head, body and answer of one exchange.
+
+    Parameters
+    ----------
+    scope, receive, send
+        What the ASGI server passes in.
+    """
+
+    def __init__(
+        self, scope: ASGIMessage, receive: Receive, send: SendMessage
+    ) -> None:
+        self.method: str = scope['method']
+        self.raw_headers: RawHeaders = scope['headers']
+        self.client = (scope.get('client') or ('',))[0]
+        query = scope.get('query_string', b'')
+        path: bytes = scope.get('raw_path') or scope['path'].encode()
+        self.path = path.partition(b'?')[0] + (b'?' + query if query else b'')
+        self.answer_started = False
+        self._receive = receive
+        self._send = send
+        self._body_read = False
+
+    def header(self, name: bytes) -> str | None:
+        """Return the value of a header, by its lower-case name."""
+        for key, value in self.raw_headers:
+            if key == name:
+                return value.decode('latin-1')
+        return None
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether the head of the request announces a body."""
+        if self.header(b'transfer-encoding'):
+            return True
+        return (self.header(b'content-length') or '0') != '0'
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Return the body in pieces.
+
+        Raises
+        ------
+        CallerGoneError
+            If the caller breaks off.
+        """
+        while not self._body_read:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerGoneError
+            self._body_read = not message.get('more_body', False)
+            chunk: bytes = message.get('body', b'')
+            if chunk:
+                yield chunk
+
+    async def wait_gone(self) -> None:
+        """Wait until the caller closes the connection."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Send the head of the answer."""
+        self.answer_started = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a piece of the body; waits while the caller reads slowly."""
+        await self._send(
+            {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+        )
+
+    async def finish(self, chunk: bytes = b'') -> None:
+        """Send the last piece of the body."""
+        await self._send({'type': 'http.response.body', 'body': chunk})
+
+    async def answer(
+        self, status: int, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = (b'content-length', str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self.finish(body)
+
+
+async def cancel_when_gone(exchange: Exchange, work: Awaitable[None]) -> bool:
+    """Do work unless the caller goes first; tell whether it was done."""
+    worker = asyncio.ensure_future(work)
+    watcher = asyncio.ensure_future(exchange.wait_gone())
+    try:
+        await asyncio.wait(
+            (worker, watcher), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not worker.done():
+            return False
+        worker.result()
+        return True
+    finally:
+        for task in (worker, watcher):
+            task.cancel()
+        await asyncio.gather(worker, watcher, return_exceptions=True)
--- /dev/null
+++ b/src/gentianbank/dataplane/headers.py
@@ -0,0 +1,109 @@
+"""Headers on the way to a target and back."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gentianbank.platform.target_transport import RawHeaders
+
+REQUEST_ID = b'x-request-id'
+TIMEOUT = b'request-timeout-ms'
+KEY = b'idempotency-key'
+NOT_RUN = b'request-not-run'
+LOAD_REPORT = b'endpoint-load-metrics'
+_JSON_PREFIX = 'JSON '
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+_REPLACED = _HOP_BY_HOP | {b'host', REQUEST_ID, TIMEOUT, KEY, b'via'}
+
+
+def for_target(
+    received: RawHeaders,
+    *,
+    address: str,
+    attempt_id: str,
+    timeout_ms: float,
+    key: str,
+    node: str,
+    client: str,
+    chunked: bool,
+) -> RawHeaders:
+    """Return the headers of a request to a target.
+
+    Parameters
+    ----------
+    attempt_id
+        Id of this attempt; a target that echoes it lets the node tell
+        answers apart.
+    timeout_ms
+        Time that is left of the deadline.
+    key
+        Idempotency key, or nothing.
+    chunked
+        Whether the body has no announced length.
+    """
+    headers = [
+        (name, value)
+        for name, value in received
+        if name.lower() not in _REPLACED
+    ]
+    headers.append((b'host', address.encode()))
+    headers.append((REQUEST_ID, attempt_id.encode()))
+    headers.append((TIMEOUT, str(max(1, int(timeout_ms))).encode()))
+    headers.append((b'via', f'1.1 {node}'.encode()))
+    headers.append((b'x-forwarded-for', client.encode()))
+    if key:
+        headers.append((KEY, key.encode()))
+    if chunked:
+        headers.append((b'transfer-encoding', b'chunked'))
+    return headers
+
+
+def for_caller(received: RawHeaders) -> RawHeaders:
+    """Return the headers of an answer to the caller."""
+    return [
+        (name.lower(), value)
+        for name, value in received
+        if name.lower() not in _HOP_BY_HOP
+        and name.lower() not in (REQUEST_ID, LOAD_REPORT)
+    ]
+
+
+def find(headers: RawHeaders, name: bytes) -> bytes | None:
+    """Return the value of a header, by its lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def reported_in_flight(headers: RawHeaders) -> int | None:
+    """Return the requests in flight of an ORCA load report.
+
+    The report is a header of the Open Request Cost Aggregation format, in
+    its JSON form, with the metric ``in_flight`` among the named ones.
+    """
+    raw = find(headers, LOAD_REPORT)
+    if raw is None:
+        return None
+    text = raw.decode('latin-1')
+    if not text.startswith(_JSON_PREFIX):
+        return None
+    try:
+        report = json.loads(text.removeprefix(_JSON_PREFIX))
+        return max(0, int(report['named_metrics']['in_flight']))
+    except (ValueError, KeyError, TypeError, OverflowError):
+        return None
--- /dev/null
+++ b/src/gentianbank/dataplane/health_checker.py
@@ -0,0 +1,106 @@
+"""Polls the health endpoints of targets.
+
+The endpoint answers in the health check format for HTTP APIs: the status
+``pass``, ``warn`` or ``fail``, and ``leaving`` as output of a target that
+wants no new work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from gentianbank.dataplane import headers as http_headers
+from gentianbank.platform.target_transport import TargetRequest
+from gentianbank.platform.target_transport import TruncatedBodyError
+
+if TYPE_CHECKING:
+    from gentianbank.dataplane.routing import Routing
+    from gentianbank.domain.configuration import Target
+    from gentianbank.platform.target_transport import TargetAnswer
+    from gentianbank.platform.target_transport import TargetTransport
+
+PERIOD_S = 1.0
+TIMEOUT_MS = 1_000
+FAILURES_TO_FAIL = 2
+MAX_BODY_BYTES = 65_536
+_PATH = b'/healthz'
+
+
+class HealthChecker:
+    """Polls every target of the configuration in force."""
+
+    def __init__(self, routing: Routing, transport: TargetTransport) -> None:
+        self._routing = routing
+        self._transport = transport
+        self._failures: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            configuration = self._routing.configuration
+            if configuration is not None:
+                await asyncio.gather(
+                    *(
+                        self._check(target)
+                        for service in configuration.services.values()
+                        for target in service.targets
+                    )
+                )
+            await asyncio.sleep(PERIOD_S * random.uniform(0.8, 1.2))
+
+    async def _check(self, target: Target) -> None:
+        await asyncio.sleep(random.uniform(0, PERIOD_S / 2))
+        request = TargetRequest(
+            address=target.address,
+            method='GET',
+            path=_PATH,
+            headers=[(b'host', target.address.encode())],
+            body=None,
+            max_connections=self._routing.connections_of(target),
+            connect_timeout_ms=TIMEOUT_MS,
+            headers_timeout_ms=TIMEOUT_MS,
+        )
+        match await self._transport.send(request):
+            case Result(tag='ok', ok=answer):
+                await self._take(target, answer)
+            case _:
+                self._count(target, passing=False, leaving=False)
+
+    async def _take(self, target: Target, answer: TargetAnswer) -> None:
+        body = b''
+        try:
+            async for chunk in answer.chunks():
+                body += chunk
+                if len(body) > MAX_BODY_BYTES:
+                    break
+        except TruncatedBodyError:
+            pass
+        finally:
+            await answer.close()
+        in_flight = http_headers.reported_in_flight(answer.headers)
+        if in_flight is not None:
+            self._routing.on_report(target.name, in_flight)
+        try:
+            document = json.loads(body)
+            passing = document.get('status') in ('pass', 'warn')
+            leaving = document.get('output') == 'leaving'
+        except (ValueError, AttributeError):
+            passing, leaving = False, False
+        self._count(target, passing=passing, leaving=leaving)
+
+    def _count(self, target: Target, *, passing: bool, leaving: bool) -> None:
+        held = self._routing.health_of(target.name)
+        failures = 0 if passing else self._failures.get(target.name, 0) + 1
+        self._failures[target.name] = failures
+        # A target that cannot be asked any more does not come back by that.
+        still_leaving = held is not None and held.leaving and not passing
+        self._routing.on_check(
+            target.name,
+            failing=failures >= FAILURES_TO_FAIL,
+            leaving=leaving or still_leaving,
+        )
--- /dev/null
+++ b/src/gentianbank/dataplane/lookups.py
@@ -0,0 +1,92 @@
+"""Look-ups: which entry VM a caller should use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain.errors import FieldError
+from gentianbank.domain.outcome import EPOCH_MS
+from gentianbank.policy.lookup import answer_lookup
+from gentianbank.policy.lookup import LookupAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.domain.member import Member
+    from gentianbank.domain.revision import Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class NoConfiguration:
+    """The node has no revision yet."""
+
+    def __str__(self) -> str:
+        return 'this node has no revision yet'
+
+
+LookupError = FieldError | NoConfiguration
+
+
+class Lookups:
+    """Answers look-ups from the snapshot in force.
+
+    Parameters
+    ----------
+    region
+        Region of this node, used for clients of unknown blocks.
+    members
+        Returns the members that may be named.
+    """
+
+    def __init__(
+        self, region: str, members: Callable[[], list[Member]]
+    ) -> None:
+        self._region = region
+        self._members = members
+        self._snapshot: Snapshot | None = None
+        self._answers: dict[str, LookupAnswer] = {}
+
+    def update(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in force."""
+        self._snapshot = snapshot
+        self._answers.clear()
+
+    def forget_answers(self) -> None:
+        """Drop the prepared answers after a change of the members."""
+        self._answers.clear()
+
+    def find(self, client: str) -> Result[LookupAnswer, LookupError]:
+        """Return the entry VMs for a client's address."""
+        snapshot = self._snapshot
+        if snapshot is None:
+            return Error(NoConfiguration())
+        try:
+            site = snapshot.clients.find(client)
+        except ValueError as error:
+            return Error(FieldError('client', str(error)))
+        region = self._region
+        if site is not None:
+            region = snapshot.configuration.sites[site].region
+        answer = self._answers.get(region)
+        if answer is None:
+            answer = self._answers[region] = answer_lookup(
+                snapshot.configuration,
+                snapshot.revision,
+                self._members(),
+                region,
+            )
+        return Ok(answer)
+
+
+def estimate_epoch(generation_ms: int, wall_ms: float) -> int:
+    """Return the epoch of a node that started at a wall-clock time.
+
+    A wrong estimate costs a refusal and never a second run: the owner of a
+    key decides by its own clock.
+    """
+    return max(0, int((wall_ms - generation_ms) // EPOCH_MS))
--- /dev/null
+++ b/src/gentianbank/dataplane/outcomes.py
@@ -0,0 +1,282 @@
+"""Admission of requests that may run at most once.
+
+Only the incarnation that owns a key sends its request. A node that gets a
+key of another one asks the owner, or the heir of its outcomes, and answers
+*outcome unknown* when neither can tell.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.dataplane.refusal import Refusal
+from gentianbank.dataplane.refusal import RefusalKind
+from gentianbank.domain.outcome import Answered
+from gentianbank.domain.outcome import Begun
+from gentianbank.domain.outcome import Foreign
+from gentianbank.domain.outcome import Mismatch
+from gentianbank.domain.outcome import NotRun
+from gentianbank.domain.outcome import Outcome
+from gentianbank.domain.outcome import OutcomeTable
+from gentianbank.domain.outcome import Pending
+from gentianbank.domain.outcome import Unknown
+from gentianbank.domain.request_key import OpaqueKey
+from gentianbank.domain.request_key import RequestKey
+from gentianbank.domain.request_key import ScopedKey
+
+if TYPE_CHECKING:
+    from gentianbank.platform.claims import Claim
+    from gentianbank.platform.claims import ClaimStore
+
+_MS_PER_S = 1_000
+
+Report = Outcome | Pending | Mismatch
+# Asks the owner of an incarnation for a key; nothing when none answers.
+AskOwner = Callable[[str, RequestKey, str, float], Awaitable[Report | None]]
+Admitted = Begun | Answered
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """Outcomes taken over from an incarnation that stopped as planned.
+
+    Parameters
+    ----------
+    oldest_epoch
+        Oldest epoch whose outcomes are complete.
+    """
+
+    incarnation: str
+    oldest_epoch: int
+    outcomes: dict[RequestKey, tuple[str, Outcome]]
+
+    def find(self, key: RequestKey, fingerprint: str) -> Report:
+        """Return what became of a key of the stopped incarnation."""
+        held = self.outcomes.get(key)
+        if held is None:
+            if isinstance(key, ScopedKey) and key.epoch >= self.oldest_epoch:
+                return NotRun('never sent', sealed=True)
+            return Unknown('its outcome was dropped')
+        return held[1] if held[0] == fingerprint else Mismatch()
+
+
+@dataclass(slots=True)
+class OutcomeDesk:
+    """Admits keys and keeps their outcomes.
+
+    Parameters
+    ----------
+    table
+        Outcomes of this incarnation.
+    claims
+        Claims on callers' own keys.
+    ask_owner
+        Asks another node.
+    clock
+        Returns this process's monotonic time in milliseconds.
+    """
+
+    table: OutcomeTable
+    claims: ClaimStore
+    ask_owner: AskOwner
+    clock: Callable[[], float]
+    _adopted: dict[str, Adopted] = field(default_factory=dict)
+    _waiters: dict[RequestKey, list[asyncio.Future[Outcome]]] = field(
+        default_factory=dict
+    )
+
+    async def admit(
+        self, key: RequestKey, fingerprint: str, timeout_ms: float
+    ) -> Result[Admitted, Refusal]:
+        """Admit a request, or return what became of an earlier one.
+
+        Parameters
+        ----------
+        timeout_ms
+            Time to wait for an earlier request that is still running.
+        """
+        match self.table.begin(key, fingerprint, self.clock()):
+            case Begun() as begun:
+                if isinstance(key, OpaqueKey):
+                    return await self._claim(
+                        key, fingerprint, begun, timeout_ms
+                    )
+                return Ok(begun)
+            case Pending():
+                return await self._wait(key, timeout_ms)
+            case Foreign(incarnation):
+                report = await self._ask(
+                    incarnation, key, fingerprint, timeout_ms
+                )
+                return _admitted(report)
+            case NotRun() if isinstance(key, OpaqueKey):
+                return await self._follow_claim(key, fingerprint, timeout_ms)
+            case Mismatch() | Answered() | NotRun() | Unknown() as report:
+                return _admitted(report)
+
+    def finish(self, key: RequestKey, outcome: Outcome) -> None:
+        """Record an outcome and wake the requests that wait for it."""
+        self.table.finish(key, outcome)
+        for waiter in self._waiters.pop(key, ()):
+            if not waiter.done():
+                waiter.set_result(outcome)
+
+    def adopt(self, adopted: Adopted) -> None:
+        """Take over the outcomes of a node that stops as planned."""
+        held = self._adopted.get(adopted.incarnation)
+        if held is not None:
+            adopted.outcomes.update(held.outcomes)
+        self._adopted[adopted.incarnation] = adopted
+
+    def report(self, key: RequestKey, fingerprint: str) -> Report:
+        """Tell another node what became of a key; it is sealed if unsent."""
+        adopted = self._find_adopted(key)
+        if adopted is not None:
+            return adopted.find(key, fingerprint)
+        if (
+            isinstance(key, ScopedKey)
+            and key.incarnation != self.table.incarnation
+        ):
+            return Unknown('the key belongs to another node')
+        return self.table.seal(key, fingerprint, self.clock())
+
+    def _find_adopted(self, key: RequestKey) -> Adopted | None:
+        if isinstance(key, ScopedKey):
+            return self._adopted.get(key.incarnation)
+        for adopted in self._adopted.values():
+            if key in adopted.outcomes:
+                return adopted
+        return None
+
+    async def _ask(
+        self,
+        incarnation: str,
+        key: RequestKey,
+        fingerprint: str,
+        timeout_ms: float,
+    ) -> Report:
+        adopted = self._adopted.get(incarnation)
+        if adopted is not None:
+            return adopted.find(key, fingerprint)
+        report = await self.ask_owner(
+            incarnation, key, fingerprint, timeout_ms
+        )
+        return report or Unknown('the node that owns the key does not answer')
+
+    async def _wait(
+        self, key: RequestKey, timeout_ms: float
+    ) -> Result[Admitted, Refusal]:
+        waiter: asyncio.Future[Outcome] = asyncio.Future()
+        self._waiters.setdefault(key, []).append(waiter)
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                return _admitted(await waiter)
+        except TimeoutError:
+            return _admitted(Pending())
+
+    async def _claim(
+        self,
+        key: OpaqueKey,
+        fingerprint: str,
+        begun: Begun,
+        timeout_ms: float,
+    ) -> Result[Admitted, Refusal]:
+        match await self.claims.claim(key):
+            case Result(tag='ok', ok=claim):
+                pass
+            case Result(error=error):
+                # Nothing was sent; an earlier try may have run elsewhere.
+                self.finish(key, NotRun(str(error)))
+                return _admitted(Unknown(str(error)))
+        if claim.fresh:
+            return Ok(begun)
+        if claim.incarnation == self.table.incarnation:
+            if begun.again:
+                return Ok(begun)
+            outcome = Unknown('the outcome of this key is not held any more')
+            self.finish(key, outcome)
+            return _admitted(outcome)
+        return await self._resolve_claim(key, fingerprint, claim, timeout_ms)
+
+    async def _resolve_claim(
+        self,
+        key: OpaqueKey,
+        fingerprint: str,
+        claim: Claim,
+        timeout_ms: float,
+    ) -> Result[Admitted, Refusal]:
+        report = await self._ask(
+            claim.incarnation, key, fingerprint, timeout_ms
+        )
+        if not isinstance(report, NotRun):
+            self._forget(key, report)
+            return _admitted(report)
+        match await self.claims.take_over(key, claim):
+            case Result(tag='ok', ok=taken) if taken.fresh:
+                return Ok(Begun())
+        self.finish(key, NotRun('the claim moved to another node'))
+        return _admitted(Unknown('the claim moved to another node'))
+
+    async def _follow_claim(
+        self, key: OpaqueKey, fingerprint: str, timeout_ms: float
+    ) -> Result[Admitted, Refusal]:
+        """Ask the node that may have taken over a key sealed here."""
+        match await self.claims.claim(key):
+            case Result(tag='ok', ok=claim):
+                pass
+            case Result(error=error):
+                return _admitted(Unknown(str(error)))
+        if claim.incarnation == self.table.incarnation:
+            return _admitted(Unknown('the key moves to another node'))
+        report = await self._ask(
+            claim.incarnation, key, fingerprint, timeout_ms
+        )
+        if isinstance(report, NotRun):
+            return _admitted(Unknown('the key moves to another node'))
+        return _admitted(report)
+
+    def _forget(self, key: OpaqueKey, report: Report) -> None:
+        """End a local try that was never sent."""
+        if isinstance(report, Answered):
+            self.finish(key, report)
+        else:
+            self.finish(key, NotRun('not sent by this node'))
+
+
+def _admitted(report: Report) -> Result[Admitted, Refusal]:
+    match report:
+        case Answered(body=None):
+            return _refuse(
+                RefusalKind.NOT_RETAINED,
+                f'it ran with status {report.status}, but the answer was too '
+                'large to retain',
+            )
+        case Answered():
+            return Ok(report)
+        case NotRun(cause, sealed):
+            hint = '; use a new key' if sealed else ''
+            return _refuse(RefusalKind.OVERLOADED, f'{cause}{hint}')
+        case Mismatch():
+            return _refuse(
+                RefusalKind.KEY_REUSED,
+                'the key was used before for a different request',
+            )
+        case Pending():
+            return _refuse(
+                RefusalKind.KEY_UNRESOLVED, 'an earlier try is still running'
+            )
+        case Unknown(cause):
+            return _refuse(RefusalKind.KEY_UNRESOLVED, cause)
+
+
+def _refuse(kind: RefusalKind, cause: str) -> Result[Admitted, Refusal]:
+    return Error(Refusal(kind, cause))
--- /dev/null
+++ b/src/gentianbank/dataplane/request.py
@@ -0,0 +1,141 @@
+"""Checks of a request's head."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import re
+import secrets
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.dataplane import headers
+from gentianbank.dataplane.refusal import Refusal
+from gentianbank.dataplane.refusal import RefusalKind
+from gentianbank.domain.request_key import parse_key
+
+if TYPE_CHECKING:
+    from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.domain.configuration import Configuration
+    from gentianbank.domain.configuration import Service
+    from gentianbank.domain.request_key import RequestKey
+    from gentianbank.domain.settings import Limits
+
+PREFIX = b'/services/'
+_REQUEST_ID = re.compile(r'[!-~]{1,100}')
+_TIMEOUT = re.compile(r'\d{1,12}')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request whose head has been checked.
+
+    Parameters
+    ----------
+    path
+        Path and query that the target sees.
+    end_ms
+        Deadline on this node's clock.
+    key
+        Idempotency key that the caller gave.
+    """
+
+    request_id: str
+    name: str
+    service: Service
+    method: str
+    path: bytes
+    end_ms: float
+    idempotent: bool
+    key: RequestKey | None
+    received_headers: list[tuple[bytes, bytes]]
+    client: str
+    chunked: bool
+
+
+def parse_request(
+    exchange: Exchange,
+    configuration: Configuration | None,
+    limits: Limits,
+    now_ms: float,
+) -> Result[Request, Refusal]:
+    """Check the head of a request.
+
+    Parameters
+    ----------
+    now_ms
+        Time at which the request came, on this node's clock.
+    """
+    if configuration is None:
+        return _refuse(RefusalKind.NO_CONFIGURATION, 'no revision yet')
+    name, _, rest = exchange.path.removeprefix(PREFIX).partition(b'/')
+    service_name = name.partition(b'?')[0].decode('latin-1')
+    service = configuration.services.get(service_name)
+    if service is None:
+        cause = f'there is no service {service_name[:60]!r}'
+        return _refuse(RefusalKind.UNKNOWN_SERVICE, cause)
+    timeout = _parse_timeout(exchange, service)
+    if isinstance(timeout, Refusal):
+        return Error(timeout)
+    size = _check_size(exchange, limits)
+    if size is not None:
+        return Error(size)
+    idempotent = exchange.method in service.idempotent_methods
+    key: RequestKey | None = None
+    raw_key = exchange.header(headers.KEY)
+    if raw_key is not None and not idempotent:
+        match parse_key(service_name, raw_key):
+            case Result(tag='ok', ok=key):
+                pass
+            case Result(error=error):
+                return _refuse(RefusalKind.BAD_REQUEST, str(error))
+    return Ok(
+        Request(
+            request_id=_request_id(exchange),
+            name=service_name,
+            service=service,
+            method=exchange.method,
+            path=b'/' + rest,
+            end_ms=now_ms + timeout,
+            idempotent=idempotent,
+            key=key,
+            received_headers=exchange.raw_headers,
+            client=exchange.client,
+            chunked=exchange.header(b'transfer-encoding') is not None,
+        )
+    )
+
+
+def _parse_timeout(exchange: Exchange, service: Service) -> float | Refusal:
+    raw = exchange.header(headers.TIMEOUT)
+    if raw is None:
+        return service.deadline_ms
+    if not _TIMEOUT.fullmatch(raw):
+        cause = 'Request-Timeout-Ms: expected whole milliseconds'
+        return Refusal(RefusalKind.BAD_REQUEST, cause)
+    if int(raw) == 0:
+        return Refusal(RefusalKind.DEADLINE, 'the deadline has passed')
+    return min(int(raw), service.max_deadline_ms)
+
+
+def _check_size(exchange: Exchange, limits: Limits) -> Refusal | None:
+    raw = exchange.header(b'content-length') or '0'
+    if not raw.isdigit():
+        return Refusal(RefusalKind.BAD_REQUEST, 'Content-Length: not a number')
+    if int(raw) > limits.max_body_bytes:
+        cause = f'{raw} bytes are over {limits.max_body_bytes}'
+        return Refusal(RefusalKind.TOO_LARGE, cause)
+    return None
+
+
+def _request_id(exchange: Exchange) -> str:
+    given = exchange.header(headers.REQUEST_ID)
+    if given and _REQUEST_ID.fullmatch(given):
+        return given
+    return secrets.token_hex(8)
+
+
+def _refuse(kind: RefusalKind, cause: str) -> Result[Request, Refusal]:
+    return Error(Refusal(kind, cause))
--- /dev/null
+++ b/src/gentianbank/dataplane/routing.py
@@ -0,0 +1,300 @@
+"""Choice of the region and the target of a request, under the limits."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gentianbank.domain.configuration import LARGE
+from gentianbank.policy.balancer import Candidate
+from gentianbank.policy.target_health import may_eject
+from gentianbank.policy.target_health import may_take_work
+from gentianbank.policy.target_health import TargetHealth
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+    from random import Random
+
+    from gentianbank.dataplane.budgets import BudgetBook
+    from gentianbank.domain.configuration import Configuration
+    from gentianbank.domain.configuration import Place
+    from gentianbank.domain.configuration import Service
+    from gentianbank.domain.configuration import Target
+    from gentianbank.policy.balancer import Balancer
+
+QUEUE_PER_SLOT = 4
+
+
+@dataclass(slots=True, eq=False)
+class Permit:
+    """Leave to send one request to a target; released exactly once."""
+
+    service: str
+    region: str
+    target: Target
+    started_ms: float
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """Every target that may take work is full, or a budget is used up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No target may take work."""
+
+
+Choice = Permit | Full | Unavailable
+
+
+@dataclass(slots=True)
+class _TargetState:
+    health: TargetHealth
+    in_flight: int = 0
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
+    latency_ms: float = 0.0
+
+
+class Routing:
+    """Targets of every service as this node sees them.
+
+    Parameters
+    ----------
+    region
+        Region of this node.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        budgets: BudgetBook,
+        balancer: Balancer,
+        random: Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._region = region
+        self._budgets = budgets
+        self._balancer = balancer
+        self._random = random
+        self._clock = clock
+        self._configuration: Configuration | None = None
+        self._targets: dict[str, _TargetState] = {}
+        self._services: dict[str, _ServiceState] = {}
+        self._nodes = 1
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._configuration
+
+    def update(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        now_ms = self._clock()
+        first = self._configuration is None
+        self._configuration = configuration
+        self._nodes = sum(
+            region.declared_nodes for region in configuration.regions.values()
+        )
+        self._budgets.update(configuration)
+        names = set()
+        for name, service in configuration.services.items():
+            self._services.setdefault(name, _ServiceState())
+            for target in service.targets:
+                names.add(target.name)
+                if target.name not in self._targets:
+                    warm_ms = float('-inf') if first else now_ms
+                    health = TargetHealth(warm_from_ms=warm_ms)
+                    self._targets[target.name] = _TargetState(health)
+        for stale in set(self._targets) - names:
+            del self._targets[stale]
+        for service_name in self._services:
+            self._wake(service_name)
+
+    def choose(
+        self, name: str, service: Service, end_ms: float, tried: set[str]
+    ) -> Choice:
+        """Choose a target and count the request in.
+
+        Parameters
+        ----------
+        end_ms
+            Time by which the request has ended for certain.
+        tried
+            Targets that have refused the request before.
+        """
+        now_ms = self._clock()
+        usable = False
+        places = list(service.places)
+        while places:
+            place = self._draw_place(places)
+            places.remove(place)
+            targets = self._usable(place, tried, now_ms)
+            usable = usable or bool(targets)
+            candidates = self._candidates(targets, now_ms)
+            if not candidates:
+                continue
+            if not self._budgets.try_enter(place.region, end_ms):
+                continue
+            chosen = self._balancer.choose(candidates, self._random)
+            target = next(t for t in targets if t.name == chosen.target)
+            self._targets[target.name].in_flight += 1
+            return Permit(name, place.region, target, now_ms)
+        return Full() if usable else Unavailable()
+
+    def release(self, permit: Permit) -> None:
+        """Count a request out, whatever became of it."""
+        if permit.released:
+            return
+        permit.released = True
+        self._budgets.leave(permit.region)
+        state = self._targets.get(permit.target.name)
+        if state is not None:
+            state.in_flight -= 1
+        self._wake(permit.service)
+
+    def join_queue(self, name: str, waiter: asyncio.Future[None]) -> bool:
+        """Queue for a permit unless the queue is full."""
+        assert self._configuration is not None
+        service = self._configuration.services[name]
+        slots = sum(target.slots for target in service.targets)
+        state = self._services[name]
+        if len(state.waiters) >= slots * QUEUE_PER_SLOT:
+            return False
+        state.waiters.append(waiter)
+        return True
+
+    def leave_queue(self, name: str, waiter: asyncio.Future[None]) -> None:
+        """Leave the queue, passing a wake-up on that came too late."""
+        state = self._services[name]
+        if waiter in state.waiters:
+            state.waiters.remove(waiter)
+        elif waiter.done() and not waiter.cancelled():
+            self._wake(name)
+
+    def expected_ms(self, name: str) -> float:
+        """Return the usual time to the first byte of a service."""
+        return self._services[name].latency_ms
+
+    def connections_of(self, target: Target) -> int:
+        """Return how many connections this node may hold to a target."""
+        return max(1, target.max_connections // self._nodes)
+
+    def on_answer(self, permit: Permit, latency_ms: float) -> None:
+        """Count an answer of a target."""
+        state = self._targets.get(permit.target.name)
+        if state is None:
+            return
+        state.health = state.health.on_success(latency_ms)
+        service = self._services[permit.service]
+        service.latency_ms += 0.1 * (latency_ms - service.latency_ms)
+        self._eject_outlier(permit)
+
+    def on_failure(self, permit: Permit) -> None:
+        """Count a failure of a target."""
+        state = self._targets.get(permit.target.name)
+        if state is not None:
+            state.health = state.health.on_failure()
+            self._eject_outlier(permit)
+
+    def on_report(self, target: str, in_flight: int) -> None:
+        """Take a load report of a target."""
+        state = self._targets.get(target)
+        if state is not None:
+            state.health = state.health.on_report(in_flight, self._clock())
+
+    def on_check(self, target: str, *, failing: bool, leaving: bool) -> None:
+        """Take the result of a target's health check."""
+        state = self._targets.get(target)
+        if state is not None:
+            state.health = state.health.on_check(
+                failing=failing, leaving=leaving
+            )
+
+    def health_of(self, target: str) -> TargetHealth | None:
+        """Return what is known of a target."""
+        state = self._targets.get(target)
+        return state.health if state else None
+
+    def in_flight_of(self, target: str) -> int:
+        """Return the requests that this node has on a target."""
+        state = self._targets.get(target)
+        return state.in_flight if state else 0
+
+    def _draw_place(self, places: list[Place]) -> Place:
+        weights = [place.share_percent + 1e-9 for place in places]
+        return self._random.choices(places, weights)[0]
+
+    def _usable(
+        self, place: Place, tried: set[str], now_ms: float
+    ) -> list[Target]:
+        present = [
+            target
+            for target in place.targets
+            if not target.draining and target.name not in tried
+        ]
+        staying = [t for t in present if not self._health(t).leaving]
+        usable = [t for t in staying if may_take_work(self._health(t), now_ms)]
+        # False health must not take a whole place out of service.
+        if len(usable) * 2 < len(staying):
+            return staying
+        return usable
+
+    def _candidates(
+        self, targets: list[Target], now_ms: float
+    ) -> list[Candidate]:
+        candidates = []
+        for target in targets:
+            state = self._targets[target.name]
+            if state.in_flight >= target.slots:
+                continue
+            candidates.append(
+                Candidate(
+                    target=target.name,
+                    slots=target.slots,
+                    own_in_flight=state.in_flight,
+                    reported_in_flight=state.health.reported_in_flight,
+                    report_age_ms=now_ms - state.health.reported_ms,
+                    weight=state.health.weight(now_ms),
+                )
+            )
+        return candidates
+
+    def _health(self, target: Target) -> TargetHealth:
+        return self._targets[target.name].health
+
+    def _eject_outlier(self, permit: Permit) -> None:
+        assert self._configuration is not None
+        service = self._configuration.services.get(permit.service)
+        if service is None:
+            return
+        healths = {
+            target.name: self._health(target)
+            for place in service.places
+            if place.region == permit.region
+            for target in place.targets
+        }
+        name = permit.target.name
+        if name in healths and may_eject(name, healths, self._clock()):
+            self._targets[name].health = healths[name].eject(self._clock())
+
+    def _wake(self, name: str) -> None:
+        state = self._services.get(name)
+        while state and state.waiters:
+            waiter = state.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+
+def is_large(service: Service) -> bool:
+    """Tell whether answers of a service are paced below small ones."""
+    return service.transfer == LARGE
--- /dev/null
+++ b/src/gentianbank/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregates and value objects with their rules; no input or output."""
--- /dev/null
+++ b/src/gentianbank/domain/client_map.py
@@ -0,0 +1,191 @@
+"""Packed map from client addresses to sites."""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_right
+from dataclasses import dataclass
+import ipaddress
+import json
+import struct
+from typing import TYPE_CHECKING
+
+from gentianbank.domain.configuration import ClientBlock
+from gentianbank.domain.configuration import MAX_V6_PREFIX_LENGTH
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+BLOCKS_PER_CHUNK = 50_000
+_V6_SHIFT = 128 - MAX_V6_PREFIX_LENGTH
+_V4_BITS = 32
+_NO_SITE = 0xFFFF
+
+
+@dataclass(frozen=True, slots=True)
+class _Ranges:
+    """Disjoint address ranges: each begins where the one before ends."""
+
+    starts: array[int]
+    sites: array[int]
+
+    def find(self, address: int) -> int:
+        index = bisect_right(self.starts, address) - 1
+        return self.sites[index] if index >= 0 else _NO_SITE
+
+
+@dataclass(frozen=True, slots=True)
+class ClientMap:
+    """Site of each client block; the longest prefix wins.
+
+    IPv4 addresses count whole, IPv6 addresses by their first 64 bits.
+    """
+
+    sites: tuple[str, ...]
+    _v4: _Ranges
+    _v6: _Ranges
+
+    def find(self, client: str) -> str | None:
+        """Return the site of a client's address.
+
+        Raises
+        ------
+        ValueError
+            If ``client`` is not an IP address.
+        """
+        address = ipaddress.ip_address(client)
+        if address.version == 4:
+            site = self._v4.find(int(address))
+        else:
+            site = self._v6.find(int(address) >> _V6_SHIFT)
+        return None if site == _NO_SITE else self.sites[site]
+
+
+@dataclass(frozen=True, slots=True)
+class _Column:
+    """Blocks of one address family, packed."""
+
+    starts: tuple[int, ...]
+    lengths: bytes
+    sites: tuple[int, ...]
+
+
+def pack_blocks(blocks: Iterable[ClientBlock]) -> list[bytes]:
+    """Pack client blocks into sorted chunks of bounded size."""
+    rows = sorted(_row(block) for block in blocks)
+    return [
+        _pack_chunk(rows[start : start + BLOCKS_PER_CHUNK])
+        for start in range(0, len(rows), BLOCKS_PER_CHUNK)
+    ]
+
+
+def unpack_blocks(chunk: bytes) -> Iterator[ClientBlock]:
+    """Return the blocks of a chunk."""
+    names, v4, v6 = _unpack_chunk(chunk)
+    for column, bits, shift in ((v4, _V4_BITS, 0), (v6, 128, _V6_SHIFT)):
+        for start, length, site in zip(
+            column.starts, column.lengths, column.sites, strict=True
+        ):
+            address = (
+                ipaddress.IPv4Address(start)
+                if bits == _V4_BITS
+                else ipaddress.IPv6Address(start << shift)
+            )
+            yield ClientBlock(prefix=f'{address}/{length}', site=names[site])
+
+
+def build_client_map(chunks: Iterable[bytes]) -> ClientMap:
+    """Build the map from chunks in their order."""
+    numbers: dict[str, int] = {}
+    v4 = _Flattener('I', _V4_BITS)
+    v6 = _Flattener('Q', MAX_V6_PREFIX_LENGTH)
+    for chunk in chunks:
+        names, column4, column6 = _unpack_chunk(chunk)
+        sites = [numbers.setdefault(name, len(numbers)) for name in names]
+        v4.add(column4, sites)
+        v6.add(column6, sites)
+    return ClientMap(tuple(numbers), v4.finish(), v6.finish())
+
+
+class _Flattener:
+    """Turns sorted, nested blocks into disjoint ranges."""
+
+    def __init__(self, code: str, bits: int) -> None:
+        self._starts = array(code)
+        self._sites = array('H')
+        self._bits = bits
+        self._limit = 1 << bits
+        self._open: list[tuple[int, int]] = []
+
+    def add(self, column: _Column, sites: list[int]) -> None:
+        """Add the blocks of a chunk, which follow those before."""
+        for start, length, site in zip(
+            column.starts, column.lengths, column.sites, strict=True
+        ):
+            if self._open:
+                self._close_until(start)
+            self._begin(start, sites[site])
+            end = start + (1 << (self._bits - length))
+            self._open.append((end, sites[site]))
+
+    def finish(self) -> _Ranges:
+        """Close the last blocks and return the ranges."""
+        self._close_until(self._limit)
+        return _Ranges(self._starts, self._sites)
+
+    def _close_until(self, position: int) -> None:
+        while self._open and self._open[-1][0] <= position:
+            end, _ = self._open.pop()
+            outer = self._open[-1][1] if self._open else _NO_SITE
+            self._begin(end, outer)
+
+    def _begin(self, start: int, site: int) -> None:
+        if start >= self._limit:
+            return
+        if self._starts and self._starts[-1] == start:
+            self._sites[-1] = site
+        elif not self._sites or self._sites[-1] != site:
+            self._starts.append(start)
+            self._sites.append(site)
+
+
+def _row(block: ClientBlock) -> tuple[int, int, int, str]:
+    network = ipaddress.ip_network(block.prefix)
+    start = int(network.network_address)
+    if network.version == 6:
+        start >>= _V6_SHIFT
+    return (network.version, start, network.prefixlen, block.site)
+
+
+def _pack_chunk(rows: list[tuple[int, int, int, str]]) -> bytes:
+    names = sorted({row[3] for row in rows})
+    numbers = {name: index for index, name in enumerate(names)}
+    columns = b''
+    counts = []
+    for version, code in ((4, 'I'), (6, 'Q')):
+        part = [row for row in rows if row[0] == version]
+        counts.append(len(part))
+        columns += struct.pack(f'<{len(part)}{code}', *(r[1] for r in part))
+        columns += bytes(row[2] for row in part)
+        columns += struct.pack(
+            f'<{len(part)}H', *(numbers[row[3]] for row in part)
+        )
+    header = json.dumps({'sites': names, 'counts': counts}).encode()
+    return header + b'\n' + columns
+
+
+def _unpack_chunk(chunk: bytes) -> tuple[list[str], _Column, _Column]:
+    header, _, data = chunk.partition(b'\n')
+    document = json.loads(header)
+    columns = []
+    offset = 0
+    for count, code in zip(document['counts'], 'IQ', strict=True):
+        starts = struct.unpack_from(f'<{count}{code}', data, offset)
+        offset += struct.calcsize(f'<{count}{code}')
+        lengths = data[offset : offset + count]
+        offset += count
+        sites = struct.unpack_from(f'<{count}H', data, offset)
+        offset += struct.calcsize(f'<{count}H')
+        columns.append(_Column(starts, lengths, sites))
+    return document['sites'], columns[0], columns[1]
--- /dev/null
+++ b/src/gentianbank/domain/errors.py
@@ -0,0 +1,100 @@
+"""Typed errors that functions return in place of raising."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class FieldError:
+    """One wrong field of a document.
+
+    Parameters
+    ----------
+    path
+        Dotted path of the field inside its document.
+    cause
+        What is wrong with the value.
+    """
+
+    path: str
+    cause: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.cause}'
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidDocument:
+    """A document that was refused, with every wrong field."""
+
+    source: str
+    errors: tuple[FieldError, ...]
+
+    def __str__(self) -> str:
+        return '\n'.join(f'{self.source}: {error}' for error in self.errors)
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionConflict:
+    """Another operator's change was accepted first."""
+
+    expected_revision: int
+    current_revision: int
+    author: str
+    summary: str
+
+    def __str__(self) -> str:
+        return (
+            f'expected revision {self.expected_revision}, but the current '
+            f'one is {self.current_revision}: {self.summary} '
+            f'by {self.author}'
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class StoreUnavailable:
+    """The store gave no usable answer."""
+
+    cause: str
+
+    def __str__(self) -> str:
+        return f'store unavailable: {self.cause}'
+
+
+@dataclass(frozen=True, slots=True)
+class ValueTooLarge:
+    """A value over the size that the store holds."""
+
+    key: str
+    size_bytes: int
+    limit_bytes: int
+
+    def __str__(self) -> str:
+        return (
+            f'{self.key}: {self.size_bytes} bytes are over the limit of '
+            f'{self.limit_bytes} bytes of a value in the store'
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeOutcomeUnknown:
+    """A change whose acceptance could not be established."""
+
+    change_id: str
+    cause: str
+
+    def __str__(self) -> str:
+        return (
+            f'change {self.change_id}: outcome unknown ({self.cause}); '
+            'look for its id in the history before trying again'
+        )
+
+
+ChangeError = (
+    InvalidDocument
+    | RevisionConflict
+    | StoreUnavailable
+    | ValueTooLarge
+    | ChangeOutcomeUnknown
+)
--- /dev/null
+++ b/src/gentianbank/domain/outcome.py
@@ -0,0 +1,241 @@
+"""What became of requests that may run at most once.
+
+The table is owned by one incarnation. A key is sent by the process that
+began it and by no other; the outcome stays in memory by epochs, and keys of
+epochs that were dropped are answered *outcome unknown* and never sent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from gentianbank.domain.request_key import RequestKey
+from gentianbank.domain.request_key import ScopedKey
+
+EPOCH_MS = 60_000
+RETAINED_EPOCHS = 10
+FUTURE_EPOCHS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """One header of an answer."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The target answered in full.
+
+    Parameters
+    ----------
+    body
+        Whole body, or ``None`` when it was too large to retain.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request did not run.
+
+    Parameters
+    ----------
+    sealed
+        This process has promised that it never will.
+    """
+
+    cause: str
+    sealed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    cause: str
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """The caller of ``begin`` owns the key and may send it once.
+
+    Parameters
+    ----------
+    again
+        An earlier try in this process ended without being sent.
+    """
+
+    again: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """Another request with this key is being sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mismatch:
+    """The key was used before for a different request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Foreign:
+    """The key belongs to another incarnation."""
+
+    incarnation: str
+
+
+Admission = Begun | Pending | Mismatch | Foreign | Outcome
+
+
+@dataclass(slots=True)
+class _Entry:
+    fingerprint: str
+    epoch: int
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class OutcomeTable:
+    """Outcomes of the keys that one incarnation owns.
+
+    Parameters
+    ----------
+    incarnation
+        Incarnation of this process.
+    max_entries
+        Entries held at most; the oldest epochs are dropped beyond it.
+    """
+
+    incarnation: str
+    max_entries: int = 100_000
+    _entries: dict[RequestKey, _Entry] = field(default_factory=dict)
+    _oldest_epoch: int = 0
+
+    @staticmethod
+    def epoch_at(now_ms: float) -> int:
+        """Return the epoch of a time on the process's own clock."""
+        return int(now_ms // EPOCH_MS)
+
+    def begin(
+        self, key: RequestKey, fingerprint: str, now_ms: float
+    ) -> Admission:
+        """Ask to send a request.
+
+        Parameters
+        ----------
+        key
+            Key of the request.
+        fingerprint
+            Digest of what the request asks for.
+        now_ms
+            Monotonic time of this process.
+
+        Returns
+        -------
+        Admission
+            ``Begun`` at most once for a key, unless what was begun ended
+            as ``NotRun``.
+        """
+        self._drop_old(now_ms)
+        entry = self._entries.get(key)
+        if entry is not None:
+            return self._revisit(entry, fingerprint)
+        refusal = self._refuse(key, now_ms)
+        if refusal is not None:
+            return refusal
+        epoch = self.epoch_at(now_ms)
+        self._entries[key] = _Entry(fingerprint, epoch)
+        return Begun()
+
+    def finish(self, key: RequestKey, outcome: Outcome) -> None:
+        """Record the outcome of a key that was begun."""
+        entry = self._entries.get(key)
+        if entry is not None:
+            entry.outcome = outcome
+
+    def seal(
+        self, key: RequestKey, fingerprint: str, now_ms: float
+    ) -> Outcome | Pending | Mismatch:
+        """Return what became of a key; one not sent never will be."""
+        self._drop_old(now_ms)
+        entry = self._entries.get(key)
+        if entry is None:
+            refusal = self._refuse(key, now_ms)
+            if isinstance(refusal, Unknown):
+                return refusal
+            if not isinstance(key, ScopedKey):
+                return Unknown('the outcome of this key is not held any more')
+            entry = _Entry(fingerprint, self.epoch_at(now_ms))
+            entry.outcome = NotRun('never sent', sealed=True)
+            self._entries[key] = entry
+            return entry.outcome
+        if entry.fingerprint != fingerprint:
+            return Mismatch()
+        if isinstance(entry.outcome, NotRun):
+            entry.outcome = NotRun(entry.outcome.cause, sealed=True)
+        return entry.outcome or Pending()
+
+    @property
+    def oldest_epoch(self) -> int:
+        """Return the oldest epoch whose outcomes are held."""
+        return self._oldest_epoch
+
+    def items(self) -> list[tuple[RequestKey, str, Outcome]]:
+        """Return key, fingerprint and outcome of all that ended."""
+        return [
+            (key, entry.fingerprint, entry.outcome)
+            for key, entry in self._entries.items()
+            if entry.outcome is not None
+        ]
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _revisit(self, entry: _Entry, fingerprint: str) -> Admission:
+        if entry.fingerprint != fingerprint:
+            return Mismatch()
+        if entry.outcome is None:
+            return Pending()
+        if isinstance(entry.outcome, NotRun) and not entry.outcome.sealed:
+            entry.outcome = None
+            return Begun(again=True)
+        return entry.outcome
+
+    def _refuse(self, key: RequestKey, now_ms: float) -> Admission | None:
+        if not isinstance(key, ScopedKey):
+            return None
+        if key.incarnation != self.incarnation:
+            return Foreign(key.incarnation)
+        if key.epoch < self._oldest_epoch:
+            return Unknown('the outcomes of this epoch were dropped')
+        if key.epoch > self.epoch_at(now_ms) + FUTURE_EPOCHS:
+            return Unknown('the epoch was never handed out')
+        return None
+
+    def _drop_old(self, now_ms: float) -> None:
+        keep_from = self.epoch_at(now_ms) - RETAINED_EPOCHS + 1
+        if len(self._entries) >= self.max_entries:
+            keep_from = max(keep_from, self._oldest_epoch + 1)
+        if keep_from <= self._oldest_epoch:
+            return
+        self._oldest_epoch = keep_from
+        self._entries = {
+            key: entry
+            for key, entry in self._entries.items()
+            if _epoch_of(key, entry) >= keep_from
+        }
+
+
+def _epoch_of(key: RequestKey, entry: _Entry) -> int:
+    return key.epoch if isinstance(key, ScopedKey) else entry.epoch
--- /dev/null
+++ b/src/gentianbank/domain/schema.py
@@ -0,0 +1,306 @@
+"""Checked reading of documents into frozen data classes.
+
+A data class declares the rule of each field with :func:`integer`,
+:func:`number`, :func:`text`, :func:`flag`, :func:`nested`, :func:`sequence`
+or :func:`mapping`. :func:`read` applies the rules to a plain document and
+reports every wrong field with its path, :func:`dump` is its inverse.
+"""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+import dataclasses
+from dataclasses import dataclass
+import difflib
+import re
+from typing import Any
+from typing import TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain.errors import FieldError
+from gentianbank.domain.errors import InvalidDocument
+
+T = TypeVar('T')
+
+NAME_PATTERN = r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
+ADDRESS_PATTERN = r'(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}'
+URL_PATTERN = r'https?://[^\s/]+'
+MAX_BINARY_BYTES = 1_000_000
+_RULE = 'gentianbank.rule'
+_UNITS = {
+    '_ms': 'milliseconds',
+    '_s': 'seconds',
+    '_bytes': 'bytes',
+    '_percent': 'percent',
+    '_mbit_per_s': 'Mbit/s',
+}
+
+
+class Rule(ABC):
+    """Reads one value; appends to ``errors`` what is wrong with it."""
+
+    @abstractmethod
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        """Return the checked value, or ``None`` after an error."""
+
+    def dump(self, value: Any) -> Any:
+        """Return the plain form of a checked value."""
+        return value
+
+
+@dataclass(frozen=True, slots=True)
+class _Number(Rule):
+    minimum: float
+    maximum: float
+    whole: bool
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        kinds = (int,) if self.whole else (int, float)
+        if isinstance(raw, bool) or not isinstance(raw, kinds):
+            kind = 'whole number' if self.whole else 'number'
+            cause = f'expected a {kind}{_unit_of(path)}, got {raw!r:.60}'
+            errors.append(FieldError(path, cause))
+            return None
+        if not self.minimum <= raw <= self.maximum:
+            cause = f'{raw} is outside {self.minimum}..{self.maximum}'
+            errors.append(FieldError(path, cause))
+            return None
+        return raw if self.whole else float(raw)
+
+
+@dataclass(frozen=True, slots=True)
+class _Text(Rule):
+    pattern: str
+    choices: tuple[str, ...]
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        if not isinstance(raw, str):
+            errors.append(FieldError(path, f'expected text, got {raw!r:.60}'))
+            return None
+        if self.choices and raw not in self.choices:
+            cause = f'{raw!r:.60} is none of {", ".join(self.choices)}'
+            errors.append(FieldError(path, cause))
+            return None
+        if not re.fullmatch(self.pattern, raw):
+            cause = f'{raw!r:.60} does not match {self.pattern}'
+            errors.append(FieldError(path, cause))
+            return None
+        return raw
+
+
+@dataclass(frozen=True, slots=True)
+class _Flag(Rule):
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        if not isinstance(raw, bool):
+            cause = f'expected true or false, got {raw!r:.60}'
+            errors.append(FieldError(path, cause))
+            return None
+        return raw
+
+
+@dataclass(frozen=True, slots=True)
+class _Binary(Rule):
+    maximum_bytes: int
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        if not isinstance(raw, bytes) or len(raw) > self.maximum_bytes:
+            cause = f'expected at most {self.maximum_bytes} bytes'
+            errors.append(FieldError(path, cause))
+            return None
+        return raw
+
+
+@dataclass(frozen=True, slots=True)
+class _Nested(Rule):
+    kind: type
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        return _read_object(self.kind, raw, path, errors)
+
+    def dump(self, value: Any) -> Any:
+        return dump(value)
+
+
+@dataclass(frozen=True, slots=True)
+class _Sequence(Rule):
+    item: Rule
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        if not isinstance(raw, list):
+            errors.append(
+                FieldError(path, f'expected a list, got {raw!r:.60}')
+            )
+            return None
+        return tuple(
+            self.item.read(item, f'{path}[{index}]', errors)
+            for index, item in enumerate(raw)
+        )
+
+    def dump(self, value: Any) -> Any:
+        return [self.item.dump(item) for item in value]
+
+
+@dataclass(frozen=True, slots=True)
+class _Mapping(Rule):
+    item: Rule
+    keys: str
+
+    def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
+        if not isinstance(raw, dict):
+            cause = f'expected a mapping, got {raw!r:.60}'
+            errors.append(FieldError(path, cause))
+            return None
+        for key in raw:
+            _Text(self.keys, ()).read(key, f'{path}.{key}', errors)
+        return {
+            key: self.item.read(item, f'{path}.{key}', errors)
+            for key, item in raw.items()
+        }
+
+    def dump(self, value: Any) -> Any:
+        return {key: self.item.dump(value[key]) for key in sorted(value)}
+
+
+def integer(minimum: int, maximum: int, **options: Any) -> Any:
+    """Declare a whole number within bounds, both included."""
+    return _field(_Number(minimum, maximum, True), options)
+
+
+def number(minimum: float, maximum: float, **options: Any) -> Any:
+    """Declare a number within bounds, both included."""
+    return _field(_Number(minimum, maximum, False), options)
+
+
+def text(
+    pattern: str = r'.{1,200}', choices: tuple[str, ...] = (), **options: Any
+) -> Any:
+    """Declare a text that matches a pattern and is one of the choices."""
+    return _field(_Text(pattern, choices), options)
+
+
+def name(**options: Any) -> Any:
+    """Declare a name: lower-case letters, digits and hyphens."""
+    return text(NAME_PATTERN, **options)
+
+
+def flag(**options: Any) -> Any:
+    """Declare a truth value."""
+    return _field(_Flag(), options)
+
+
+def nested(kind: type, **options: Any) -> Any:
+    """Declare a nested data class."""
+    return _field(_Nested(kind), options)
+
+
+def sequence(kind: type, pattern: str = r'.{1,200}', **options: Any) -> Any:
+    """Declare a list of texts or of data classes."""
+    return _field(_Sequence(_item_rule(kind, pattern)), options)
+
+
+def mapping(kind: type, keys: str = NAME_PATTERN, **options: Any) -> Any:
+    """Declare a mapping from names to texts, bytes or data classes."""
+    return _field(_Mapping(_item_rule(kind, r'.{1,200}'), keys), options)
+
+
+def binary(maximum_bytes: int = MAX_BINARY_BYTES, **options: Any) -> Any:
+    """Declare bytes up to a length."""
+    return _field(_Binary(maximum_bytes), options)
+
+
+def read(kind: type[T], raw: Any, source: str) -> Result[T, InvalidDocument]:
+    """Check a plain document.
+
+    Parameters
+    ----------
+    kind
+        Data class whose fields carry rules.
+    raw
+        Document of mappings, lists and scalars.
+    source
+        File or call that the document came from, named in errors.
+
+    Returns
+    -------
+    Result
+        The checked object, or every wrong field of the document.
+    """
+    errors: list[FieldError] = []
+    value = _read_object(kind, raw, '', errors)
+    if errors:
+        return Error(InvalidDocument(source, tuple(errors)))
+    return Ok(value)
+
+
+def dump(value: Any) -> dict[str, Any]:
+    """Return the plain document of a data class that has rules."""
+    return {
+        item.name: item.metadata[_RULE].dump(getattr(value, item.name))
+        for item in dataclasses.fields(value)
+    }
+
+
+def field_names(kind: type) -> list[str]:
+    """Return the names of the fields of a data class, in order."""
+    return [item.name for item in dataclasses.fields(kind)]
+
+
+def _field(rule: Rule, options: dict[str, Any]) -> Any:
+    return dataclasses.field(metadata={_RULE: rule}, **options)
+
+
+def _item_rule(kind: type, pattern: str) -> Rule:
+    if kind is str:
+        return _Text(pattern, ())
+    if kind is bytes:
+        return _Binary(MAX_BINARY_BYTES)
+    return _Nested(kind)
+
+
+def _read_object(
+    kind: type, raw: Any, path: str, errors: list[FieldError]
+) -> Any:
+    if not isinstance(raw, dict):
+        cause = f'expected a mapping, got {raw!r:.60}'
+        errors.append(FieldError(path or '(document)', cause))
+        return None
+    prefix = f'{path}.' if path else ''
+    fields = {item.name: item for item in dataclasses.fields(kind)}
+    for key in raw:
+        if key not in fields:
+            errors.append(_unknown_key(f'{prefix}{key}', str(key), fields))
+    values: dict[str, Any] = {}
+    before = len(errors)
+    for key, item in fields.items():
+        if key in raw:
+            rule: Rule = item.metadata[_RULE]
+            values[key] = rule.read(raw[key], f'{prefix}{key}', errors)
+        elif _is_required(item):
+            errors.append(FieldError(f'{prefix}{key}', 'missing'))
+    return None if len(errors) > before else kind(**values)
+
+
+def _is_required(item: dataclasses.Field[Any]) -> bool:
+    return (
+        item.default is dataclasses.MISSING
+        and item.default_factory is dataclasses.MISSING
+    )
+
+
+def _unknown_key(
+    path: str, key: str, fields: dict[str, dataclasses.Field[Any]]
+) -> FieldError:
+    near = difflib.get_close_matches(key, fields, 1, 0.6)
+    hint = f'; did you mean {near[0]}?' if near else ''
+    return FieldError(path, f'unknown key{hint}')
+
+
+def _unit_of(path: str) -> str:
+    for suffix, unit in _UNITS.items():
+        if path.endswith(suffix):
+            return f' of {unit}'
+    return ''
--- /dev/null
+++ b/src/gentianbank/domain/token_bucket.py
@@ -0,0 +1,62 @@
+"""Pacing of bytes at a rate that may change at any moment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+RATE_FRACTION = 0.95
+BURST_S = 0.05
+RESERVED_FRACTION = 0.2
+_MS_PER_S = 1_000
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Bytes that may be sent now.
+
+    The rate and the burst together stay under the allowance in any window
+    of a second or more. Large transfers leave a part of the bucket to small
+    requests.
+    """
+
+    _tokens: float = 0.0
+    _updated_ms: float = float('-inf')
+
+    def take(
+        self, size_bytes: int, rate_per_s: float, now_ms: float, *, large: bool
+    ) -> float:
+        """Take bytes, or return the time to wait before the next try.
+
+        Parameters
+        ----------
+        size_bytes
+            Bytes to send.
+        rate_per_s
+            Allowance in bytes per second at this time.
+        large
+            Whether the bytes belong to a large transfer.
+
+        Returns
+        -------
+        float
+            0 when the bytes may be sent, else milliseconds to wait.
+        """
+        rate = rate_per_s * RATE_FRACTION
+        burst = rate * BURST_S
+        self._refill(rate, burst, now_ms)
+        reserve = burst * RESERVED_FRACTION if large else 0.0
+        needed = min(size_bytes, burst - reserve) + reserve
+        if self._tokens >= needed - 1e-6:
+            self._tokens -= size_bytes
+            return 0.0
+        if rate <= 0:
+            return _MS_PER_S
+        return (needed - self._tokens) / rate * _MS_PER_S
+
+    def _refill(self, rate: float, burst: float, now_ms: float) -> None:
+        elapsed_s = max(0.0, now_ms - self._updated_ms) / _MS_PER_S
+        self._updated_ms = max(now_ms, self._updated_ms)
+        if elapsed_s == float('inf'):
+            self._tokens = burst
+            return
+        self._tokens = min(burst, self._tokens + rate * elapsed_s)
--- /dev/null
+++ b/src/gentianbank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's services."""
--- /dev/null
+++ b/src/gentianbank/platform/claims.py
@@ -0,0 +1,109 @@
+"""Claims on callers' own keys, in the platform's store.
+
+A claim is created before the request is sent and does not end with its
+holder. It moves to another incarnation only by compare-and-swap, after its
+holder has promised never to send.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import hashlib
+import json
+import secrets
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.platform.store import Expected
+from gentianbank.platform.store import Put
+
+if TYPE_CHECKING:
+    from gentianbank.domain.request_key import OpaqueKey
+    from gentianbank.platform.store import Store
+    from gentianbank.platform.store import StoredValue
+
+ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Who holds a key.
+
+    Parameters
+    ----------
+    mod_revision
+        The store's revision of the claim, for taking it over.
+    fresh
+        The call that returned this claim has written it.
+    """
+
+    incarnation: str
+    mod_revision: int
+    fresh: bool
+
+
+class ClaimStore:
+    """Claims keys for one incarnation.
+
+    Parameters
+    ----------
+    incarnation
+        Incarnation that the claims are made for.
+    """
+
+    def __init__(
+        self, store: Store, key_prefix: str, incarnation: str
+    ) -> None:
+        self._store = store
+        self._prefix = f'{key_prefix}/claim/'
+        self._incarnation = incarnation
+
+    async def claim(self, key: OpaqueKey) -> Result[Claim, StoreUnavailable]:
+        """Claim a key, and return who holds it then."""
+        return await self._write(key, 0)
+
+    async def take_over(
+        self, key: OpaqueKey, held: Claim
+    ) -> Result[Claim, StoreUnavailable]:
+        """Take a claim whose holder has promised never to send."""
+        return await self._write(key, held.mod_revision)
+
+    async def _write(
+        self, key: OpaqueKey, mod_revision: int
+    ) -> Result[Claim, StoreUnavailable]:
+        name = self._prefix + _hash(key)
+        nonce = secrets.token_hex(8)
+        document = {'incarnation': self._incarnation, 'nonce': nonce}
+        value = json.dumps(document).encode()
+        cause = StoreUnavailable('not tried')
+        for _ in range(ATTEMPTS):
+            # A lost answer is settled by reading the claim back.
+            await self._store.commit(
+                Expected(name, mod_revision), [Put(name, value)]
+            )
+            match await self._store.get(name):
+                case Result(tag='ok', ok=stored) if stored is not None:
+                    return _decode(stored, nonce)
+                case Result(tag='error', error=cause):
+                    return Error(cause)
+        return Error(cause)
+
+
+def _hash(key: OpaqueKey) -> str:
+    return hashlib.sha256(str(key).encode()).hexdigest()
+
+
+def _decode(
+    stored: StoredValue, nonce: str
+) -> Result[Claim, StoreUnavailable]:
+    try:
+        document = json.loads(stored.value)
+        incarnation = str(document['incarnation'])
+        fresh = document['nonce'] == nonce
+    except (ValueError, KeyError, TypeError):
+        return Error(StoreUnavailable(f'{stored.key} is not a claim'))
+    return Ok(Claim(incarnation, stored.mod_revision, fresh))
--- /dev/null
+++ b/src/gentianbank/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over snapshots."""
--- /dev/null
+++ b/src/gentianbank/policy/lookup.py
@@ -0,0 +1,104 @@
+"""Answers to look-ups: which entry VMs a caller should use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gentianbank.domain.configuration import Configuration
+    from gentianbank.domain.member import Member
+
+MAX_ENTRIES = 4
+PERCENT = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One entry VM of an answer."""
+
+    vm: str
+    address: str
+    incarnation: str
+    region: str
+    weight_percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class LookupAnswer:
+    """Entry VMs in the order of preference.
+
+    Parameters
+    ----------
+    cache_ms
+        Time for which the caller may keep the answer.
+    revision
+        Revision of the configuration that the answer follows.
+    """
+
+    entries: tuple[Entry, ...]
+    cache_ms: int
+    revision: int
+
+
+def answer_lookup(
+    configuration: Configuration,
+    revision: int,
+    members: list[Member],
+    client_region: str,
+) -> LookupAnswer:
+    """Rank the entry VMs for a caller.
+
+    Parameters
+    ----------
+    members
+        Members that are ready.
+    client_region
+        Region of the caller's site.
+
+    Returns
+    -------
+    LookupAnswer
+        Entries of the nearest region that has any share the traffic
+        alike; those of the regions after it follow with weight 0, to be
+        used when the first fail.
+    """
+    groups: dict[str, list[Member]] = {}
+    for member in members:
+        groups.setdefault(member.region, []).append(member)
+    order = sorted(
+        groups,
+        key=lambda region: _delay_ms(configuration, client_region, region),
+    )
+    entries: list[Entry] = []
+    for index, region in enumerate(order):
+        group = sorted(groups[region], key=lambda member: member.vm)
+        weight = PERCENT // len(group) if index == 0 else 0
+        entries += [_entry(member, weight) for member in group]
+    return LookupAnswer(
+        tuple(_trim(entries)), configuration.lookups.cache_ms, revision
+    )
+
+
+def _delay_ms(
+    configuration: Configuration, source: str, destination: str
+) -> float:
+    if source == destination:
+        return 0.0
+    link = configuration.link(source, destination)
+    return link.one_way_delay_ms if link else float('inf')
+
+
+def _entry(member: Member, weight_percent: int) -> Entry:
+    return Entry(
+        member.vm,
+        member.http,
+        member.incarnation,
+        member.region,
+        weight_percent,
+    )
+
+
+def _trim(entries: list[Entry]) -> list[Entry]:
+    weighted = sum(1 for entry in entries if entry.weight_percent)
+    return entries[: max(MAX_ENTRIES, weighted + 2)]
--- /dev/null
+++ b/src/gentianbank/policy/topology.py
@@ -0,0 +1,80 @@
+"""Which peers a node connects to: a deterministic tree in each region.
+
+Every node computes the same tree from the same members. The first two nodes
+of a region are its relays: they watch the store and connect to the relays
+of the other regions. Every other node connects to two parents. Views that
+differ cost an extra connection and nothing else.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gentianbank.policy import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RELAYS = 2
+FAN_OUT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A node that can be connected to."""
+
+    vm: str
+    region: str
+    failure_domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPlan:
+    """Whether a node is a relay, and the VMs that it dials."""
+
+    is_relay: bool
+    dial: tuple[str, ...]
+
+
+def plan_links(me: Peer, peers: Iterable[Peer]) -> LinkPlan:
+    """Plan the connections of a node.
+
+    Parameters
+    ----------
+    me
+        The node itself.
+    peers
+        The other nodes that are believed to run.
+    """
+    regions: dict[str, list[Peer]] = {me.region: [me]}
+    for peer in peers:
+        if peer.vm != me.vm:
+            regions.setdefault(peer.region, []).append(peer)
+    order = order_region(regions[me.region], me.region)
+    position = order.index(me.vm)
+    if position >= RELAYS:
+        return LinkPlan(False, _parents(order, position))
+    dial = [vm for vm in order[:RELAYS] if vm < me.vm]
+    for region, members in regions.items():
+        if region != me.region:
+            relays = order_region(members, region)[:RELAYS]
+            dial += [vm for vm in relays if vm < me.vm]
+    return LinkPlan(True, tuple(dial))
+
+
+def order_region(members: list[Peer], region: str) -> list[str]:
+    """Order the nodes of a region, relays of two failure domains first."""
+    domains = {peer.vm: peer.failure_domain for peer in members}
+    order = rendezvous.rank(domains, region)
+    for index in range(1, len(order)):
+        if domains[order[index]] != domains[order[0]]:
+            order.insert(1, order.pop(index))
+            break
+    return order
+
+
+def _parents(order: list[str], position: int) -> tuple[str, ...]:
+    primary = (position - RELAYS) // FAN_OUT
+    backup = primary + 1 if primary + 1 < position else primary - 1
+    return (order[primary], order[backup])
--- /dev/null
+++ b/src/gentianbank/requests.py
@@ -0,0 +1,170 @@
+"""Answers to requests of other nodes, and requests to them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.control.messages import Handover
+from gentianbank.control.messages import HandoverReply
+from gentianbank.control.messages import HeldOutcome
+from gentianbank.control.messages import LoanReply
+from gentianbank.control.messages import LoanRequest
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import OutcomeReply
+from gentianbank.control.messages import OutcomeRequest
+from gentianbank.control.wire_outcomes import from_wire
+from gentianbank.control.wire_outcomes import to_wire
+from gentianbank.dataplane.outcomes import Adopted
+from gentianbank.dataplane.outcomes import Report
+from gentianbank.domain.outcome import Outcome
+from gentianbank.domain.request_key import OpaqueKey
+from gentianbank.domain.request_key import parse_key
+from gentianbank.domain.request_key import RequestKey
+
+if TYPE_CHECKING:
+    from gentianbank.control.loans import RegionKeeper
+    from gentianbank.control.peers import Peers
+    from gentianbank.control.state import ControlState
+    from gentianbank.dataplane.outcomes import OutcomeDesk
+
+HANDOVER_BATCH = 100
+HANDOVER_TIMEOUT_MS = 2_000
+HANDOVER_CANDIDATES = 3
+MAX_REQUEST_MS = 10_000
+_UNSCOPED = 'unscoped'
+
+
+class PeerRequests:
+    """Requests between nodes about outcomes and loans."""
+
+    def __init__(self, state: ControlState, keeper: RegionKeeper) -> None:
+        self._state = state
+        self._keeper = keeper
+        self._peers: Peers
+        self._desk: OutcomeDesk
+
+    def attach(self, peers: Peers, desk: OutcomeDesk) -> None:
+        """Take the connections and the outcomes."""
+        self._peers = peers
+        self._desk = desk
+
+    async def answer(self, vm: str, message: Message) -> Message | None:
+        """Answer a request of another node."""
+        match message:
+            case LoanRequest():
+                return self._lend(vm, message)
+            case OutcomeRequest():
+                return self._report(message)
+            case Handover():
+                return self._adopt(message)
+        logging.warning('peer %s: unexpected %s', vm, type(message).__name__)
+        return None
+
+    async def ask_owner(
+        self,
+        incarnation: str,
+        key: RequestKey,
+        fingerprint: str,
+        timeout_ms: float,
+    ) -> Report | None:
+        """Ask the node that answers for an incarnation."""
+        owner = self._state.members.owner_of(incarnation)
+        if owner is None or owner.vm == self._state.me.vm:
+            return None
+        service, value = _split(key)
+        request = OutcomeRequest(
+            request_id=0, service=service, key=value, fingerprint=fingerprint
+        )
+        match await self._peers.request(
+            owner.vm, owner.peer, request, min(timeout_ms, MAX_REQUEST_MS)
+        ):
+            case Result(tag='ok', ok=OutcomeReply(outcome=outcome)):
+                return from_wire(outcome)
+        return None
+
+    async def hand_over(self) -> str:
+        """Give the outcomes to a peer; return its VM, or nothing."""
+        ready = [
+            member
+            for member in self._state.members.ready()
+            if member.vm != self._state.me.vm
+        ]
+        ready.sort(key=lambda m: (m.region != self._state.me.region, m.vm))
+        for member in ready[:HANDOVER_CANDIDATES]:
+            if await self._hand_to(member.vm, member.peer):
+                return member.vm
+        return ''
+
+    async def _hand_to(self, vm: str, address: str) -> bool:
+        table = self._desk.table
+        items = table.items()
+        # Without outcomes the heir still learns that none is missing.
+        starts = range(0, max(len(items), 1), HANDOVER_BATCH)
+        for start in starts:
+            held = [
+                HeldOutcome(
+                    service=_split(key)[0],
+                    key=_split(key)[1],
+                    fingerprint=fingerprint,
+                    outcome=to_wire(outcome),
+                )
+                for key, fingerprint, outcome in items[
+                    start : start + HANDOVER_BATCH
+                ]
+            ]
+            message = Handover(
+                request_id=0,
+                incarnation=table.incarnation,
+                oldest_epoch=table.oldest_epoch,
+                outcomes=tuple(held),
+            )
+            match await self._peers.request(
+                vm, address, message, HANDOVER_TIMEOUT_MS
+            ):
+                case Result(tag='ok', ok=HandoverReply()):
+                    continue
+            return False
+        return True
+
+    def _lend(self, vm: str, message: LoanRequest) -> Message:
+        member = self._state.members.get(vm)
+        borrower = member.incarnation if member else vm
+        amount = self._keeper.lend(borrower, message.budget, message.wanted)
+        return LoanReply(request_id=message.request_id, amount=float(amount))
+
+    def _report(self, message: OutcomeRequest) -> Message | None:
+        key = _join(message.service, message.key)
+        if key is None:
+            return None
+        report = self._desk.report(key, message.fingerprint)
+        return OutcomeReply(
+            request_id=message.request_id, outcome=to_wire(report)
+        )
+
+    def _adopt(self, message: Handover) -> Message:
+        outcomes = {}
+        for item in message.outcomes:
+            key = _join(item.service, item.key)
+            report = from_wire(item.outcome)
+            if key is not None and isinstance(report, Outcome):
+                outcomes[key] = (item.fingerprint, report)
+        self._desk.adopt(
+            Adopted(message.incarnation, message.oldest_epoch, outcomes)
+        )
+        return HandoverReply(request_id=message.request_id)
+
+
+def _split(key: RequestKey) -> tuple[str, str]:
+    if isinstance(key, OpaqueKey):
+        return key.service, key.value
+    return _UNSCOPED, str(key)
+
+
+def _join(service: str, value: str) -> RequestKey | None:
+    match parse_key(service, value):
+        case Result(tag='ok', ok=key):
+            return key
+    return None
--- /dev/null
+++ b/src/gentianbank/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' remote procedure calls."""
--- /dev/null
+++ b/src/gentianbank/rpc/changes.py
@@ -0,0 +1,220 @@
+"""Changes of the configuration that operators ask for."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+from dataclasses import dataclass
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain import revision as revisions
+from gentianbank.domain.configuration import read_configuration
+from gentianbank.domain.errors import FieldError
+from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import RevisionConflict
+from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.platform.revisions import Change
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.domain.errors import ChangeError
+    from gentianbank.domain.revision import Head
+    from gentianbank.domain.revision import Snapshot
+    from gentianbank.platform.revisions import RevisionStore
+
+DRAIN_ATTEMPTS = 5
+MAX_TEXT_LENGTH = 200
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A change that is in the store."""
+
+    revision: int
+    summary: str
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Who asks for a change, under which id."""
+
+    author: str
+    change_id: str
+
+
+class Changes:
+    """Checks changes and has the store accept them.
+
+    Parameters
+    ----------
+    snapshot
+        Returns the snapshot in force on this node.
+    on_accepted
+        Called with the head of a change that was accepted.
+    """
+
+    def __init__(
+        self,
+        store: RevisionStore,
+        snapshot: Callable[[], Snapshot | None],
+        on_accepted: Callable[[Head], None],
+    ) -> None:
+        self._store = store
+        self._snapshot = snapshot
+        self._on_accepted = on_accepted
+
+    async def current(
+        self,
+    ) -> Result[Snapshot | None, InvalidDocument | StoreUnavailable]:
+        """Return the accepted revision as the store has it."""
+        match await self._store.read_head():
+            case Result(tag='ok', ok=stored):
+                head = stored.head
+            case Result(error=error):
+                return Error(error)
+        if head.revision == 0:
+            return Ok(None)
+        held = self._snapshot()
+        if held is not None and held.head == head:
+            return Ok(held)
+        known = {}
+        if held is not None:
+            known = {
+                digest: held.bodies[name]
+                for name, digest in held.head.digests.items()
+            }
+        bodies = {}
+        for name, digest in head.digests.items():
+            if digest not in known:
+                match await self._store.read_body(digest):
+                    case Result(tag='ok', ok=body):
+                        known[digest] = body
+                    case Result(error=error):
+                        return Error(error)
+            bodies[name] = known[digest]
+        return await asyncio.to_thread(
+            revisions.join, head.revision, bodies, held
+        )
+
+    async def apply(
+        self, document: Any, base_revision: int | None, order: Order
+    ) -> Result[Accepted, ChangeError]:
+        """Replace the configuration.
+
+        Parameters
+        ----------
+        base_revision
+            Revision that the operator saw; the current one when absent.
+        """
+        wrong = _check_order(order)
+        if wrong is not None:
+            return Error(wrong)
+        match read_configuration(document, 'configuration'):
+            case Result(tag='ok', ok=configuration):
+                pass
+            case Result(error=invalid):
+                return Error(invalid)
+        match await self.current():
+            case Result(tag='ok', ok=current):
+                pass
+            case Result(error=error):
+                return Error(error)
+        before = current.bodies if current else {}
+        revision = current.revision if current else 0
+        bodies = await asyncio.to_thread(revisions.split, configuration)
+        return await self._accept(
+            bodies,
+            before,
+            revision if base_revision is None else base_revision,
+            order,
+        )
+
+    async def set_draining(
+        self, target: str, draining: bool, order: Order
+    ) -> Result[Accepted, ChangeError]:
+        """Take a target out of new work, or back into it."""
+        wrong = _check_order(order)
+        if wrong is not None:
+            return Error(wrong)
+        for _ in range(DRAIN_ATTEMPTS):
+            match await self.current():
+                case Result(tag='ok', ok=current):
+                    pass
+                case Result(error=error):
+                    return Error(error)
+            if current is None:
+                return Error(_wrong('target', 'there is no configuration yet'))
+            document = copy.deepcopy(current.document())
+            if not _mark(document, target, draining):
+                return Error(_wrong('target', f'unknown target {target!r}'))
+            match read_configuration(document, 'configuration'):
+                case Result(tag='ok', ok=configuration):
+                    pass
+                case Result(error=invalid):
+                    return Error(invalid)
+            bodies = revisions.split(configuration)
+            if bodies == current.bodies:
+                return Ok(Accepted(current.revision, 'no difference'))
+            result = await self._accept(
+                bodies, current.bodies, current.revision, order
+            )
+            match result:
+                case Result(tag='error', error=RevisionConflict()):
+                    continue
+            return result
+        return result
+
+    async def _accept(
+        self,
+        bodies: dict[str, bytes],
+        before: dict[str, bytes],
+        base_revision: int,
+        order: Order,
+    ) -> Result[Accepted, ChangeError]:
+        summary = revisions.summarise(before, bodies)
+        change = Change(
+            change_id=order.change_id,
+            base_revision=base_revision,
+            author=order.author,
+            summary=summary,
+            time_ms=int(time.time() * _MS_PER_S),
+            bodies=bodies,
+        )
+        result = await self._store.accept(change)
+        match result:
+            case Result(tag='ok', ok=revision):
+                digests = {n: revisions.digest(b) for n, b in bodies.items()}
+                self._on_accepted(revisions.Head(revision, digests))
+        return result.map(lambda revision: Accepted(revision, summary))
+
+
+def _mark(document: dict[str, Any], target: str, draining: bool) -> bool:
+    for service in document['services'].values():
+        for place in service['places']:
+            for item in place['targets']:
+                if item['name'] == target:
+                    item['draining'] = draining
+                    return True
+    return False
+
+
+def _check_order(order: Order) -> InvalidDocument | None:
+    for name, value in (
+        ('author', order.author),
+        ('change_id', order.change_id),
+    ):
+        if not 1 <= len(value) <= MAX_TEXT_LENGTH or '\n' in value:
+            return _wrong(name, f'expected 1 to {MAX_TEXT_LENGTH} characters')
+    return None
+
+
+def _wrong(path: str, cause: str) -> InvalidDocument:
+    return InvalidDocument('request', (FieldError(path, cause),))
--- /dev/null
+++ b/src/gentianbank/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and structured logs."""
--- /dev/null
+++ b/src/gentianbank/telemetry/metrics.py
@@ -0,0 +1,81 @@
+"""Metrics of a node, by OpenTelemetry, scraped in Prometheus' format."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import generate_latest
+
+Gauge = Callable[[], float]
+
+
+class Metrics:
+    """Instruments of a node.
+
+    Parameters
+    ----------
+    vm, region
+        Names that the resource of the metrics carries.
+    """
+
+    def __init__(self, vm: str, region: str) -> None:
+        self._reader = PrometheusMetricReader()
+        resource = Resource({'service.instance.id': vm, 'region': region})
+        provider = MeterProvider([self._reader], resource)
+        self._meter = provider.get_meter('gentianbank')
+        self._requests = self._meter.create_counter(
+            'gentianbank.requests', description='Requests by outcome.'
+        )
+        self._duration = self._meter.create_histogram(
+            'gentianbank.request.duration', 'ms', 'Time to the last byte.'
+        )
+        self._retries = self._meter.create_counter(
+            'gentianbank.retries', description='Attempts after the first.'
+        )
+        self._crossed = self._meter.create_counter(
+            'gentianbank.answers.crossed',
+            description='Answers to another request, refused.',
+        )
+        self._lookups = self._meter.create_counter(
+            'gentianbank.lookups', description='Look-ups answered.'
+        )
+
+    def on_request(
+        self, service: str, outcome: str, duration_ms: float
+    ) -> None:
+        """Count a request that has ended."""
+        labels = {'service': service, 'outcome': outcome}
+        self._requests.add(1, labels)
+        self._duration.record(duration_ms, labels)
+
+    def on_retry(self, service: str) -> None:
+        """Count an attempt after the first."""
+        self._retries.add(1, {'service': service})
+
+    def on_crossed(self, service: str) -> None:
+        """Count an answer that belongs to another request."""
+        self._crossed.add(1, {'service': service})
+
+    def on_lookup(self) -> None:
+        """Count a look-up."""
+        self._lookups.add(1)
+
+    def add_gauge(self, name: str, description: str, read: Gauge) -> None:
+        """Register a value that is read when metrics are scraped."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(
+            f'gentianbank.{name}', [observe], description=description
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest()
--- /dev/null
+++ b/src/gentianbank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes."""
--- /dev/null
+++ b/src/gentianbank/transport/handshake.py
@@ -0,0 +1,152 @@
+"""Mutual proof of the fleet's key at the begin of a connection.
+
+The dialling node sends a :class:`Hello`, the other answers with a
+:class:`Challenge` that holds its own proof, and the dialling node closes
+with a :class:`Proof`. Each proof covers both nonces and both names, so that
+a recorded one is worth nothing on another connection.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import hashlib
+import hmac
+import os
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.control.messages import decode_message
+from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import register_message
+from gentianbank.domain import schema
+
+if TYPE_CHECKING:
+    from websockets.asyncio.client import ClientConnection
+    from websockets.asyncio.server import ServerConnection
+
+    from gentianbank.control.peers import AddressBook
+
+NONCE_BYTES = 16
+CONTROL = 'control'
+REQUESTS = 'requests'
+
+
+@register_message('hello')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hello(Message):
+    """First message of the dialling node."""
+
+    vm: str = schema.name()
+    purpose: str = schema.text(choices=(CONTROL, REQUESTS))
+    nonce: bytes = schema.binary(NONCE_BYTES)
+
+
+@register_message('challenge')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Challenge(Message):
+    """Answer of the dialled node."""
+
+    vm: str = schema.name()
+    nonce: bytes = schema.binary(NONCE_BYTES)
+    proof: bytes = schema.binary(32)
+
+
+@register_message('proof')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Proof(Message):
+    """Last message of the dialling node."""
+
+    proof: bytes = schema.binary(32)
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """A peer that has proved the fleet's key."""
+
+    vm: str
+    purpose: str
+
+
+@dataclass(frozen=True, slots=True)
+class HandshakeRefused:
+    """Why a connection was refused."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """Name and key of this node."""
+
+    vm: str
+    fleet_key: bytes
+
+
+async def greet(
+    connection: ClientConnection, own: Credentials, purpose: str
+) -> Result[Identity, HandshakeRefused]:
+    """Run the handshake as the dialling node."""
+    nonce = os.urandom(NONCE_BYTES)
+    hello = Hello(vm=own.vm, purpose=purpose, nonce=nonce)
+    await connection.send(encode_message(hello))
+    challenge = await _receive(connection)
+    if not isinstance(challenge, Challenge):
+        return Error(HandshakeRefused('no challenge'))
+    nonces = nonce + challenge.nonce
+    expected = _prove(own, 'server', nonces, own.vm, challenge.vm)
+    if not hmac.compare_digest(challenge.proof, expected):
+        return Error(HandshakeRefused('the peer does not hold the key'))
+    proof = _prove(own, 'client', nonces, own.vm, challenge.vm)
+    await connection.send(encode_message(Proof(proof=proof)))
+    return Ok(Identity(challenge.vm, purpose))
+
+
+async def welcome(
+    connection: ServerConnection, own: Credentials, book: AddressBook
+) -> Result[Identity, HandshakeRefused]:
+    """Run the handshake as the dialled node."""
+    hello = await _receive(connection)
+    if not isinstance(hello, Hello):
+        return Error(HandshakeRefused('no hello'))
+    if hello.vm == own.vm:
+        return Error(HandshakeRefused('the peer claims the name of this node'))
+    known = book(hello.vm)
+    remote_host = connection.remote_address[0]
+    if known is not None and known.rpartition(':')[0] != remote_host:
+        cause = f'{remote_host} claims the name of {hello.vm}'
+        return Error(HandshakeRefused(cause))
+    nonce = os.urandom(NONCE_BYTES)
+    nonces = hello.nonce + nonce
+    proof = _prove(own, 'server', nonces, hello.vm, own.vm)
+    challenge = Challenge(vm=own.vm, nonce=nonce, proof=proof)
+    await connection.send(encode_message(challenge))
+    answer = await _receive(connection)
+    expected = _prove(own, 'client', nonces, hello.vm, own.vm)
+    if not isinstance(answer, Proof):
+        return Error(HandshakeRefused('no proof'))
+    if not hmac.compare_digest(answer.proof, expected):
+        return Error(HandshakeRefused('the peer does not hold the key'))
+    return Ok(Identity(hello.vm, hello.purpose))
+
+
+def _prove(
+    own: Credentials, role: str, nonces: bytes, client: str, server: str
+) -> bytes:
+    data = f'{role}/{client}/{server}/'.encode() + nonces
+    return hmac.digest(own.fleet_key, data, hashlib.sha256)
+
+
+async def _receive(
+    connection: ClientConnection | ServerConnection,
+) -> Message | None:
+    data = await connection.recv()
+    if isinstance(data, str):
+        return None
+    match decode_message(data):
+        case Result(tag='ok', ok=message):
+            return message
+    return None
--- /dev/null
+++ b/src/gentianbank/transport/peers.py
@@ -0,0 +1,302 @@
+"""Connections between nodes: websockets that carry CBOR."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Error
+from expression import Ok
+from expression import Result
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import WebSocketException
+
+from gentianbank.control.messages import decode_message
+from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import Goodbye
+from gentianbank.control.messages import MAX_MESSAGE_BYTES
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import Numbered
+from gentianbank.control.peers import Connected
+from gentianbank.control.peers import Disconnected
+from gentianbank.control.peers import Peers
+from gentianbank.control.peers import PeerUnreachable
+from gentianbank.control.peers import Received
+from gentianbank.control.peers import Unreachable
+from gentianbank.domain.addresses import parse_address
+from gentianbank.transport import handshake
+from gentianbank.transport.channel import RequestChannel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from websockets.asyncio.client import ClientConnection
+    from websockets.asyncio.server import Server
+    from websockets.asyncio.server import ServerConnection
+
+    from gentianbank.control.peers import AddressBook
+    from gentianbank.control.peers import EventSink
+    from gentianbank.control.peers import RequestHandler
+
+DIAL_TIMEOUT_S = 2.0
+OUTBOX_MESSAGES = 1_000
+MAX_MALFORMED = 3
+_MS_PER_S = 1_000
+_FAILURES = (OSError, WebSocketException, TimeoutError)
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    """One connection: a task reads it, another writes its outbox."""
+
+    vm: str
+    socket: ClientConnection | ServerConnection
+    outbox: asyncio.Queue[bytes | None] = field(
+        default_factory=lambda: asyncio.Queue(OUTBOX_MESSAGES)
+    )
+
+    def put(self, message: Message) -> None:
+        """Queue a message; a peer that does not read is cut off."""
+        try:
+            self.outbox.put_nowait(encode_message(message))
+        except asyncio.QueueFull:
+            logging.warning('peer %s does not read; closing', self.vm)
+            self.socket.transport.abort()
+
+    def finish(self) -> None:
+        """Close after what is queued has been written."""
+        try:
+            self.outbox.put_nowait(None)
+        except asyncio.QueueFull:
+            self.socket.transport.abort()
+
+    async def write(self) -> None:
+        """Write the outbox until it is closed."""
+        while (data := await self.outbox.get()) is not None:
+            await self.socket.send(data)
+        await self.socket.close()
+
+    async def read(self, take: Callable[[Message], None]) -> None:
+        """Read messages until the connection ends."""
+        malformed = 0
+        async for data in self.socket:
+            raw = data.encode() if isinstance(data, str) else data
+            match decode_message(raw):
+                case Result(tag='ok', ok=message):
+                    take(message)
+                case Result(error=error):
+                    malformed += 1
+                    logging.warning('peer %s: %s', self.vm, error)
+                    if malformed >= MAX_MALFORMED:
+                        await self.socket.close(1008, 'malformed messages')
+
+    async def run(self, take: Callable[[Message], None]) -> None:
+        """Read and write until the connection ends."""
+        writer = asyncio.create_task(self.write())
+        try:
+            await self.read(take)
+        except _FAILURES:
+            pass
+        finally:
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+
+
+class WebsocketPeers(Peers):
+    """Keeps the connections of one node.
+
+    Parameters
+    ----------
+    own
+        Name and key of this node.
+    address
+        Peer address of this node; it is dialled from as well.
+    sink
+        Takes events of connections.
+    handler
+        Answers requests of other nodes.
+    book
+        Returns the peer address of a VM, if it is known.
+    """
+
+    def __init__(
+        self,
+        own: handshake.Credentials,
+        address: str,
+        sink: EventSink,
+        handler: RequestHandler,
+        book: AddressBook,
+    ) -> None:
+        self._own = own
+        self._address = parse_address(address)
+        self._sink = sink
+        self._handler = handler
+        self._book = book
+        self._connections: dict[str, set[_Connection]] = {}
+        self._dialling: set[str] = set()
+        self._channels: dict[str, RequestChannel] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        self._server = await serve(
+            self._serve,
+            self._address.host,
+            self._address.port,
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=None,
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for vm in list(self._connections):
+            self.hang_up(vm)
+        for channel in self._channels.values():
+            channel.close()
+        await asyncio.sleep(0.05)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def dial(self, vm: str, address: str) -> None:
+        if vm in self._connections or vm in self._dialling:
+            return
+        self._dialling.add(vm)
+        self._spawn(self._dial(vm, address))
+
+    def hang_up(self, vm: str) -> None:
+        for connection in self._connections.get(vm, ()):
+            connection.put(Goodbye())
+            connection.finish()
+
+    def send(self, vm: str, message: Message) -> None:
+        for connection in self._connections.get(vm, ()):
+            connection.put(message)
+            return
+
+    async def request(
+        self, vm: str, address: str, message: Numbered, timeout_ms: float
+    ) -> Result[Numbered, PeerUnreachable]:
+        channel = self._channels.get(vm)
+        if channel is None or channel.closed:
+            channel = self._channels[vm] = RequestChannel()
+            self._spawn(self._serve_channel(channel, address))
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                return Ok(await channel.request(message))
+        except _FAILURES as error:
+            cause = f'{type(error).__name__} {error}'.strip()
+            return Error(PeerUnreachable(vm, cause))
+
+    async def _connect(self, address: str) -> ClientConnection:
+        peer = parse_address(address)
+        return await connect(
+            f'ws://{address}/',
+            local_addr=(self._address.host, 0),
+            host=peer.host,
+            port=peer.port,
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=None,
+            open_timeout=DIAL_TIMEOUT_S,
+            close_timeout=1,
+            proxy=None,
+        ).__aenter__()
+
+    async def _serve_channel(
+        self, channel: RequestChannel, address: str
+    ) -> None:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                socket = await self._connect(address)
+                answer = await handshake.greet(
+                    socket, self._own, handshake.REQUESTS
+                )
+        except _FAILURES:
+            channel.close()
+            return
+        match answer:
+            case Result(tag='ok'):
+                await channel.run(socket)
+            case _:
+                channel.close()
+                await socket.close()
+
+    async def _dial(self, vm: str, address: str) -> None:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                socket = await self._connect(address)
+                answer = await handshake.greet(
+                    socket, self._own, handshake.CONTROL
+                )
+        except _FAILURES:
+            self._dialling.discard(vm)
+            self._sink(Unreachable(vm))
+            return
+        match answer:
+            case Result(tag='ok', ok=identity):
+                await self._hold(_Connection(identity.vm, socket), vm)
+            case Result(error=refused):
+                logging.warning('peer %s: %s', vm, refused.cause)
+                self._dialling.discard(vm)
+                await socket.close()
+                self._sink(Unreachable(vm))
+
+    async def _serve(self, socket: ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                answer = await handshake.welcome(socket, self._own, self._book)
+        except _FAILURES:
+            return
+        match answer:
+            case Result(tag='ok', ok=identity):
+                connection = _Connection(identity.vm, socket)
+                if identity.purpose == handshake.CONTROL:
+                    await self._hold(connection, identity.vm)
+                else:
+                    await self._answer_requests(connection)
+            case Result(error=refused):
+                logging.warning('peer refused: %s', refused.cause)
+                await socket.close(1008, 'refused')
+
+    async def _hold(self, connection: _Connection, dialled: str) -> None:
+        """Serve a control connection until it ends."""
+        vm = connection.vm
+        self._dialling.discard(dialled)
+        held = self._connections.setdefault(vm, set())
+        held.add(connection)
+        if len(held) == 1:
+            self._sink(Connected(vm))
+        try:
+            await connection.run(
+                lambda message: self._sink(Received(vm, message))
+            )
+        finally:
+            held.discard(connection)
+            if not held and self._connections.get(vm) is held:
+                del self._connections[vm]
+                self._sink(Disconnected(vm))
+
+    async def _answer_requests(self, connection: _Connection) -> None:
+        async def answer(message: Message) -> None:
+            reply = await self._handler(connection.vm, message)
+            if reply is not None:
+                connection.put(reply)
+
+        await connection.run(lambda message: self._spawn(answer(message)))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/gentianbank_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the daemon."""
