Tell the truth about keys at a planned stop, and start without a stall

An order was called not run although it had run: the heir of a stopping node answered from the first batch of the handed-over outcomes while the second was on its way. 2. A stopping node refused retries of keys as not run, without knowing what an earlier try on another node had done. 3. 37 stock checks still reached the stopped node: prepared look-up answers were kept after the members had changed. Also, each node stalled for 1.3 s on its first requests. Ruled out: budgets (the node's own log showed the wait inside the send). Cause: each target's pool loaded the certificate store anew, 32 times about 40 ms.

Change: a hand-over names its last batch, and what is missing counts as never sent only then; refusals before a key is admitted say unknown unless this node can tell; answers are prepared anew when the members' digest changes; one TLS context for all pools; large transfers take at most half of a region's budget, and a refused request asks for a loan at once.

--- a/src/gentianbank/control/loans.py
+++ b/src/gentianbank/control/loans.py
@@ -26,6 +26,7 @@
 
 RENEW_S = 2.0
 BORROW_S = 1.0
+BORROW_MIN_S = 0.1
 REQUEST_TIMEOUT_MS = 1_000
 _MS_PER_S = 1_000
 
@@ -145,6 +146,8 @@
         Returns the loans that are wanted.
     accept
         Takes a loan: budget, amount, and the time of the request.
+    pressed
+        Set when a request was refused for want of a loan.
     """
 
     def __init__(
@@ -153,10 +156,12 @@
         keeper: RegionKeeper,
         demands: Callable[[], list[Demand]],
         accept: AcceptLoan,
+        pressed: asyncio.Event,
         clock: Callable[[], float],
     ) -> None:
         self._state = state
         self._keeper = keeper
+        self._pressed = pressed
         self._demands = demands
         self._accept = accept
         self._clock = clock
@@ -169,9 +174,18 @@
     async def run(self) -> None:
         """Ask for loans until cancelled."""
         while True:
-            await asyncio.sleep(BORROW_S * random.uniform(0.8, 1.2))
+            await self._pause()
             await asyncio.gather(*map(self._borrow, self._demands()))
 
+    async def _pause(self) -> None:
+        await asyncio.sleep(BORROW_MIN_S)
+        try:
+            async with asyncio.timeout(BORROW_S * random.uniform(0.8, 1.2)):
+                await self._pressed.wait()
+        except TimeoutError:
+            pass
+        self._pressed.clear()
+
     async def _borrow(self, demand: Demand) -> None:
         order = self._state.region_relays(demand.keeper_region)
         if not order:
--- a/src/gentianbank/control/messages.py
+++ b/src/gentianbank/control/messages.py
@@ -192,10 +192,11 @@
 @register_message('handover')
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Handover(Numbered):
-    """Outcomes of an incarnation that stops as planned."""
+    """Outcomes of an incarnation that stops as planned, in batches."""
 
     incarnation: str = schema.text(r'[0-9a-f]{16}')
     oldest_epoch: int = schema.integer(0, _COUNT)
+    last: bool = schema.flag()
     outcomes: tuple[HeldOutcome, ...] = schema.sequence(HeldOutcome)
 
 
--- a/src/gentianbank/daemon.py
+++ b/src/gentianbank/daemon.py
@@ -217,6 +217,7 @@
             self._keeper,
             self._budgets.demands,
             self._budgets.accept_loan,
+            self._budgets.pressed,
             now_ms,
         )
         self._borrower.attach(self._peers)
@@ -245,7 +246,7 @@
             log_requests=settings.logging.requests,
         )
         self._checker = HealthChecker(self._routing, self._targets)
-        self._lookups = Lookups(settings.region, self._state.members.ready)
+        self._lookups = Lookups(settings.region, self._state.members)
         app = build_app(
             forwarder=self._forwarder,
             lookups=self._lookups,
--- a/src/gentianbank/dataplane/budgets.py
+++ b/src/gentianbank/dataplane/budgets.py
@@ -20,6 +20,7 @@
 
 DEMAND_FRACTION = 0.6
 DEMAND_HEADROOM = 1.5
+LARGE_FRACTION = 0.5
 _MS_PER_S = 1_000
 
 
@@ -27,6 +28,7 @@
 class _RegionBudget:
     allowance: Allowance
     in_use: int = 0
+    large: int = 0
     peak: int = 0
     refused: int = 0
 
@@ -57,6 +59,8 @@
         self._clock = clock
         self._regions: dict[str, _RegionBudget] = {}
         self._links: dict[str, _LinkBudget] = {}
+        # Set when a request was refused, so that a loan is asked for soon.
+        self.pressed = asyncio.Event()
 
     def update(self, configuration: Configuration) -> None:
         """Take the caps and floors of a configuration."""
@@ -84,36 +88,37 @@
         for stale in set(self._links) - set(configuration.links_by_name()):
             del self._links[stale]
 
-    def try_enter(self, region: str, end_ms: float) -> bool:
+    def try_enter(self, region: str, end_ms: float, *, large: bool) -> bool:
         """Count a request into a region if its budget holds until the end.
 
         Parameters
         ----------
         end_ms
             Time by which the request has ended for certain.
+        large
+            Large transfers leave a part of the budget to small requests.
         """
         budget = self._regions.get(region)
         if budget is None:
             return False
-        if budget.in_use + 1 > budget.allowance.limit_until(end_ms):
+        limit = budget.allowance.limit_until(end_ms)
+        if budget.in_use + 1 > limit or (
+            large and budget.large + 1 > max(limit * LARGE_FRACTION, 1)
+        ):
             budget.refused += 1
+            self.pressed.set()
             return False
         budget.in_use += 1
+        budget.large += large
         budget.peak = max(budget.peak, budget.in_use)
         return True
 
-    def leave(self, region: str) -> None:
+    def leave(self, region: str, *, large: bool) -> None:
         """Count a request out of a region."""
         budget = self._regions.get(region)
         if budget is not None:
             budget.in_use -= 1
-
-    def room(self, region: str, end_ms: float) -> float:
-        """Return how many requests more a region may take until a time."""
-        budget = self._regions.get(region)
-        if budget is None:
-            return 0.0
-        return budget.allowance.limit_until(end_ms) - budget.in_use
+            budget.large -= large
 
     async def pace(
         self, source: str, destination: str, size_bytes: int, *, large: bool
@@ -152,7 +157,7 @@
             elapsed_s = (now_ms - link.measured_ms) / _MS_PER_S
             used = link.used_bytes / max(elapsed_s, 1e-3)
             link.used_bytes, link.measured_ms = 0, now_ms
-            if link.waiting > 1:
+            if link.waiting:
                 used = max(used, link.allowance.limit(now_ms))
             demands += _demand(name, link.source, used, link.allowance, now_ms)
         return demands
--- a/src/gentianbank/dataplane/forwarder.py
+++ b/src/gentianbank/dataplane/forwarder.py
@@ -20,7 +20,9 @@
 from gentianbank.dataplane.refusal import Refusal
 from gentianbank.dataplane.refusal import RefusalKind
 from gentianbank.dataplane.request import parse_request
+from gentianbank.dataplane.request import read_key
 from gentianbank.dataplane.request import Request
+from gentianbank.dataplane.request import service_of
 from gentianbank.dataplane.routing import is_large
 from gentianbank.domain.outcome import Answered
 from gentianbank.domain.outcome import Header
@@ -111,6 +113,7 @@
                 case Result(tag='ok', ok=request):
                     await self._serve_request(exchange, request, result)
                 case Result(error=refusal):
+                    refusal = self._refuse_early(exchange, refusal)
                     await self._refuse(exchange, '', refusal, result)
         except CallerGoneError:
             result.result = 'caller-gone'
@@ -136,6 +139,15 @@
             exchange, self._routing.configuration, self._limits, now_ms
         )
 
+    def _refuse_early(self, exchange: Exchange, refusal: Refusal) -> Refusal:
+        """Return the refusal of a request whose key was not admitted."""
+        if refusal.kind is RefusalKind.BAD_REQUEST:
+            return refusal
+        match read_key(exchange, service_of(exchange)):
+            case Result(tag='ok', ok=key):
+                return self._desk.refuse_unadmitted(key, refusal)
+        return refusal
+
     async def _serve_request(
         self, exchange: Exchange, request: Request, result: _Result
     ) -> None:
--- a/src/gentianbank/dataplane/lookups.py
+++ b/src/gentianbank/dataplane/lookups.py
@@ -15,9 +15,7 @@
 from gentianbank.policy.lookup import LookupAnswer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from gentianbank.domain.member import Member
+    from gentianbank.domain.member import MemberTable
     from gentianbank.domain.revision import Snapshot
 
 
@@ -40,14 +38,13 @@
     region
         Region of this node, used for clients of unknown blocks.
     members
-        Returns the members that may be named.
+        Members as this node knows them.
     """
 
-    def __init__(
-        self, region: str, members: Callable[[], list[Member]]
-    ) -> None:
+    def __init__(self, region: str, members: MemberTable) -> None:
         self._region = region
         self._members = members
+        self._members_digest = members.digest
         self._snapshot: Snapshot | None = None
         self._answers: dict[str, LookupAnswer] = {}
 
@@ -56,10 +53,6 @@
         self._snapshot = snapshot
         self._answers.clear()
 
-    def forget_answers(self) -> None:
-        """Drop the prepared answers after a change of the members."""
-        self._answers.clear()
-
     def find(self, client: str) -> Result[LookupAnswer, LookupError]:
         """Return the entry VMs for a client's address."""
         snapshot = self._snapshot
@@ -72,12 +65,15 @@
         region = self._region
         if site is not None:
             region = snapshot.configuration.sites[site].region
+        if self._members.digest != self._members_digest:
+            self._members_digest = self._members.digest
+            self._answers.clear()
         answer = self._answers.get(region)
         if answer is None:
             answer = self._answers[region] = answer_lookup(
                 snapshot.configuration,
                 snapshot.revision,
-                self._members(),
+                self._members.ready(),
                 region,
             )
         return Ok(answer)
--- a/src/gentianbank/dataplane/outcomes.py
+++ b/src/gentianbank/dataplane/outcomes.py
@@ -53,16 +53,21 @@
     ----------
     oldest_epoch
         Oldest epoch whose outcomes are complete.
+    complete
+        Every batch has come; what is missing then was never sent.
     """
 
     incarnation: str
     oldest_epoch: int
     outcomes: dict[RequestKey, tuple[str, Outcome]]
+    complete: bool
 
     def find(self, key: RequestKey, fingerprint: str) -> Report:
         """Return what became of a key of the stopped incarnation."""
         held = self.outcomes.get(key)
         if held is None:
+            if not self.complete:
+                return Unknown('its outcome is being handed over')
             if isinstance(key, ScopedKey) and key.epoch >= self.oldest_epoch:
                 return NotRun('never sent', sealed=True)
             return Unknown('its outcome was dropped')
@@ -149,6 +154,26 @@
             return Unknown('the key belongs to another node')
         return self.table.seal(key, fingerprint, self.clock())
 
+    def refuse_unadmitted(
+        self, key: RequestKey | None, refusal: Refusal
+    ) -> Refusal:
+        """Return a refusal that is true of the key, not just of this try.
+
+        A request that is refused before its key was admitted has not run,
+        but an earlier one with the same key may have.
+        """
+        if key is None or refusal.kind.may_have_run:
+            return refusal
+        if (
+            isinstance(key, ScopedKey)
+            and key.incarnation == self.table.incarnation
+            and key.epoch >= self.table.oldest_epoch
+            and not self.table.knows(key)
+        ):
+            return refusal
+        cause = f'{refusal.cause}; an earlier try may have run'
+        return Refusal(RefusalKind.KEY_UNRESOLVED, cause)
+
     def _find_adopted(self, key: RequestKey) -> Adopted | None:
         if isinstance(key, ScopedKey):
             return self._adopted.get(key.incarnation)
--- a/src/gentianbank/dataplane/request.py
+++ b/src/gentianbank/dataplane/request.py
@@ -20,6 +20,7 @@
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.configuration import Configuration
     from gentianbank.domain.configuration import Service
+    from gentianbank.domain.errors import FieldError
     from gentianbank.domain.request_key import RequestKey
     from gentianbank.domain.settings import Limits
 
@@ -70,8 +71,8 @@
     """
     if configuration is None:
         return _refuse(RefusalKind.NO_CONFIGURATION, 'no revision yet')
-    name, _, rest = exchange.path.removeprefix(PREFIX).partition(b'/')
-    service_name = name.partition(b'?')[0].decode('latin-1')
+    _, _, rest = exchange.path.removeprefix(PREFIX).partition(b'/')
+    service_name = service_of(exchange)
     service = configuration.services.get(service_name)
     if service is None:
         cause = f'there is no service {service_name[:60]!r}'
@@ -84,9 +85,8 @@
         return Error(size)
     idempotent = exchange.method in service.idempotent_methods
     key: RequestKey | None = None
-    raw_key = exchange.header(headers.KEY)
-    if raw_key is not None and not idempotent:
-        match parse_key(service_name, raw_key):
+    if not idempotent:
+        match read_key(exchange, service_name):
             case Result(tag='ok', ok=key):
                 pass
             case Result(error=error):
@@ -108,6 +108,22 @@
     )
 
 
+def read_key(
+    exchange: Exchange, service: str
+) -> Result[RequestKey | None, FieldError]:
+    """Return the idempotency key that the caller gave, if any."""
+    raw = exchange.header(headers.KEY)
+    if raw is None:
+        return Ok(None)
+    return parse_key(service, raw).map(lambda key: key)
+
+
+def service_of(exchange: Exchange) -> str:
+    """Return the name of the service in the path."""
+    name, _, _ = exchange.path.removeprefix(PREFIX).partition(b'/')
+    return name.partition(b'?')[0].decode('latin-1')
+
+
 def _parse_timeout(exchange: Exchange, service: Service) -> float | Refusal:
     raw = exchange.header(headers.TIMEOUT)
     if raw is None:
--- a/src/gentianbank/dataplane/routing.py
+++ b/src/gentianbank/dataplane/routing.py
@@ -35,7 +35,7 @@
     service: str
     region: str
     target: Target
-    started_ms: float
+    large: bool
     released: bool = False
 
 
@@ -142,12 +142,13 @@
             candidates = self._candidates(targets, now_ms)
             if not candidates:
                 continue
-            if not self._budgets.try_enter(place.region, end_ms):
+            large = is_large(service)
+            if not self._budgets.try_enter(place.region, end_ms, large=large):
                 continue
             chosen = self._balancer.choose(candidates, self._random)
             target = next(t for t in targets if t.name == chosen.target)
             self._targets[target.name].in_flight += 1
-            return Permit(name, place.region, target, now_ms)
+            return Permit(name, place.region, target, large)
         return Full() if usable else Unavailable()
 
     def release(self, permit: Permit) -> None:
@@ -155,7 +156,7 @@
         if permit.released:
             return
         permit.released = True
-        self._budgets.leave(permit.region)
+        self._budgets.leave(permit.region, large=permit.large)
         state = self._targets.get(permit.target.name)
         if state is not None:
             state.in_flight -= 1
--- a/src/gentianbank/domain/outcome.py
+++ b/src/gentianbank/domain/outcome.py
@@ -186,6 +186,10 @@
             entry.outcome = NotRun(entry.outcome.cause, sealed=True)
         return entry.outcome or Pending()
 
+    def knows(self, key: RequestKey) -> bool:
+        """Tell whether a key was begun or sealed here."""
+        return key in self._entries
+
     @property
     def oldest_epoch(self) -> int:
         """Return the oldest epoch whose outcomes are held."""
--- a/src/gentianbank/platform/http_targets.py
+++ b/src/gentianbank/platform/http_targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import ssl
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -34,6 +35,8 @@
     """Sends requests through httpx, one pool for each target."""
 
     def __init__(self) -> None:
+        # Loading certificates takes tens of ms; the pools share one context.
+        self._ssl = ssl.create_default_context()
         self._pools: dict[str, httpx.AsyncHTTPTransport] = {}
 
     async def close(self) -> None:
@@ -46,7 +49,9 @@
     ) -> Result[TargetAnswer, SendError]:
         pool = self._pools.get(request.address)
         if pool is None:
-            pool = self._pools[request.address] = _open_pool(request)
+            pool = self._pools[request.address] = _open_pool(
+                request, self._ssl
+            )
         message = _build(request)
         try:
             async with asyncio.timeout(
@@ -82,8 +87,11 @@
         await self._answer.aclose()
 
 
-def _open_pool(request: TargetRequest) -> httpx.AsyncHTTPTransport:
+def _open_pool(
+    request: TargetRequest, context: ssl.SSLContext
+) -> httpx.AsyncHTTPTransport:
     return httpx.AsyncHTTPTransport(
+        verify=context,
         limits=httpx.Limits(
             max_connections=request.max_connections,
             max_keepalive_connections=request.max_connections,
--- a/src/gentianbank/requests.py
+++ b/src/gentianbank/requests.py
@@ -119,6 +119,7 @@
                 request_id=0,
                 incarnation=table.incarnation,
                 oldest_epoch=table.oldest_epoch,
+                last=start + HANDOVER_BATCH >= len(items),
                 outcomes=tuple(held),
             )
             match await self._peers.request(
@@ -152,7 +153,12 @@
             if key is not None and isinstance(report, Outcome):
                 outcomes[key] = (item.fingerprint, report)
         self._desk.adopt(
-            Adopted(message.incarnation, message.oldest_epoch, outcomes)
+            Adopted(
+                message.incarnation,
+                message.oldest_epoch,
+                outcomes,
+                message.last,
+            )
         )
         return HandoverReply(request_id=message.request_id)
 
--- a/src/gentianbank_standins/callers.py
+++ b/src/gentianbank_standins/callers.py
@@ -9,6 +9,7 @@
 import json
 import random
 import secrets
+import ssl
 import time
 from typing import Any
 
@@ -18,6 +19,7 @@
 TIMEOUT_S = 20.0
 LOOKUP_TIMEOUT_S = 2.0
 _MS_PER_S = 1_000
+_SSL = ssl.create_default_context()
 
 
 class Verdict(enum.Enum):
@@ -89,6 +91,7 @@
         self._random = random.Random(seed)
         self._cached = _Cached([], 0.0)
         self._http = httpx.AsyncClient(
+            verify=_SSL,
             timeout=httpx.Timeout(TIMEOUT_S, connect=1.0),
             limits=httpx.Limits(max_connections=None),
             trust_env=False,
