Prove at most once, true refusals and the spread of configuration

State machines drive the real forwarders, outcome tables, claims, agents and control states of several nodes on a virtual clock, with kills, freezes, cut links, planned stops, store outages, slow stores, lost answers, late writes, racing operators and faulty targets; each fault is counted and must occur. Mutants of the mechanisms are kept as tests and are caught.

Found by the machine: a second request with an opaque key that waited on a node which had lost the claim was told not run, while the first had run on another node. Cause: the table's note that nothing was sent from here went to the waiters. Change: waiters get the report of the owner instead.

--- a/src/gentianbank/control/agent.py
+++ b/src/gentianbank/control/agent.py
@@ -118,6 +118,8 @@
         Peer addresses that are dialled while no peer is known.
     on_snapshot
         Called with each snapshot that comes into force.
+    clock
+        Returns the monotonic time in milliseconds.
     """
 
     def __init__(
@@ -127,12 +129,14 @@
         vm_list: VMList,
         seeds: tuple[str, ...],
         on_snapshot: SnapshotSink,
+        clock: Callable[[], float],
     ) -> None:
         self.state = state
         self._store = store
         self._vm_list = vm_list
         self._seeds = seeds
         self._on_snapshot = on_snapshot
+        self._clock = clock
         self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
         self._is_relay = False
         self._relay_changed = asyncio.Event()
@@ -181,7 +185,7 @@
             self._carry_out(effect)
 
     def _handle(self, event: _Event) -> list[Effect]:
-        now = now_ms()
+        now = self._clock()
         match event:
             case Received(vm, message):
                 return self.state.on_message(vm, message, now)
--- a/src/gentianbank/control/assembly.py
+++ b/src/gentianbank/control/assembly.py
@@ -111,7 +111,7 @@
         for index, change in enumerate(self._changes):
             if change.base_revision == revision:
                 return self._changes[index:]
-        return [_whole(snapshot)]
+        return [whole(snapshot)]
 
 
 def _difference(old: Snapshot, new: Snapshot) -> ChangeSet:
@@ -126,7 +126,8 @@
     )
 
 
-def _whole(snapshot: Snapshot) -> ChangeSet:
+def whole(snapshot: Snapshot) -> ChangeSet:
+    """Return the change set that needs no base."""
     digests = snapshot.head.digests
     return ChangeSet(
         base_revision=0,
--- a/src/gentianbank/control/state.py
+++ b/src/gentianbank/control/state.py
@@ -75,6 +75,14 @@
     differs: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Unsent:
+    """A record to pass on, and the peer that it came from."""
+
+    record: Member
+    source: str | None
+
+
 @dataclass(slots=True)
 class ControlState:
     """Members and configuration as one node knows them.
@@ -95,6 +103,9 @@
     _log: ChangeLog = field(default_factory=ChangeLog)
     _assembly: Assembly | None = None
     _rejected_revision: int = 0
+    _unsent: dict[str, _Unsent] = field(default_factory=dict)
+    _plan: topology.LinkPlan | None = None
+    _plan_digest: int = 0
     _next_heartbeat_ms: float = 0
     _next_probe_ms: float = 0
 
@@ -113,6 +124,16 @@
 
     def plan(self, now_ms: float) -> topology.LinkPlan:
         """Return the connections that the node should have."""
+        for vm, until_ms in list(self._unreachable_ms.items()):
+            if now_ms >= until_ms or vm in self._peers:
+                del self._unreachable_ms[vm]
+                self._plan = None
+        if self._plan is None or self._plan_digest != self.members.digest:
+            self._plan_digest = self.members.digest
+            self._plan = self._make_plan()
+        return self._plan
+
+    def _make_plan(self) -> topology.LinkPlan:
         candidates: dict[str, topology.Peer] = {}
         for listed in self._listed.values():
             if not listed.leaving:
@@ -122,14 +143,10 @@
         for member in self.members.all():
             candidates.pop(member.vm, None)
             if member.state != DOWN:
-                candidates[member.vm] = topology.Peer(
-                    member.vm, member.region, member.failure_domain
-                )
-        for vm, until_ms in self._unreachable_ms.items():
-            if now_ms < until_ms and vm not in self._peers:
-                candidates.pop(vm, None)
-        me = topology.Peer(self.me.vm, self.me.region, self.me.failure_domain)
-        return topology.plan_links(me, candidates.values())
+                candidates[member.vm] = _peer_of(member)
+        for vm in self._unreachable_ms:
+            candidates.pop(vm, None)
+        return topology.plan_links(_peer_of(self.me), candidates.values())
 
     def address_of(self, vm: str) -> str | None:
         """Return the peer address of a VM."""
@@ -142,9 +159,7 @@
     def region_relays(self, region: str) -> list[str]:
         """Return the running nodes of a region in the tree's order."""
         peers = [
-            topology.Peer(m.vm, m.region, m.failure_domain)
-            for m in self.members.running()
-            if m.region == region
+            _peer_of(m) for m in self.members.running() if m.region == region
         ]
         return topology.order_region(peers, region)
 
@@ -164,7 +179,10 @@
 
     def on_vm_list(self, listed: tuple[ListedVM, ...]) -> None:
         """Take the platform's list as a hint for connections."""
-        self._listed = {item.vm: item for item in listed}
+        held = {item.vm: item for item in listed}
+        if held != self._listed:
+            self._listed = held
+            self._plan = None
 
     def on_connected(self, vm: str, now_ms: float) -> list[Effect]:
         """Begin with a peer that has proved its identity."""
@@ -185,6 +203,7 @@
     def on_unreachable(self, vm: str, now_ms: float) -> list[Effect]:
         """Note that a peer could not be connected to."""
         self._unreachable_ms[vm] = now_ms + UNREACHABLE_MS
+        self._plan = None
         return []
 
     def on_tick(self, now_ms: float) -> list[Effect]:
@@ -197,7 +216,8 @@
         for vm, heard_ms in list(self._lost_ms.items()):
             if now_ms - heard_ms > SUSPECT_MS:
                 del self._lost_ms[vm]
-                effects += self._spread(self.members.suspect(vm), None)
+                self._spread(self.members.suspect(vm), None)
+        effects += self._send_records()
         if now_ms >= self._next_heartbeat_ms:
             self._next_heartbeat_ms = now_ms + HEARTBEAT_MS
             heartbeat = self._heartbeat()
@@ -277,7 +297,8 @@
 
     def _update_me(self, record: Member) -> list[Effect]:
         self.me = replace(record, version=self.me.version + 1)
-        return self._spread(self.members.merge([self.me]), None)
+        self._spread(self.members.merge([self.me]), None)
+        return self._send_records()
 
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
@@ -292,13 +313,20 @@
             )
         )
 
-    def _spread(
-        self, records: list[Member], source: str | None
-    ) -> list[Effect]:
-        if not records:
-            return []
-        message = Records(members=tuple(records))
-        return [Send(vm, message) for vm in self._peers if vm != source]
+    def _spread(self, records: list[Member], source: str | None) -> None:
+        """Pass records on with the next tick."""
+        for record in records:
+            self._unsent[record.vm] = _Unsent(record, source)
+
+    def _send_records(self) -> list[Effect]:
+        """Send what has changed, but not to where it came from."""
+        unsent, self._unsent = list(self._unsent.values()), {}
+        effects: list[Effect] = []
+        for vm in self._peers if unsent else ():
+            records = tuple(u.record for u in unsent if u.source != vm)
+            if records:
+                effects.append(Send(vm, Records(members=records)))
+        return effects
 
     def _on_heartbeat(
         self, vm: str, view: _PeerView, message: Heartbeat, now_ms: float
@@ -322,12 +350,11 @@
         return effects
 
     def _on_records(self, vm: str, message: Records) -> list[Effect]:
-        changed = self.members.merge(message.members)
-        effects = self._spread(changed, vm)
+        self._spread(self.members.merge(message.members), vm)
         held = self.members.get(self.me.vm)
         if held is not None and held.order > self.me.order:
-            effects += self._refute(held)
-        return effects
+            return self._refute(held)
+        return []
 
     def _refute(self, held: Member) -> list[Effect]:
         """Answer a record that speaks wrongly of this node."""
@@ -412,3 +439,7 @@
             or revision > assembly.revision
             or (revision == assembly.revision and not assembly.handed_out)
         )
+
+
+def _peer_of(member: Member) -> topology.Peer:
+    return topology.Peer(member.vm, member.region, member.failure_domain)
--- a/src/gentianbank/daemon.py
+++ b/src/gentianbank/daemon.py
@@ -177,6 +177,7 @@
             HttpVMList(store.vm_list_url, store.timeout_ms),
             settings.seeds,
             self._put_in_force,
+            now_ms,
         )
         self._keeper = RegionKeeper(
             self._state, self._store, store.key_prefix, now_ms
--- a/src/gentianbank/dataplane/outcomes.py
+++ b/src/gentianbank/dataplane/outcomes.py
@@ -95,7 +95,7 @@
     ask_owner: AskOwner
     clock: Callable[[], float]
     _adopted: dict[str, Adopted] = field(default_factory=dict)
-    _waiters: dict[RequestKey, list[asyncio.Future[Outcome]]] = field(
+    _waiters: dict[RequestKey, list[asyncio.Future[Report]]] = field(
         default_factory=dict
     )
 
@@ -131,9 +131,7 @@
     def finish(self, key: RequestKey, outcome: Outcome) -> None:
         """Record an outcome and wake the requests that wait for it."""
         self.table.finish(key, outcome)
-        for waiter in self._waiters.pop(key, ()):
-            if not waiter.done():
-                waiter.set_result(outcome)
+        self._wake(key, outcome)
 
     def adopt(self, adopted: Adopted) -> None:
         """Take over the outcomes of a node that stops as planned."""
@@ -200,7 +198,7 @@
     async def _wait(
         self, key: RequestKey, timeout_ms: float
     ) -> Result[Admitted, Refusal]:
-        waiter: asyncio.Future[Outcome] = asyncio.Future()
+        waiter: asyncio.Future[Report] = asyncio.Future()
         self._waiters.setdefault(key, []).append(waiter)
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
@@ -219,9 +217,7 @@
             case Result(tag='ok', ok=claim):
                 pass
             case Result(error=error):
-                # Nothing was sent; an earlier try may have run elsewhere.
-                self.finish(key, NotRun(str(error)))
-                return _admitted(Unknown(str(error)))
+                return self._give_up(key, Unknown(str(error)))
         if claim.fresh:
             return Ok(begun)
         if claim.incarnation == self.table.incarnation:
@@ -243,13 +239,11 @@
             claim.incarnation, key, fingerprint, timeout_ms
         )
         if not isinstance(report, NotRun):
-            self._forget(key, report)
-            return _admitted(report)
+            return self._give_up(key, report)
         match await self.claims.take_over(key, claim):
             case Result(tag='ok', ok=taken) if taken.fresh:
                 return Ok(Begun())
-        self.finish(key, NotRun('the claim moved to another node'))
-        return _admitted(Unknown('the claim moved to another node'))
+        return self._give_up(key, Unknown('the key moved to another node'))
 
     async def _follow_claim(
         self, key: OpaqueKey, fingerprint: str, timeout_ms: float
@@ -269,12 +263,25 @@
             return _admitted(Unknown('the key moves to another node'))
         return _admitted(report)
 
-    def _forget(self, key: OpaqueKey, report: Report) -> None:
-        """End a local try that was never sent."""
+    def _give_up(
+        self, key: OpaqueKey, report: Report
+    ) -> Result[Admitted, Refusal]:
+        """End a try that this node did not send.
+
+        The table notes that nothing was sent from here. That says nothing
+        of other nodes, so those who wait get the report instead.
+        """
         if isinstance(report, Answered):
-            self.finish(key, report)
+            self.table.finish(key, report)
         else:
-            self.finish(key, NotRun('not sent by this node'))
+            self.table.finish(key, NotRun('not sent by this node'))
+        self._wake(key, report)
+        return _admitted(report)
+
+    def _wake(self, key: RequestKey, report: Report) -> None:
+        for waiter in self._waiters.pop(key, ()):
+            if not waiter.done():
+                waiter.set_result(report)
 
 
 def _admitted(report: Report) -> Result[Admitted, Refusal]:
--- /dev/null
+++ b/tests/control/test_spread.py
@@ -0,0 +1,289 @@
+"""Proofs: accepted configuration is in force everywhere, for good."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+from typing import TYPE_CHECKING
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import pytest
+
+from gentianbank.control import assembly
+from gentianbank.control import state as state_module
+from gentianbank.control.peers import Received
+from gentianbank.control.state import ControlState
+from tests.support.control_world import build_fleet_configuration
+from tests.support.control_world import change_cache
+from tests.support.control_world import ControlNode
+from tests.support.control_world import ControlWorld
+from tests.support.machines import check_machine
+from tests.support.machines import check_mutant
+
+if TYPE_CHECKING:
+    import asyncio
+
+IN_FORCE_S = 6.0
+SIZES = {'kingston': 3, 'mandeville': 2, 'montego-bay': 2}
+FIRED: Counter[str] = Counter()
+FAULTS = (
+    'kill',
+    'freeze',
+    'cut link',
+    'region cut',
+    'region lost',
+    'store outage',
+    'slow store',
+    'answer lost',
+    'late write',
+    'racing operators',
+    'VM list lags',
+    'start in an outage',
+    'old revision offered',
+)
+
+
+class Spread(RuleBasedStateMachine):
+    """Operators change the configuration while everything fails."""
+
+    @initialize()
+    def start(self) -> None:
+        self.world = ControlWorld(SIZES)
+        self.configuration = build_fleet_configuration(SIZES)
+        self.highest: dict[str, int] = {}
+        self.changes: list[asyncio.Task[Any]] = []
+        self.world.start_all()
+        self.world.accept(self.configuration)
+        self.world.advance(3)
+        snapshot = next(iter(self.world.nodes.values())).state.snapshot
+        assert snapshot is not None
+        self.first = assembly.whole(snapshot)
+
+    @rule(
+        cache_ms=st.integers(1000, 9000),
+        racing=st.booleans(),
+        then_s=st.sampled_from((0.0, 0.3, 2.0)),
+    )
+    def change(self, cache_ms: int, racing: bool, then_s: float) -> None:
+        for number in range(1 + racing):
+            changed = change_cache(self.configuration, cache_ms + number)
+            self.changes.append(self.world.accept(changed))
+        self.world.fired['racing operators'] += racing
+        self.world.advance(then_s)
+
+    @rule(seconds=st.sampled_from((0.2, 1.0, 5.0)))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @rule(number=st.integers(0, 6), fault=st.sampled_from(('kill', 'freeze')))
+    def disturb_node(self, number: int, fault: str) -> None:
+        vm = list(self.world.nodes)[number]
+        node = self.world.nodes[vm]
+        if fault == 'freeze' and not node.dead:
+            self.world.freeze(vm, 5.0)
+        elif node.dead:
+            self.highest.pop(vm, None)
+            self.world.restart(vm)
+        else:
+            self.world.kill(vm)
+
+    @rule(number=st.integers(0, 6))
+    def restart_in_an_outage(self, number: int) -> None:
+        vm = list(self.world.nodes)[number]
+        node = self.world.nodes[vm]
+        self.world.stores[node.state.me.region].outage = True
+        if not node.dead:
+            self.world.kill(vm)
+        self.highest.pop(vm, None)
+        self.world.restart(vm)
+        self.world.fired['start in an outage'] += 1
+
+    @rule(region=st.sampled_from(list(SIZES)))
+    def lose_region(self, region: str) -> None:
+        for vm, node in self.world.nodes.items():
+            if node.state.me.region == region and not node.dead:
+                self.world.kill(vm)
+        self.world.fired['region lost'] += 1
+
+    @rule(region=st.sampled_from([*SIZES, '']))
+    def cut_region(self, region: str) -> None:
+        def is_cut(one: ControlNode, other: ControlNode) -> bool:
+            regions = (one.state.me.region, other.state.me.region)
+            return region in regions and regions[0] != regions[1]
+
+        self.world.cut = is_cut
+        self.world.fired['region cut'] += bool(region)
+
+    @rule(
+        regions=st.sets(st.sampled_from(list(SIZES))),
+        outage=st.booleans(),
+        slow_s=st.sampled_from((0.0, 0.0, 0.3)),
+        lag_s=st.sampled_from((0.0, 30.0)),
+    )
+    def disturb_platform(
+        self, regions: set[str], outage: bool, slow_s: float, lag_s: float
+    ) -> None:
+        for region, store in self.world.stores.items():
+            store.outage = outage and region in regions
+            store.slow_s = slow_s
+        self.world.vm_list.lag_s = lag_s
+        self.world.fired['VM list lags'] += lag_s > 0
+
+    @rule(fault=st.sampled_from(('', 'lose', 'late')))
+    def disturb_writes(self, fault: str) -> None:
+        self.world.store.lose_answers = int(fault == 'lose')
+        self.world.store.late_writes = int(fault == 'late')
+
+    @rule(number=st.integers(0, 6), sender=st.integers(0, 6))
+    def offer_old_revision(self, number: int, sender: int) -> None:
+        names = list(self.world.nodes)
+        node = self.world.nodes[names[number]]
+        if node.dead or node.state.revision < 2 or number == sender:
+            return
+        node.agent.put(Received(names[sender], self.first))
+        self.world.advance(0.01)
+        self.world.fired['old revision offered'] += 1
+
+    @invariant()
+    def no_node_goes_back(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        for vm, revision in self.world.revisions_in_force().items():
+            highest = self.highest.get(vm, 0)
+            assert revision >= highest, f'{vm} went back from {highest}'
+            self.highest[vm] = revision
+
+    def teardown(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        try:
+            self.no_node_goes_back()
+            self._check_in_force()
+            self._check_changes()
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        stores = self.world.stores.values()
+        FIRED.update(self.world.fired)
+        for store in (self.world.store, *stores):
+            FIRED.update(store.fired)
+        self.world.close()
+
+    def _check_changes(self) -> None:
+        """Every accepted change has a revision of its own, for good."""
+        results = [task.result() for task in self.changes if task.done()]
+        accepted = [result.ok for result in results if result.is_ok()]
+        assert len(accepted) == len(set(accepted)), 'accepted twice'
+        history = self.world.loop.run_until_complete(
+            self.world.revisions.read_history(1000)
+        ).ok
+        trail = [entry.revision for entry in history]
+        assert set(accepted) <= set(trail), 'missing in the audit trail'
+        assert trail == list(range(len(trail), 0, -1)), 'gaps in the trail'
+
+    def _check_in_force(self) -> None:
+        """After the faults have ended, a change is in force in time."""
+        for store in (self.world.store, *self.world.stores.values()):
+            store.outage, store.slow_s = False, 0.0
+            store.lose_answers = store.late_writes = 0
+        self.world.cut = lambda _one, _other: False
+        for vm, node in list(self.world.nodes.items()):
+            if node.dead:
+                self.highest.pop(vm, None)
+                self.world.restart(vm)
+        self.world.advance(20)
+        changed = change_cache(self.configuration, 9999)
+        task = self.world.accept(changed)
+        self.world.advance(0.1)
+        accepted = task.result()
+        assert accepted.is_ok(), accepted
+        self.world.advance(IN_FORCE_S)
+        for vm, revision in self.world.revisions_in_force().items():
+            assert revision >= accepted.ok, (
+                f'{vm} has {revision}, not {accepted.ok}, in force'
+            )
+        self.no_node_goes_back()
+
+
+def test_configuration_is_in_force_and_never_reverts() -> None:
+    check_machine(Spread, FIRED, FAULTS, examples=60, steps=25)
+
+
+def test_proof_catches_revisions_taken_in_any_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def is_wanted(self: ControlState, revision: int) -> bool:
+        return revision != self.revision
+
+    def install(self: ControlState, snapshot: object) -> list[object]:
+        self.snapshot = snapshot  # type: ignore[assignment]
+        return []
+
+    monkeypatch.setattr(ControlState, '_is_wanted', is_wanted)
+    monkeypatch.setattr(ControlState, 'on_installed', install)
+    check_mutant(Spread, 'went back|in force', 30, 25)
+
+
+def test_proof_catches_nodes_that_do_not_ask(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(state_module, 'REQUEST_MS', float('inf'))
+    monkeypatch.setattr(ControlState, '_on_revision_request', lambda *_: [])
+    check_mutant(Spread, 'in force', 30, 25)
+
+
+def test_change_reaches_a_region_that_the_store_does_not() -> None:
+    world = ControlWorld(SIZES)
+    world.start_all()
+    configuration = build_fleet_configuration(SIZES)
+    world.accept(configuration)
+    world.advance(3)
+    world.stores['montego-bay'].outage = True
+    world.advance(1)
+    world.accept(change_cache(configuration, 5000))
+    world.advance(IN_FORCE_S)
+    assert set(world.revisions_in_force().values()) == {2}
+    world.close()
+
+
+def test_node_that_starts_in_an_outage_gets_the_newest_from_peers() -> None:
+    world = ControlWorld(SIZES)
+    world.start_all()
+    configuration = build_fleet_configuration(SIZES)
+    world.accept(configuration)
+    world.advance(3)
+    world.accept(change_cache(configuration, 5000))
+    world.advance(3)
+    for store in world.stores.values():
+        store.outage = True
+    world.kill('mandeville-0')
+    world.advance(5)
+    world.restart('mandeville-0')
+    world.advance(IN_FORCE_S)
+    assert world.nodes['mandeville-0'].state.revision == 2
+    world.close()
+
+
+@pytest.mark.parametrize('nodes_per_region', [2, 23, 70])
+def test_store_calls_grow_slower_than_the_fleet(nodes_per_region: int) -> None:
+    sizes = dict.fromkeys(SIZES, nodes_per_region)
+    world = ControlWorld(sizes)
+    world.start_all()
+    world.accept(build_fleet_configuration(sizes))
+    world.advance(20)
+    for store in world.stores.values():
+        store.calls.clear()
+    watching = sum(n.agent._is_relay for n in world.nodes.values())
+    world.advance(20)
+    # Two relays of each region watch, and one keeper renews its lease.
+    assert watching == 2 * len(sizes)
+    calls = sum((s.calls for s in world.stores.values()), Counter[str]())
+    assert calls['lease'] <= len(sizes) * 20
+    assert calls.total() <= len(sizes) * 30
+    assert set(world.revisions_in_force().values()) == {1}
+    world.close()
--- /dev/null
+++ b/tests/dataplane/test_at_most_once.py
@@ -0,0 +1,316 @@
+"""Proofs: an order runs at most once, and *not run* is true."""
+
+from __future__ import annotations
+
+from collections import Counter
+import json
+from typing import Any
+from typing import ClassVar
+from typing import TYPE_CHECKING
+
+from expression import Ok
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import pytest
+
+from gentianbank import requests as requests_module
+from gentianbank.dataplane import attempts as attempts_module
+from gentianbank.dataplane import outcomes as outcomes_module
+from gentianbank.dataplane.attempts import Attempts
+from gentianbank.dataplane.outcomes import OutcomeDesk
+from gentianbank.domain import outcome as outcome_module
+from gentianbank.domain.outcome import OutcomeTable
+from tests.support.machines import check_machine
+from tests.support.machines import check_mutant
+from tests.support.world import Reply
+from tests.support.world import World
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import AsyncIterator
+
+
+VMS = ('vm-1', 'vm-2', 'vm-3')
+FAULTS = (
+    'kill',
+    'freeze',
+    'cut link',
+    'planned stop',
+    'answer lost',
+    'late write',
+    'store outage',
+    'slow store',
+    'lost answer',
+    'late run',
+    'shed',
+    'refused connection',
+    'crossed answer',
+    'cut answer',
+)
+TARGET_FAULTS = (
+    '',
+    'refused connection',
+    'shed',
+    'lost answer',
+    'late run',
+    'crossed answer',
+    'cut answer',
+)
+FIRED: Counter[str] = Counter()
+
+
+@pytest.fixture(autouse=True)
+def hand_over_one_by_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(requests_module, 'HANDOVER_BATCH', 1)
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Callers submit keys, again and elsewhere, while everything fails."""
+
+    table: ClassVar[type[OutcomeTable]] = OutcomeTable
+
+    @initialize()
+    def start(self) -> None:
+        self.world = World(outcome_table=self.table)
+        self.submitted: Counter[str] = Counter()
+        self.open: list[tuple[str, asyncio.Task[Reply]]] = []
+        self.told_not_run: dict[str, int] = {}
+        self.owners: dict[str, str] = {}
+        for vm in VMS:
+            self.world.start(vm)
+        self.world.gossip()
+
+    @rule(
+        vm=st.sampled_from(VMS),
+        number=st.integers(0, 2),
+        opaque=st.booleans(),
+        then_s=st.sampled_from((0.0, 0.003, 0.03, 0.2, 1.5)),
+    )
+    def submit(
+        self, vm: str, number: int, opaque: bool, then_s: float
+    ) -> None:
+        if self.world.nodes[vm].dead:
+            return
+        name = f'{"opaque" if opaque else "scoped"}-{number}'
+        if not opaque and name not in self.owners:
+            owner = self.world.nodes[VMS[number]]
+            self.owners[name] = f'{owner.member.incarnation}.0.{name}'
+        key = name if opaque else self.owners[name]
+        self.submitted[name] += 1
+        task = self.world.submit(
+            vm, 'POST', '/services/ordering/orders', key, name.encode()
+        )
+        self.open.append((name, task))
+        self.world.advance(then_s)
+
+    @rule(seconds=st.sampled_from((0.01, 0.4, 6.0, 40.0)))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @rule(
+        vm=st.sampled_from(VMS),
+        fault=st.sampled_from(
+            ('kill', 'freeze', 'long freeze', 'stop', 'replace')
+        ),
+    )
+    def disturb_node(self, vm: str, fault: str) -> None:
+        node = self.world.nodes[vm]
+        if fault == 'kill':
+            self.world.kill(vm)
+            self.world.advance(0.001)
+            self.world.suspect(vm)
+            self.world.start(vm)
+        elif fault in ('freeze', 'long freeze'):
+            seconds = 0.05 if fault == 'freeze' else 12.0
+            self.world.freeze(vm)
+            self.world.loop.call_later(seconds, self.world.thaw, vm)
+        elif fault == 'stop' and not node.dead and node.running.is_set():
+            stop = self.world.loop.create_task(self.world.stop(vm))
+            node.tasks.add(stop)
+        elif node.dead:
+            self.world.start(vm)
+
+    @rule(pair=st.sampled_from(((0, 1), (0, 2), (1, 2), None)))
+    def disturb_links(self, pair: tuple[int, int] | None) -> None:
+        if pair is None:
+            self.world.cut.clear()
+            self.world.gossip()
+        else:
+            self.world.cut.add(frozenset((VMS[pair[0]], VMS[pair[1]])))
+
+    @rule(
+        outage=st.booleans(),
+        slow_s=st.sampled_from((0.0, 0.0, 0.3, 1.5)),
+        lose=st.sampled_from((0, 0, 1)),
+        late=st.sampled_from((0, 0, 1)),
+    )
+    def disturb_store(
+        self, outage: bool, slow_s: float, lose: int, late: int
+    ) -> None:
+        store = self.world.store
+        store.outage = outage and slow_s > 0
+        store.slow_s = slow_s
+        store.lose_answers = lose
+        store.late_writes = late
+
+    @rule(fault=st.sampled_from(TARGET_FAULTS))
+    def disturb_targets(self, fault: str) -> None:
+        self.world.targets.fault = fault
+
+    @invariant()
+    def nothing_runs_twice(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        for name, count in self.world.targets.executed.items():
+            assert count <= 1, f'ran more than once: {name}'
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        self._take_replies()
+        for name, submitted in self.told_not_run.items():
+            if self.submitted[name] == submitted:
+                ran = self.world.targets.executed[name]
+                assert not ran, f'called not run, but ran: {name}'
+
+    def _take_replies(self) -> None:
+        still_open = []
+        for name, task in self.open:
+            if not task.done():
+                still_open.append((name, task))
+                continue
+            if not task.cancelled() and task.exception() is None:
+                self._check(name, task.result())
+        self.open = still_open
+        busy = {name for name, _ in still_open}
+        for name in busy:
+            self.told_not_run.pop(name, None)
+
+    def _check(self, name: str, reply: Reply) -> None:
+        if reply.outcome == 'not-run':
+            ran = self.world.targets.executed[name]
+            assert not ran, f'called not run, but ran: {name}'
+            self.told_not_run[name] = self.submitted[name]
+        elif reply.whole and reply.status == 200:
+            token = json.loads(reply.body)['token']
+            assert token == name, f'answer of another request: {token}'
+
+    def teardown(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        for vm in VMS:
+            self.world.thaw(vm)
+        try:
+            self.world.advance(30)
+            self.nothing_runs_twice()
+            self.not_run_is_true()
+        finally:
+            for source in (self.world, self.world.store, self.world.targets):
+                FIRED.update(source.fired)
+            self.world.close()
+
+
+def test_order_runs_at_most_once_and_not_run_is_true() -> None:
+    check_machine(AtMostOnce, FIRED, FAULTS, examples=400, steps=50)
+
+
+class _ForgetfulTable(OutcomeTable):
+    def begin(self, key: Any, fingerprint: str, now_ms: float) -> Any:
+        self._entries.pop(key, None)
+        return super().begin(key, fingerprint, now_ms)
+
+
+class _Forgetful(AtMostOnce):
+    table = _ForgetfulTable
+
+
+def test_proof_catches_table_that_forgets() -> None:
+    check_mutant(_Forgetful, 'ran more than once|but ran')
+
+
+def test_proof_catches_claims_that_are_not_made(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def claim(
+        self: OutcomeDesk, key: Any, fingerprint: str, begun: Any, _: float
+    ) -> Any:
+        return Ok(begun)
+
+    monkeypatch.setattr(OutcomeDesk, '_claim', claim)
+    check_mutant(AtMostOnce, 'ran more than once')
+
+
+class _ReplayedBody:
+    begun = False
+
+    def __init__(self, source: AsyncIterator[bytes]) -> None:
+        self._source = source
+        self._read: list[bytes] = []
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        async for chunk in self._source:
+            self._read.append(chunk)
+        for chunk in self._read:
+            yield chunk
+
+
+def test_proof_catches_retry_of_what_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Attempts, '_is_safe', lambda *_: True)
+    monkeypatch.setattr(attempts_module, '_OnceBody', _ReplayedBody)
+    check_mutant(AtMostOnce, 'ran more than once')
+
+
+def test_proof_catches_not_run_before_the_key_is_admitted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        OutcomeDesk, 'refuse_unadmitted', lambda _, key, refusal: refusal
+    )
+    check_mutant(AtMostOnce, 'called not run, but ran', examples=300)
+
+
+def test_proof_catches_answers_from_half_a_handover(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    adopted = outcomes_module.Adopted
+    monkeypatch.setattr(
+        requests_module,
+        'Adopted',
+        lambda incarnation, epoch, outcomes, _: adopted(
+            incarnation, epoch, outcomes, True
+        ),
+    )
+    check_mutant(AtMostOnce, 'ran more than once|but ran', 1000, 50)
+
+
+def test_waiter_hears_of_the_run_on_another_node() -> None:
+    world = World()
+    for vm in VMS:
+        world.start(vm)
+    world.gossip()
+    path = '/services/ordering/orders'
+    tasks = [
+        world.submit(vm, 'POST', path, 'opaque', b'order')
+        for vm in ('vm-1', 'vm-2', 'vm-2')
+    ]
+    world.advance(5)
+    assert [task.result().outcome for task in tasks] == ['', *['unknown'] * 2]
+    assert world.targets.executed == {'order': 1}
+    world.close()
+
+
+def test_proof_catches_unknown_called_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        outcomes_module,
+        'Unknown',
+        lambda cause: outcome_module.NotRun(cause),
+    )
+    check_mutant(AtMostOnce, 'ran more than once|but ran', examples=300)
