--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -188,6 +188,10 @@
         attempt: int,
     ) -> Result[TargetAnswer, _Failure]:
         now_ms = self._clock()
+        if now_ms >= request.end_ms:
+            # A process that was paused here must not use a budget that it
+            # had before.
+            return Error(NotSent('the deadline passed before sending'))
         attempt_id = f'{request.request_id}-{attempt}'
         message = TargetRequest(
             address=permit.target.address,
--- a/src/gentianbank/dataplane/budgets.py
+++ b/src/gentianbank/dataplane/budgets.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from gentianbank.domain.configuration import Configuration
 
@@ -145,6 +146,13 @@
         if held is not None:
             held.allowance.accept(amount, requested_ms)
 
+    def allowances(self) -> Iterator[tuple[str, Allowance]]:
+        """Return the allowance of each budget."""
+        for name, region in self._regions.items():
+            yield name, region.allowance
+        for name, link in self._links.items():
+            yield name, link.allowance
+
     def demands(self) -> list[Demand]:
         """Return the loans that the recent use asks for."""
         now_ms = self._clock()
--- a/src/gentianbank/domain/token_bucket.py
+++ b/src/gentianbank/domain/token_bucket.py
@@ -7,6 +7,7 @@
 RATE_FRACTION = 0.95
 BURST_S = 0.05
 RESERVED_FRACTION = 0.2
+MIN_WAIT_MS = 0.1
 _MS_PER_S = 1_000
 
 
@@ -51,7 +52,9 @@
             return 0.0
         if rate <= 0:
             return _MS_PER_S
-        return (needed - self._tokens) / rate * _MS_PER_S
+        wait_ms = (needed - self._tokens) / rate * _MS_PER_S
+        # A wait below the clock's resolution would never end.
+        return max(wait_ms, MIN_WAIT_MS)
 
     def _refill(self, rate: float, burst: float, now_ms: float) -> None:
         elapsed_s = max(0.0, now_ms - self._updated_ms) / _MS_PER_S
--- /dev/null
+++ b/tests/control/test_budgets.py
@@ -0,0 +1,346 @@
+"""Proofs: links stay under their caps, regions are never overloaded."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections import defaultdict
+from collections import deque
+from typing import Any
+from typing import TYPE_CHECKING
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import pytest
+
+from gentianbank.domain import budget as budget_module
+from gentianbank.domain.budget import Allowance
+from gentianbank.domain.budget import Keeper
+from tests.support.control_world import build_fleet_configuration
+from tests.support.control_world import ControlNode
+from tests.support.control_world import ControlWorld
+from tests.support.machines import check_machine
+from tests.support.machines import check_mutant
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from gentianbank.control.loans import RegionKeeper
+
+SIZES = {'kingston': 3, 'mandeville': 2, 'montego-bay': 2}
+MAX_IN_FLIGHT = 60
+CAP_MBIT_PER_S = 8
+CAP_BYTES_PER_S = CAP_MBIT_PER_S * 1_000_000 / 8
+CHUNK_BYTES = 2_000
+CANCEL_S = 0.05
+CHECK_S = 0.1
+CAUGHT = r'over its cap|add up to'
+FIRED: Counter[str] = Counter()
+FAULTS = (
+    'kill',
+    'freeze',
+    'cut link',
+    'region cut',
+    'region lost',
+    'store outage',
+    'slow store',
+    'loan used',
+    'link saturated',
+    'region full',
+)
+
+
+class Budgets(RuleBasedStateMachine):
+    """Nodes use links and regions as much as they may."""
+
+    @initialize()
+    def start(self) -> None:
+        self.world = ControlWorld(SIZES)
+        self.running: Counter[str] = Counter()
+        self.taken: dict[str, deque[tuple[float, int]]] = {}
+        self.broken: list[str] = []
+        self.work: set[asyncio.Task[None]] = set()
+        self.world.start_all()
+        configuration = build_fleet_configuration(
+            SIZES, CAP_MBIT_PER_S, MAX_IN_FLIGHT
+        )
+        self.world.accept(configuration)
+        self.world.advance(12)
+        self.checker = self.world.loop.create_task(self._check_limits())
+
+    @rule(
+        number=st.integers(0, 6),
+        region=st.sampled_from(list(SIZES)),
+        count=st.sampled_from((1, 10, 60)),
+        deadline_s=st.sampled_from((0.5, 2.0, 7.0)),
+        repeat=st.sampled_from((1, 1, 5)),
+    )
+    def send_requests(
+        self,
+        number: int,
+        region: str,
+        count: int,
+        deadline_s: float,
+        repeat: int,
+    ) -> None:
+        for _ in range(repeat):
+            for _ in range(count):
+                self._spawn(number, self._request(number, region, deadline_s))
+            self.world.advance(0.3)
+
+    @rule(
+        number=st.integers(0, 6),
+        source=st.sampled_from(list(SIZES)),
+        seconds=st.sampled_from((1.0, 6.0)),
+    )
+    def transfer(self, number: int, source: str, seconds: float) -> None:
+        for _ in range(3):
+            self._spawn(number, self._transfer(number, source, seconds))
+        self.world.advance(0.2)
+
+    @rule(seconds=st.sampled_from((0.2, 2.0, 10.0)))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @rule(
+        number=st.integers(0, 6),
+        fault=st.sampled_from(('kill', 'freeze', 'long freeze')),
+    )
+    def disturb_node(self, number: int, fault: str) -> None:
+        vm = list(self.world.nodes)[number]
+        if fault == 'kill':
+            self._restart(vm)
+        else:
+            self.world.freeze(vm, 1.0 if fault == 'freeze' else 9.0)
+
+    @rule(region=st.sampled_from(list(SIZES)))
+    def lose_region(self, region: str) -> None:
+        for vm, node in list(self.world.nodes.items()):
+            if node.state.me.region == region:
+                self._restart(vm)
+        self.world.fired['region lost'] += 1
+
+    @rule(region=st.sampled_from([*SIZES, '']))
+    def cut_region(self, region: str) -> None:
+        def is_cut(one: ControlNode, other: ControlNode) -> bool:
+            regions = (one.state.me.region, other.state.me.region)
+            return region in regions and regions[0] != regions[1]
+
+        self.world.cut = is_cut
+        self.world.fired['region cut'] += bool(region)
+
+    @rule(
+        regions=st.sets(st.sampled_from(list(SIZES))),
+        slow_s=st.sampled_from((0.0, 0.3, 2.5)),
+    )
+    def disturb_store(self, regions: set[str], slow_s: float) -> None:
+        self.world.set_store(regions, slow_s)
+
+    @invariant()
+    def caps_hold(self) -> None:
+        if hasattr(self, 'world'):
+            assert not self.broken, self.broken[0]
+
+    def teardown(self) -> None:
+        if not hasattr(self, 'world'):
+            return
+        try:
+            self.world.advance(5)
+            self.caps_hold()
+            if self.checker.done():
+                self.checker.result()
+        finally:
+            FIRED.update(self.world.all_fired())
+            self.world.close()
+
+    def _restart(self, vm: str) -> None:
+        node = self.world.nodes[vm]
+        if node.dead:
+            return
+        self.world.kill(vm)
+        # Targets give up requests whose connection has ended.
+        self.world.advance(1.0)
+        self.world.restart(vm)
+
+    def _spawn(self, number: int, work: Coroutine[Any, Any, None]) -> None:
+        node = list(self.world.nodes.values())[number]
+        node.tasks.append(self.world.loop.create_task(work))
+
+    async def _request(
+        self, number: int, region: str, deadline_s: float
+    ) -> None:
+        """Run until the deadline: the longest that a target may take."""
+        node = list(self.world.nodes.values())[number]
+        end_ms = self.world.loop.now_ms() + deadline_s * 1_000
+        if not node.budgets.try_enter(region, end_ms, large=False):
+            return
+        self.running[region] += 1
+        if self.running[region] > MAX_IN_FLIGHT * 0.6:
+            self.world.fired['region full'] += 1
+        if self.running[region] > MAX_IN_FLIGHT:
+            self.broken.append(f'region {region} is over its cap')
+        try:
+            await asyncio.sleep(deadline_s)
+            node.budgets.leave(region, large=False)
+        finally:
+            self.world.loop.call_later(CANCEL_S, self._end, region)
+
+    def _end(self, region: str) -> None:
+        self.running[region] -= 1
+
+    async def _transfer(
+        self, number: int, source: str, seconds: float
+    ) -> None:
+        node = list(self.world.nodes.values())[number]
+        region = node.state.me.region
+        end_s = self.world.now_s() + seconds
+        if source == region or node.state.snapshot is None:
+            return
+        while self.world.now_s() < end_s:
+            await node.budgets.pace(source, region, CHUNK_BYTES, large=False)
+            self._count(f'{source}>{region}')
+
+    def _count(self, link: str) -> None:
+        now_s = self.world.now_s()
+        window = self.taken.setdefault(link, deque())
+        window.append((now_s, CHUNK_BYTES))
+        while window[0][0] <= now_s - 1.0:
+            window.popleft()
+        total = sum(size for _, size in window)
+        if total > CAP_BYTES_PER_S * 0.5:
+            self.world.fired['link saturated'] += 1
+        if total > CAP_BYTES_PER_S:
+            self.broken.append(f'link {link} is over its cap')
+
+    async def _check_limits(self) -> None:
+        """What all nodes may use together stays under each cap."""
+        while True:
+            now_ms = self.world.loop.now_ms()
+            sums: dict[str, float] = defaultdict(float)
+            for node in self.world.nodes.values():
+                if node.dead:
+                    continue
+                for name, allowance in node.budgets.allowances():
+                    limit = allowance.limit(now_ms)
+                    sums[name] += limit
+                    if limit > allowance.floor:
+                        self.world.fired['loan used'] += 1
+            for name, total in sums.items():
+                cap = CAP_BYTES_PER_S if '>' in name else MAX_IN_FLIGHT
+                if total > cap * (1 + 1e-9):
+                    self.broken.append(f'limits of {name} add up to {total}')
+            await asyncio.sleep(CHECK_S)
+
+
+def test_links_and_regions_stay_under_their_caps() -> None:
+    check_machine(Budgets, FIRED, FAULTS, examples=60, steps=20)
+
+
+def test_proof_catches_loans_that_do_not_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def accept(self: Allowance, amount: float, requested_ms: float) -> None:
+        self._loan = budget_module.Loan(amount, requested_ms + 60_000)
+
+    monkeypatch.setattr(Allowance, 'accept', accept)
+    check_mutant(Budgets, CAUGHT, 60, 20)
+
+
+def _begin_with_loans() -> Budgets:
+    """Return a machine in which two nodes have borrowed what there is."""
+    machine = Budgets()
+    machine.start()
+    for _ in range(8):
+        for number in (3, 4):
+            machine.send_requests(number, 'kingston', 60, 2.0, 1)
+    return machine
+
+
+def _keeper_of(machine: Budgets, region: str) -> str:
+    return next(
+        vm
+        for vm, node in machine.world.nodes.items()
+        if node.keeper._lease and node.state.me.region == region
+    )
+
+
+def _release_keeper() -> None:
+    """Let a keeper give its lease up while its loans are used."""
+    machine = _begin_with_loans()
+    vm = _keeper_of(machine, 'kingston')
+    released = machine.world.nodes[vm].keeper._release()
+    machine.world.loop.run_until_complete(released)
+    machine.world.kill(vm)
+    machine.world.suspect(vm)
+    for _ in range(12):
+        for number in (5, 6):
+            machine.send_requests(number, 'kingston', 60, 7.0, 1)
+    machine.teardown()
+
+
+def _pause_keeper() -> None:
+    """Pause a keeper until another one has lent, and let it go on."""
+    machine = _begin_with_loans()
+    vm = _keeper_of(machine, 'kingston')
+    machine.world.freeze(vm, 27.2)
+    for _ in range(45):
+        for number in (3, 4):
+            machine.send_requests(number, 'kingston', 60, 2.0, 1)
+    for _ in range(12):
+        for number in (5, 6):
+            machine.send_requests(number, 'kingston', 60, 7.0, 1)
+    machine.teardown()
+
+
+def test_new_keeper_waits_for_the_loans_of_the_one_before() -> None:
+    _release_keeper()
+
+
+def test_paused_keeper_does_not_lend_after_its_lease() -> None:
+    _pause_keeper()
+
+
+def test_proof_catches_keeper_without_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def acquire(self: Keeper, requested_ms: float, _: float) -> None:
+        self._loans.clear()
+        self._lends_from_ms = requested_ms
+        self.renew(requested_ms)
+
+    monkeypatch.setattr(Keeper, 'acquire', acquire)
+    with pytest.raises(AssertionError, match=CAUGHT):
+        _release_keeper()
+
+
+def test_proof_catches_keeper_that_ignores_its_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Keeper, 'holds_lease', lambda *_: True)
+    with pytest.raises(AssertionError, match=CAUGHT):
+        _pause_keeper()
+
+
+def test_proof_catches_requests_that_outlive_their_loan(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limit_until = Allowance.limit_until
+    monkeypatch.setattr(
+        Allowance,
+        'limit_until',
+        lambda self, end_ms: limit_until(self, end_ms - 60_000),
+    )
+    check_mutant(Budgets, CAUGHT, 60, 20)
+
+
+def test_keeper_is_the_first_of_its_region() -> None:
+    world = ControlWorld(SIZES)
+    world.start_all()
+    world.accept(build_fleet_configuration(SIZES))
+    world.advance(20)
+    keepers: list[RegionKeeper] = [n.keeper for n in world.nodes.values()]
+    assert sum(bool(keeper._lease) for keeper in keepers) == len(SIZES)
+    world.close()
--- a/tests/control/test_spread.py
+++ b/tests/control/test_spread.py
@@ -66,9 +66,14 @@
     @rule(
         cache_ms=st.integers(1000, 9000),
         racing=st.booleans(),
+        fault=st.sampled_from(('', '', 'lose', 'late')),
         then_s=st.sampled_from((0.0, 0.3, 2.0)),
     )
-    def change(self, cache_ms: int, racing: bool, then_s: float) -> None:
+    def change(
+        self, cache_ms: int, racing: bool, fault: str, then_s: float
+    ) -> None:
+        self.world.store.lose_answers = int(fault == 'lose')
+        self.world.store.late_writes = int(fault == 'late')
         for number in range(1 + racing):
             changed = change_cache(self.configuration, cache_ms + number)
             self.changes.append(self.world.accept(changed))
@@ -95,7 +100,7 @@
     def restart_in_an_outage(self, number: int) -> None:
         vm = list(self.world.nodes)[number]
         node = self.world.nodes[vm]
-        self.world.stores[node.state.me.region].outage = True
+        self.world.set_store({node.state.me.region}, 0.0)
         if not node.dead:
             self.world.kill(vm)
         self.highest.pop(vm, None)
@@ -127,17 +132,10 @@
     def disturb_platform(
         self, regions: set[str], outage: bool, slow_s: float, lag_s: float
     ) -> None:
-        for region, store in self.world.stores.items():
-            store.outage = outage and region in regions
-            store.slow_s = slow_s
+        self.world.set_store(regions if outage else set(), slow_s)
         self.world.vm_list.lag_s = lag_s
         self.world.fired['VM list lags'] += lag_s > 0
 
-    @rule(fault=st.sampled_from(('', 'lose', 'late')))
-    def disturb_writes(self, fault: str) -> None:
-        self.world.store.lose_answers = int(fault == 'lose')
-        self.world.store.late_writes = int(fault == 'late')
-
     @rule(number=st.integers(0, 6), sender=st.integers(0, 6))
     def offer_old_revision(self, number: int, sender: int) -> None:
         names = list(self.world.nodes)
@@ -168,10 +166,7 @@
             self._close()
 
     def _close(self) -> None:
-        stores = self.world.stores.values()
-        FIRED.update(self.world.fired)
-        for store in (self.world.store, *stores):
-            FIRED.update(store.fired)
+        FIRED.update(self.world.all_fired())
         self.world.close()
 
     def _check_changes(self) -> None:
@@ -188,9 +183,8 @@
 
     def _check_in_force(self) -> None:
         """After the faults have ended, a change is in force in time."""
-        for store in (self.world.store, *self.world.stores.values()):
-            store.outage, store.slow_s = False, 0.0
-            store.lose_answers = store.late_writes = 0
+        self.world.set_store(set(), 0.0)
+        self.world.store.lose_answers = self.world.store.late_writes = 0
         self.world.cut = lambda _one, _other: False
         for vm, node in list(self.world.nodes.items()):
             if node.dead:
@@ -243,7 +237,7 @@
     configuration = build_fleet_configuration(SIZES)
     world.accept(configuration)
     world.advance(3)
-    world.stores['montego-bay'].outage = True
+    world.set_store({'montego-bay'}, 0.0)
     world.advance(1)
     world.accept(change_cache(configuration, 5000))
     world.advance(IN_FORCE_S)
@@ -259,8 +253,7 @@
     world.advance(3)
     world.accept(change_cache(configuration, 5000))
     world.advance(3)
-    for store in world.stores.values():
-        store.outage = True
+    world.set_store(set(SIZES), 0.0)
     world.kill('mandeville-0')
     world.advance(5)
     world.restart('mandeville-0')
@@ -276,13 +269,13 @@
     world.start_all()
     world.accept(build_fleet_configuration(sizes))
     world.advance(20)
-    for store in world.stores.values():
-        store.calls.clear()
+    for node in world.nodes.values():
+        node.store.calls.clear()
     watching = sum(n.agent._is_relay for n in world.nodes.values())
     world.advance(20)
     # Two relays of each region watch, and one keeper renews its lease.
     assert watching == 2 * len(sizes)
-    calls = sum((s.calls for s in world.stores.values()), Counter[str]())
+    calls = world.store_calls()
     assert calls['lease'] <= len(sizes) * 20
     assert calls.total() <= len(sizes) * 30
     assert set(world.revisions_in_force().values()) == {1}
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -87,6 +87,7 @@
     borrower: Borrower
     budgets: BudgetBook
     peers: HubPeers
+    store: FakeStore
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     applied: list[tuple[float, int]] = field(default_factory=list)
     dead: bool = False
@@ -110,9 +111,8 @@
         asyncio.set_event_loop(self.loop)
         self.link_s = link_s
         self.store = FakeStore()
-        self.stores = {
-            region: self.store.seen_from_elsewhere() for region in sizes
-        }
+        self._outages: set[str] = set()
+        self._slow_s = 0.0
         self.vm_list = FakeVMList()
         self.revisions = RevisionStore(self.store, 'test')
         self.nodes: dict[str, ControlNode] = {}
@@ -184,6 +184,12 @@
             node.peers.drop(peer)
         self.fired['kill'] += 1
 
+    def suspect(self, vm: str) -> None:
+        """Have the others declare a node down at once."""
+        for node in self.nodes.values():
+            if node.state.me.vm != vm:
+                node.state.members.suspect(vm)
+
     def freeze(self, vm: str, seconds: float) -> None:
         """Let what a node sends and receives wait for a while.
 
@@ -194,6 +200,27 @@
         self.fired['freeze'] += 1
         self.loop.call_later(seconds, self._thaw, vm)
 
+    def set_store(self, outages: set[str], slow_s: float) -> None:
+        """Set the regions without the store, and its slowness."""
+        self._outages, self._slow_s = outages, slow_s
+        for node in self.nodes.values():
+            node.store.outage = node.state.me.region in outages
+            node.store.slow_s = slow_s
+
+    def store_calls(self) -> Counter[str]:
+        """Return the calls of the nodes to the store."""
+        calls: Counter[str] = Counter()
+        for node in self.nodes.values():
+            calls += node.store.calls
+        return calls
+
+    def all_fired(self) -> Counter[str]:
+        """Return the faults that have occurred."""
+        fired = self.fired + self.store.fired
+        for node in self.nodes.values():
+            fired += node.store.fired
+        return fired
+
     def accept(self, configuration: Configuration) -> asyncio.Task[Any]:
         """Have the store accept a configuration, as an operator does."""
         return self.loop.create_task(self._accept(configuration))
@@ -269,9 +296,17 @@
     def _build(self, member: Member) -> ControlNode:
         clock = self.loop.now_ms
         state = ControlState(member)
-        store = self.stores[member.region]
+        store = self.store.seen_from_elsewhere()
         node: ControlNode
 
+        async def wait_running() -> None:
+            while node.frozen:
+                await asyncio.sleep(0.05)
+
+        store.wait_running = wait_running
+        store.outage = member.region in self._outages
+        store.slow_s = self._slow_s
+
         def on_snapshot(snapshot: Snapshot) -> None:
             node.applied.append((self.loop.time(), snapshot.revision))
             node.keeper.update(snapshot.configuration)
@@ -298,7 +333,9 @@
         peers = HubPeers(self, member.vm)
         agent.attach(peers)
         borrower.attach(peers)
-        node = ControlNode(state, agent, keeper, borrower, budgets, peers)
+        node = ControlNode(
+            state, agent, keeper, borrower, budgets, peers, store
+        )
         return node
 
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -32,10 +32,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
 
 CALL_S = 0.002
 TIMEOUT_S = 1.0
 LATE_S = 4.0
+WATCH_S = 0.1
 
 
 class SilentMetrics(Metrics):
@@ -85,6 +88,7 @@
     ttl_s: dict[int, int] = field(default_factory=dict)
     calls: Counter[str] = field(default_factory=Counter)
     fired: Counter[str] = field(default_factory=Counter)
+    wait_running: Callable[[], Awaitable[None]] | None = None
 
     def seen_from_elsewhere(self) -> FakeStore:
         """Return the same store with faults of its own."""
@@ -169,7 +173,7 @@
             if held is not None and held.mod_revision > seen:
                 seen = held.mod_revision
                 yield held
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(WATCH_S)
 
     def write(self, expected: Expected | None, puts: list[Put]) -> bool:
         """Take effect at once."""
@@ -191,7 +195,11 @@
 
     async def _enter(self, name: str) -> StoreUnavailable | None:
         self.calls[name] += 1
+        if self.wait_running is not None:
+            await self.wait_running()
         await asyncio.sleep(CALL_S + self.slow_s)
+        if self.wait_running is not None:
+            await self.wait_running()
         if self.slow_s:
             self.fired['slow store'] += 1
         if self.slow_s > TIMEOUT_S:
