--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ratios and slopes, each within one run."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,30 @@
+"""Runs the measurements, or those that are named."""
+
+from __future__ import annotations
+
+import sys
+
+from bench import client_map
+from bench import control
+from bench import lookups
+from bench import request_path
+
+BENCHES = {
+    'client_map': client_map.run,
+    'control': control.run,
+    'lookups': lookups.run,
+    'request_path': request_path.run,
+}
+
+
+def main() -> None:
+    """Run the measurements that the command line names."""
+    names = sys.argv[1:] or list(BENCHES)
+    for name in names:
+        print(f'== {name}')
+        BENCHES[name]()
+        print()
+
+
+if __name__ == '__main__':
+    main()
--- a/src/gentianbank/control/messages.py
+++ b/src/gentianbank/control/messages.py
@@ -118,7 +118,7 @@
 
     base_revision: int = schema.integer(0, _COUNT)
     revision: int = schema.integer(1, _COUNT)
-    digests: dict[str, str] = schema.mapping(str, _BODY_NAME)
+    digests: dict[str, str] = schema.mapping(str, _BODY_NAME, _DIGEST)
     removed: tuple[str, ...] = schema.sequence(str, _BODY_NAME)
     bodies: dict[str, bytes] = schema.mapping(bytes, _DIGEST)
 
--- a/src/gentianbank/domain/client_map.py
+++ b/src/gentianbank/domain/client_map.py
@@ -75,7 +75,7 @@
     """Pack client blocks into sorted chunks of bounded size."""
     rows = sorted(_row(block) for block in blocks)
     return [
-        _pack_chunk(rows[start : start + BLOCKS_PER_CHUNK])
+        pack_rows(rows[start : start + BLOCKS_PER_CHUNK])
         for start in range(0, len(rows), BLOCKS_PER_CHUNK)
     ]
 
@@ -158,7 +158,8 @@
     return (network.version, start, network.prefixlen, block.site)
 
 
-def _pack_chunk(rows: list[tuple[int, int, int, str]]) -> bytes:
+def pack_rows(rows: list[tuple[int, int, int, str]]) -> bytes:
+    """Pack sorted rows: IP version, start, prefix length and site."""
     names = sorted({row[3] for row in rows})
     numbers = {name: index for index, name in enumerate(names)}
     columns = b''
--- a/src/gentianbank/domain/schema.py
+++ b/src/gentianbank/domain/schema.py
@@ -202,9 +202,14 @@
     return _field(_Sequence(_item_rule(kind, pattern)), options)
 
 
-def mapping(kind: type, keys: str = NAME_PATTERN, **options: Any) -> Any:
+def mapping(
+    kind: type,
+    keys: str = NAME_PATTERN,
+    pattern: str = r'.{1,200}',
+    **options: Any,
+) -> Any:
     """Declare a mapping from names to texts, bytes or data classes."""
-    return _field(_Mapping(_item_rule(kind, r'.{1,200}'), keys), options)
+    return _field(_Mapping(_item_rule(kind, pattern), keys), options)
 
 
 def binary(maximum_bytes: int = MAX_BINARY_BYTES, **options: Any) -> Any:
--- a/src/gentianbank/platform/http_targets.py
+++ b/src/gentianbank/platform/http_targets.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+import functools
 
 KEEP_ALIVE_S = 4.0
 IDLE_BODY_S = 30.0
@@ -106,30 +107,30 @@
 
 
 def _build(request: TargetRequest) -> httpx.Request:
-    host, _, port = request.address.rpartition(':')
-    url = httpx.URL(
-        scheme='http',
-        host=host.strip('[]'),
-        port=int(port),
-        raw_path=request.path,
-    )
     connect_s = request.connect_timeout_ms / _MS_PER_S
     return httpx.Request(
         request.method,
-        url,
+        _url_of(request.address),
         headers=request.headers,
         stream=_Stream(request.body),
         extensions={
+            # Takes the place of the path in the URL, which is cached.
+            'target': request.path,
             'timeout': {
                 'connect': connect_s,
                 'pool': connect_s,
                 'read': IDLE_BODY_S,
                 'write': IDLE_BODY_S,
-            }
+            },
         },
     )
 
 
+@functools.lru_cache(maxsize=16_384)
+def _url_of(address: str) -> httpx.URL:
+    return httpx.URL(f'http://{address}/')
+
+
 class _Stream(httpx.AsyncByteStream):
     def __init__(self, body: AsyncIterator[bytes] | None) -> None:
         self._body = body
--- a/src/gentianbank_standins/fleet.py
+++ b/src/gentianbank_standins/fleet.py
@@ -134,6 +134,18 @@
         """Wait until a process has ended; return its exit code."""
         return self._processes[name].wait(timeout_s)
 
+    def pid_of(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._processes[name].pid
+
+    def set_work(self, work_ms: float) -> None:
+        """Set the mean time of work of targets that are near to all nodes."""
+        self.world['work_ms'] = dict.fromkeys(self.world['work_ms'], work_ms)
+        self.world['failure_domain_delay_ms'] = 0.0
+        for link in self.configuration['links']:
+            link['one_way_delay_ms'] = 0.0
+        self._write_targets()
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process runs."""
         return self._processes[name].poll() is None
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -58,6 +58,9 @@
     def on_crossed(self, service: str) -> None:
         pass
 
+    def on_lookup(self) -> None:
+        pass
+
 
 @dataclass
 class FakeStore(Store):
--- /dev/null
+++ b/tests/transport/test_peers.py
@@ -0,0 +1,152 @@
+"""Tests of connections between nodes, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+import cbor2
+import pytest
+from websockets.asyncio.client import connect
+
+from gentianbank.control.messages import decode_message
+from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import Heartbeat
+from gentianbank.control.messages import LoanReply
+from gentianbank.control.messages import LoanRequest
+from gentianbank.control.messages import Message
+from gentianbank.control.peers import Connected
+from gentianbank.control.peers import PeerEvent
+from gentianbank.control.peers import Received
+from gentianbank.control.peers import Unreachable
+from gentianbank.transport.handshake import Credentials
+from gentianbank.transport.peers import WebsocketPeers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+KEY = b'a-key-of-the-fleet'
+PATIENCE_S = 10
+
+
+class Node:
+    """Connections of one node, with the events that they gave."""
+
+    def __init__(self, vm: str, address: str, key: bytes = KEY) -> None:
+        self.address = address
+        self.book: dict[str, str] = {}
+        self.events: asyncio.Queue[PeerEvent] = asyncio.Queue()
+        self.peers = WebsocketPeers(
+            Credentials(vm, key),
+            address,
+            self.events.put_nowait,
+            self._answer,
+            self.book.get,
+        )
+
+    async def next(self) -> PeerEvent:
+        async with asyncio.timeout(PATIENCE_S):
+            return await self.events.get()
+
+    async def _answer(self, vm: str, message: Message) -> Message | None:
+        assert isinstance(message, LoanRequest)
+        return LoanReply(request_id=message.request_id, amount=message.wanted)
+
+
+def free_address(host: str) -> str:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f'{host}:{probe.getsockname()[1]}'
+
+
+def run(
+    test: Callable[[Node, Node], Coroutine[Any, Any, None]],
+    second_key: bytes = KEY,
+) -> None:
+    async def body() -> None:
+        first = Node('vm-1', free_address('127.0.0.1'))
+        second = Node('vm-2', free_address('127.0.0.2'), second_key)
+        await first.peers.start()
+        await second.peers.start()
+        try:
+            await test(first, second)
+        finally:
+            await first.peers.close()
+            await second.peers.close()
+            # Lets the sockets of strangers close before the loop does.
+            await asyncio.sleep(0.1)
+
+    asyncio.run(body())
+
+
+def test_peers_exchange_messages_and_requests() -> None:
+    async def test(first: Node, second: Node) -> None:
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Connected('vm-2')
+        assert await second.next() == Connected('vm-1')
+        heartbeat = Heartbeat(revision=7, members_digest=2**64 - 1)
+        second.peers.send('vm-1', heartbeat)
+        assert await first.next() == Received('vm-2', heartbeat)
+        for wanted in (1.0, 2.0):
+            request = LoanRequest(request_id=0, budget='b', wanted=wanted)
+            reply = await first.peers.request(
+                'vm-2', second.address, request, 5_000
+            )
+            assert reply.ok.amount == wanted  # type: ignore[attr-defined]
+
+    run(test)
+
+
+def test_peer_with_another_key_is_refused() -> None:
+    async def test(first: Node, second: Node) -> None:
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Unreachable('vm-2')
+
+    run(test, b'another-key')
+
+
+def test_peer_that_claims_anothers_name_is_refused() -> None:
+    async def test(first: Node, second: Node) -> None:
+        second.book['vm-1'] = '127.0.0.9:1'
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Unreachable('vm-2')
+
+    run(test)
+
+
+def test_malformed_bytes_leave_the_node_alive() -> None:
+    async def test(first: Node, second: Node) -> None:
+        for data in (b'\xff\x00', b'', b'a' * 5_000_000, 'text'):
+            stranger = await connect(f'ws://{second.address}/')
+            await stranger.send(data)
+            await stranger.wait_closed()
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Connected('vm-2')
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ('values', 'expected'),
+    [
+        (['heartbeat', [-1, 0]], 'revision: -1 is outside'),
+        (['heartbeat', ['1', 0]], 'revision: expected a whole number'),
+        (['heartbeat', [1]], 'shorter'),
+        (['no-such-kind', []], 'KeyError'),
+        ({'a': 1}, 'Error'),
+        (['change-set', [0, 1, {'x': 'y'}, [], {}]], 'digests.x'),
+        (['bodies', [{'0' * 32: b'x' * 1_000_001}]], 'at most 1000000 bytes'),
+    ],
+)
+def test_decode_names_what_is_wrong(values: Any, expected: str) -> None:
+    result = decode_message(cbor2.dumps(values))
+    assert result.is_error()
+    assert expected in str(result.error)
+
+
+def test_encoded_message_decodes_to_itself() -> None:
+    message = Heartbeat(revision=3, members_digest=5)
+    assert decode_message(encode_message(message)).ok == message
