--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,12 +6,14 @@
 
 from bench import client_map
 from bench import control
+from bench import download
 from bench import lookups
 from bench import request_path
 
 BENCHES = {
     'client_map': client_map.run,
     'control': control.run,
+    'download': download.run,
     'lookups': lookups.run,
     'request_path': request_path.run,
 }
--- a/src/gentianbank_standins/fleet.py
+++ b/src/gentianbank_standins/fleet.py
@@ -53,6 +53,7 @@
         rng = random.Random(seed)
         self._prefix = f'127.{rng.randrange(1, 255)}.{rng.randrange(0, 255)}'
         self._hosts: dict[str, str] = {}
+        self._given: set[Address] = set()
 
     def host(self, name: str) -> str:
         """Return the IP address of a host."""
@@ -62,9 +63,14 @@
     def address(self, name: str) -> str:
         """Return a free address on a host."""
         host = self.host(name)
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            return str(Address(host, probe.getsockname()[1]))
+        while True:
+            with socket.socket() as probe:
+                probe.bind((host, 0))
+                address = Address(host, probe.getsockname()[1])
+            # The OS may choose a port again that is not listened on yet.
+            if address not in self._given:
+                self._given.add(address)
+                return str(address)
 
 
 class Fleet:
@@ -168,6 +174,12 @@
         """Run the operators' command line."""
         nodes = [self.nodes[node]] if node else list(self.nodes.values())
         addresses = ','.join(item.operators for item in nodes)
+        return self.command_at(addresses, *arguments)
+
+    def command_at(
+        self, addresses: str, *arguments: str
+    ) -> subprocess.CompletedProcess[str]:
+        """Run the command line against operators' addresses."""
         return subprocess.run(
             [
                 sys.executable,
