--- /dev/null
+++ b/tests/policy/test_target_health.py
@@ -0,0 +1,61 @@
+"""Tests of ejection and slow start."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianbank.policy.target_health import EJECT_FAILURES
+from gentianbank.policy.target_health import may_eject
+from gentianbank.policy.target_health import may_take_work
+from gentianbank.policy.target_health import SLOW_MIN_SAMPLES
+from gentianbank.policy.target_health import SLOW_START_MS
+from gentianbank.policy.target_health import TargetHealth
+
+NOW_MS = 100_000.0
+
+
+def healthy(latency_ms: float = 10.0) -> TargetHealth:
+    health = TargetHealth(warm_from_ms=0.0)
+    for _ in range(SLOW_MIN_SAMPLES):
+        health = health.on_success(latency_ms)
+    return health
+
+
+def failed(times: int) -> TargetHealth:
+    health = healthy()
+    for _ in range(times):
+        health = health.on_failure()
+    return health
+
+
+@pytest.mark.parametrize(
+    ('health', 'expected'),
+    [
+        (healthy(), False),
+        (healthy(29.0), False),
+        (healthy(50.0), True),
+        (failed(EJECT_FAILURES - 1), False),
+        (failed(EJECT_FAILURES), True),
+    ],
+)
+def test_outliers_are_ejected(health: TargetHealth, expected: bool) -> None:
+    healths = {'suspect': health, 'b': healthy(), 'c': healthy()}
+    assert may_eject('suspect', healths, NOW_MS) is expected
+
+
+def test_half_of_the_targets_stay() -> None:
+    healths = {name: failed(EJECT_FAILURES) for name in 'abcd'}
+    for name in 'abcd':
+        if may_eject(name, healths, NOW_MS):
+            healths[name] = healths[name].eject(NOW_MS)
+    ejected = [h for h in healths.values() if h.is_ejected(NOW_MS)]
+    assert len(ejected) == 2
+
+
+def test_returning_target_starts_slowly() -> None:
+    health = healthy().eject(NOW_MS)
+    assert not may_take_work(health, NOW_MS)
+    back_ms = health.ejected_until_ms
+    assert may_take_work(health, back_ms)
+    assert health.weight(back_ms) < 0.2
+    assert health.weight(back_ms + SLOW_START_MS) == 1.0
