--- a/src/gentianbank_standins/demo.py
+++ b/src/gentianbank_standins/demo.py
@@ -34,13 +34,21 @@
 _CLIENT = '100.64.{}.{}'
 
 
+@dataclass(frozen=True)
+class ServiceNames:
+    """The services that the calls go to."""
+
+    small: str
+    large: str
+
+
 @dataclass(frozen=True)
 class Mix:
     """Calls of one kind."""
 
     name: str
     period_s: float
-    make: Callable[[Caller], Awaitable[Call]]
+    make: Callable[[Caller, ServiceNames], Awaitable[Call]]
 
 
 @dataclass
@@ -134,20 +142,20 @@
 
 
 MIXES = (
-    Mix('stock', 0.15, lambda c: c.read('ordering', '/stock/12')),
-    Mix('orders', 0.5, lambda c: c.order('ordering', '/orders')),
+    Mix('stock', 0.15, lambda c, names: c.read(names.small, '/stock/12')),
+    Mix('orders', 0.5, lambda c, names: c.order(names.small, '/orders')),
     Mix(
         'drawings',
         2.5,
-        lambda c: c.read(
-            'documents', f'/drawings/{DRAWING_BYTES}', DRAWING_BYTES
+        lambda c, names: c.read(
+            names.large, f'/drawings/{DRAWING_BYTES}', DRAWING_BYTES
         ),
     ),
     Mix(
         'slow readers',
         7.0,
-        lambda c: c.read(
-            'documents',
+        lambda c, names: c.read(
+            names.large,
             f'/drawings/{MANUAL_BYTES}',
             MANUAL_BYTES,
             MANUAL_RATE,
@@ -177,8 +185,9 @@
     report = Report(calls={mix.name: [] for mix in MIXES})
     started_s = time.monotonic()
     callers = _make_callers(fleet)
+    names = _name_services(fleet)
     work = [
-        _repeat(mix, caller, report, started_s + LOAD_S)
+        _repeat(mix, caller, names, report, started_s + LOAD_S)
         for caller in callers
         for mix in MIXES
     ]
@@ -205,14 +214,26 @@
     ]
 
 
+def _name_services(fleet: Fleet) -> ServiceNames:
+    by_transfer = {
+        service['transfer']: name
+        for name, service in fleet.configuration['services'].items()
+    }
+    return ServiceNames(by_transfer['small'], by_transfer['large'])
+
+
 async def _repeat(
-    mix: Mix, caller: Caller, report: Report, until_s: float
+    mix: Mix,
+    caller: Caller,
+    names: ServiceNames,
+    report: Report,
+    until_s: float,
 ) -> None:
     """Make calls at a steady rate, whether or not they are answered."""
     running: set[asyncio.Task[None]] = set()
 
     async def make() -> None:
-        report.calls[mix.name].append(await mix.make(caller))
+        report.calls[mix.name].append(await mix.make(caller, names))
 
     await asyncio.sleep(mix.period_s * (hash(caller) % 100) / 100)
     while time.monotonic() < until_s:
