--- a/src/gentianbank/daemon.py
+++ b/src/gentianbank/daemon.py
@@ -62,7 +62,6 @@
     from gentianbank.domain.revision import Snapshot
 
 EXIT_BAD_SETTINGS = 2
-EXIT_ABANDONED = 3
 FAREWELL_S = 0.5
 _MS_PER_S = 1_000
 
@@ -201,7 +200,6 @@
         self._targets = HttpTargets()
         self._budgets = BudgetBook(settings.region, now_ms)
         self._routing = Routing(
-            settings.region,
             self._budgets,
             BALANCERS[settings.balancer](),
             random.Random(),
--- a/src/gentianbank/dataplane/refusal.py
+++ b/src/gentianbank/dataplane/refusal.py
@@ -24,7 +24,6 @@
     NO_TARGET = ('no-target', 503, False)
     UNREACHABLE = ('target-unreachable', 503, False)
     SHED = ('shed-by-target', 503, False)
-    CALLER_BROKE_OFF = ('caller-broke-off', 400, False)
     OUTCOME_UNKNOWN = ('outcome-unknown', 502, True)
     KEY_UNRESOLVED = ('key-unresolved', 409, True)
     NOT_RETAINED = ('answer-not-retained', 409, True)
--- a/src/gentianbank/dataplane/routing.py
+++ b/src/gentianbank/dataplane/routing.py
@@ -65,23 +65,15 @@
 
 
 class Routing:
-    """Targets of every service as this node sees them.
-
-    Parameters
-    ----------
-    region
-        Region of this node.
-    """
+    """Targets of every service as this node sees them."""
 
     def __init__(
         self,
-        region: str,
         budgets: BudgetBook,
         balancer: Balancer,
         random: Random,
         clock: Callable[[], float],
     ) -> None:
-        self._region = region
         self._budgets = budgets
         self._balancer = balancer
         self._random = random
--- a/src/gentianbank_standins/demo.py
+++ b/src/gentianbank_standins/demo.py
@@ -73,14 +73,6 @@
             for c in self.calls[name]
         )
 
-    def cut_by_stop(self) -> int:
-        """Return the transfers that the planned stop cut."""
-        return sum(
-            c.verdict is Verdict.CUT and c.entries[-1] == self.stopped
-            for calls in self.calls.values()
-            for c in calls
-        )
-
     def faults(self) -> list[str]:
         """Return what must not have happened and did."""
         faults = []
--- a/src/gentianbank_standins/fleet.py
+++ b/src/gentianbank_standins/fleet.py
@@ -152,10 +152,6 @@
             link['one_way_delay_ms'] = 0.0
         self._write_targets()
 
-    def is_running(self, name: str) -> bool:
-        """Tell whether a process runs."""
-        return self._processes[name].poll() is None
-
     def stop(self) -> None:
         """End every process."""
         for process in self._processes.values():
@@ -275,10 +271,6 @@
                 time.sleep(0.05)
         raise TimeoutError(f'{url} does not answer')
 
-    def log_of(self, name: str) -> str:
-        """Return the log of a process."""
-        return (self._folder / f'{name}.log').read_text(errors='replace')
-
     def _put(self, url: str, document: Any) -> None:
         self._http.put(url, json=document).raise_for_status()
 
--- a/src/gentianbank_standins/platform.py
+++ b/src/gentianbank_standins/platform.py
@@ -30,7 +30,6 @@
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_REQUEST_BYTES = 16_000_000
-HANG_S = 30.0
 _MS_PER_S = 1_000
 
 
--- a/tests/dataplane/test_leaving.py
+++ b/tests/dataplane/test_leaving.py
@@ -94,7 +94,6 @@
         asyncio.set_event_loop(self.loop)
         self.endpoints = HealthEndpoints()
         self.routing = Routing(
-            REGION,
             BudgetBook(REGION, self.loop.now_ms),
             BALANCERS['power-of-two-shared'](),
             Random(1),
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -60,13 +60,11 @@
 
     lag_s: float = 0.0
     outage: bool = False
-    reads: int = 0
     history: list[tuple[float, tuple[ListedVM, ...]]] = field(
         default_factory=list
     )
 
     async def read(self) -> Result[tuple[ListedVM, ...], StoreUnavailable]:
-        self.reads += 1
         if self.outage:
             await asyncio.sleep(1)
             return Error(StoreUnavailable('outage'))
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -267,7 +267,6 @@
         requests = PeerRequests(state, keeper)
         budgets = BudgetBook(REGION, clock)
         routing = Routing(
-            REGION,
             budgets,
             BALANCERS['power-of-two'](),
             Random(member.generation),
