--- a/src/gentianbank/control/agent.py
+++ b/src/gentianbank/control/agent.py
@@ -35,9 +35,9 @@
     from gentianbank.control.peers import Peers
     from gentianbank.domain.revision import Head
     from gentianbank.domain.revision import Snapshot
-    from gentianbank.platform.revisions import RevisionStore
-    from gentianbank.platform.vm_list import ListedVM
-    from gentianbank.platform.vm_list import VMList
+    from gentianbank.storage.revisions import RevisionStore
+    from gentianbank.storage.vm_list import ListedVM
+    from gentianbank.storage.vm_list import VMList
 
 TICK_S = 0.25
 VM_LIST_RELAY_S = 2.0
--- a/src/gentianbank/control/loans.py
+++ b/src/gentianbank/control/loans.py
@@ -14,15 +14,15 @@
 from gentianbank.control.messages import LoanRequest
 from gentianbank.domain.budget import Keeper
 from gentianbank.domain.budget import KEEPER_LEASE_MS
-from gentianbank.platform.store import Expected
-from gentianbank.platform.store import Put
+from gentianbank.storage.store import Expected
+from gentianbank.storage.store import Put
 
 if TYPE_CHECKING:
     from gentianbank.control.peers import Peers
     from gentianbank.control.state import ControlState
     from gentianbank.domain.budget import Demand
     from gentianbank.domain.configuration import Configuration
-    from gentianbank.platform.store import Store
+    from gentianbank.storage.store import Store
 
 RENEW_S = 2.0
 BORROW_S = 1.0
--- a/src/gentianbank/control/state.py
+++ b/src/gentianbank/control/state.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from gentianbank.domain.revision import Head
     from gentianbank.domain.revision import Snapshot
-    from gentianbank.platform.vm_list import ListedVM
+    from gentianbank.storage.vm_list import ListedVM
 
 HEARTBEAT_MS = 1_000
 SUSPECT_MS = 3_000
--- a/src/gentianbank/daemon.py
+++ b/src/gentianbank/daemon.py
@@ -1,328 +1,24 @@
-"""The daemon: wires the parts of a node and runs them."""
+"""The daemon's entry point: runs a node for the interface it speaks."""
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
+import importlib
 from pathlib import Path
-import random
-import secrets
-import signal
 import sys
-import time
-from typing import TextIO
-from typing import TYPE_CHECKING
+from typing import Any
 
-from absl import logging
 from expression import Result
 import fire
-import uvicorn
 
-from gentianbank.control.agent import ControlAgent
-from gentianbank.control.agent import now_ms
-from gentianbank.control.loans import Borrower
-from gentianbank.control.loans import RegionKeeper
-from gentianbank.control.state import ControlState
-from gentianbank.dataplane.answers import Answers
-from gentianbank.dataplane.app import build_app
-from gentianbank.dataplane.attempts import Attempts
-from gentianbank.dataplane.budgets import BudgetBook
-from gentianbank.dataplane.decisions import DecisionLog
-from gentianbank.dataplane.forwarder import Forwarder
-from gentianbank.dataplane.health_checker import HealthChecker
-from gentianbank.dataplane.lookups import estimate_epoch
-from gentianbank.dataplane.lookups import Lookups
-from gentianbank.dataplane.outcomes import OutcomeDesk
-from gentianbank.dataplane.routing import Routing
-from gentianbank.domain.addresses import parse_address
-from gentianbank.domain.member import Member
-from gentianbank.domain.member import READY
-from gentianbank.domain.outcome import OutcomeTable
-from gentianbank.domain.settings import load_settings
-from gentianbank.domain.settings import Settings
-from gentianbank.platform.claims import ClaimStore
-from gentianbank.platform.etcd import EtcdStore
-from gentianbank.platform.http_targets import HttpTargets
-from gentianbank.platform.revisions import RevisionStore
-from gentianbank.platform.vm_list import HttpVMList
-from gentianbank.policy.balancer import BALANCERS
-from gentianbank.requests import PeerRequests
-from gentianbank.rpc.changes import Changes
-from gentianbank.rpc.server import build_server
-from gentianbank.rpc.server import OperatorsServicer
-from gentianbank.rpc.status import StatusReporter
-from gentianbank.telemetry.logs import set_up_logs
-from gentianbank.telemetry.metrics import Metrics
-from gentianbank.transport.handshake import Credentials
-from gentianbank.transport.peers import WebsocketPeers
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-    from gentianbank.domain.revision import Snapshot
+from gentianbank.domain.settings import read_document
 
 EXIT_BAD_SETTINGS = 2
-FAREWELL_S = 0.5
-_MS_PER_S = 1_000
-
-
-class _Server(uvicorn.Server):
-    """Leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
-
-
-class Daemon:
-    """One node.
-
-    Parameters
-    ----------
-    settings
-        Checked settings of this VM.
-    """
-
-    def __init__(self, settings: Settings, trace: TextIO | None) -> None:
-        self._settings = settings
-        self._stopping = False
-        self._draining = asyncio.Event()
-        self._started_ms = now_ms()
-        self._build_control()
-        self._build_dataplane(trace)
-        self._build_operators()
-        self._add_gauges()
-
-    async def run(self) -> None:
-        """Run until a signal asks for a graceful stop."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._draining.set)
-        await self._peers.start()
-        await self._operators.start()
-        http = asyncio.create_task(self._http.serve())
-        work = [
-            asyncio.create_task(part.run())
-            for part in (
-                self._agent,
-                self._keeper,
-                self._borrower,
-                self._checker,
-            )
-        ]
-        logging.info('node %s runs', self._settings.vm)
-        draining = asyncio.create_task(self._draining.wait())
-        await asyncio.wait(
-            [draining, http, *work], return_when=asyncio.FIRST_COMPLETED
-        )
-        if not self._draining.is_set():
-            self._raise_failure(http, *work)
-        await self._drain()
-        self._http.should_exit = True
-        await http
-        for task in work:
-            task.cancel()
-        await asyncio.gather(*work, return_exceptions=True)
-        await self._operators.stop(grace=1)
-        await self._peers.close()
-        await self._targets.close()
-
-    async def _drain(self) -> None:
-        """Leave the look-ups, serve what is left, hand the outcomes over."""
-        logging.info('node %s leaves', self._settings.vm)
-        self._agent.leave('')
-        await asyncio.sleep(self._cache_s())
-        # Answers that named this node have left the callers' caches.
-        self._stopping = True
-        await self._forwarder.wait_idle()
-        heir = await self._requests.hand_over()
-        self._agent.leave(heir)
-        self._agent.stopped()
-        await asyncio.sleep(FAREWELL_S)
-        logging.info('node %s stops; heir %s', self._settings.vm, heir)
-
-    def _cache_s(self) -> float:
-        snapshot = self._state.snapshot
-        if snapshot is None:
-            return 0.0
-        cache_ms = snapshot.configuration.lookups.cache_ms
-        return cache_ms / _MS_PER_S + 1.0
-
-    def _raise_failure(self, *tasks: asyncio.Task[None]) -> None:
-        for task in tasks:
-            if task.done():
-                task.result()
-        raise AssertionError('a part of the node ended by itself')
-
-    def _build_control(self) -> None:
-        settings = self._settings
-        me = Member(
-            vm=settings.vm,
-            region=settings.region,
-            failure_domain=settings.failure_domain,
-            http=settings.addresses.http,
-            peer=settings.addresses.peer,
-            incarnation=secrets.token_hex(8),
-            generation=int(time.time() * _MS_PER_S),
-            version=0,
-            state=READY,
-        )
-        store = settings.store
-        self._store = EtcdStore(store.url, store.timeout_ms)
-        self._revisions = RevisionStore(self._store, store.key_prefix)
-        self._state = ControlState(me)
-        self._agent = ControlAgent(
-            self._state,
-            self._revisions,
-            HttpVMList(store.vm_list_url, store.timeout_ms),
-            settings.seeds,
-            self._put_in_force,
-            now_ms,
-        )
-        self._keeper = RegionKeeper(
-            self._state, self._store, store.key_prefix, now_ms
-        )
-        self._requests = PeerRequests(self._state, self._keeper)
-        self._peers = WebsocketPeers(
-            Credentials(settings.vm, settings.fleet_key.encode()),
-            settings.addresses.peer,
-            self._agent.put,
-            self._requests.answer,
-            self._state.address_of,
-        )
-        self._agent.attach(self._peers)
-
-    def _build_dataplane(self, trace: TextIO | None) -> None:
-        settings = self._settings
-        incarnation = self._state.me.incarnation
-        self._metrics = Metrics(settings.vm, settings.region)
-        self._decisions = DecisionLog(trace)
-        self._targets = HttpTargets()
-        self._budgets = BudgetBook(settings.region, now_ms)
-        self._routing = Routing(
-            self._budgets,
-            BALANCERS[settings.balancer](),
-            random.Random(),
-            now_ms,
-        )
-        self._desk = OutcomeDesk(
-            OutcomeTable(incarnation),
-            ClaimStore(self._store, settings.store.key_prefix, incarnation),
-            self._requests.ask_owner,
-            self._uptime_ms,
-        )
-        self._requests.attach(self._peers, self._desk)
-        self._borrower = Borrower(
-            self._state,
-            self._keeper,
-            self._budgets.demands,
-            self._budgets.accept_loan,
-            self._budgets.pressed,
-            now_ms,
-        )
-        self._borrower.attach(self._peers)
-        attempts = Attempts(
-            node=settings.vm,
-            region=settings.region,
-            limits=settings.limits,
-            routing=self._routing,
-            budgets=self._budgets,
-            transport=self._targets,
-            metrics=self._metrics,
-            clock=now_ms,
-        )
-        self._forwarder = Forwarder(
-            limits=settings.limits,
-            routing=self._routing,
-            attempts=attempts,
-            answers=Answers(
-                settings.region, self._budgets, now_ms, lambda: self._stopping
-            ),
-            desk=self._desk,
-            decisions=self._decisions,
-            metrics=self._metrics,
-            clock=now_ms,
-            revision=lambda: self._state.revision,
-            is_stopping=lambda: self._stopping,
-            log_requests=settings.logging.requests,
-        )
-        self._checker = HealthChecker(self._routing, self._targets)
-        self._lookups = Lookups(settings.region, self._state.members)
-        app = build_app(
-            forwarder=self._forwarder,
-            lookups=self._lookups,
-            metrics=self._metrics,
-            revision=lambda: self._state.revision,
-            is_stopping=self._draining.is_set,
-            epoch_of=self._epoch_of,
-        )
-        address = parse_address(settings.addresses.http)
-        config = uvicorn.Config(
-            app,
-            address.host,
-            address.port,
-            loop='asyncio',
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            backlog=2048,
-        )
-        self._http = _Server(config)
-
-    def _build_operators(self) -> None:
-        changes = Changes(
-            self._revisions,
-            lambda: self._state.snapshot,
-            self._agent.offer_head,
-        )
-        servicer = OperatorsServicer(
-            changes=changes,
-            store=self._revisions,
-            lookups=self._lookups,
-            decisions=self._decisions,
-            status=StatusReporter(self._state, self._routing, now_ms).report,
-        )
-        self._operators = build_server(
-            servicer, self._settings.addresses.operators
-        )
-
-    def _add_gauges(self) -> None:
-        gauges = (
-            ('revision', 'Revision in force.', lambda: self._state.revision),
-            ('peers', 'Connected peers.', lambda: len(self._state.connected)),
-            (
-                'members.ready',
-                'Members that look-ups may name.',
-                lambda: len(self._state.members.ready()),
-            ),
-            (
-                'requests.in_flight',
-                'Requests that are running.',
-                lambda: self._forwarder.in_flight,
-            ),
-            (
-                'outcomes.held',
-                'Outcomes held in memory.',
-                lambda: len(self._desk.table),
-            ),
-        )
-        for name, description, read in gauges:
-            self._metrics.add_gauge(name, description, read)
-
-    def _put_in_force(self, snapshot: Snapshot) -> None:
-        self._routing.update(snapshot.configuration)
-        self._keeper.update(snapshot.configuration)
-        self._lookups.update(snapshot)
-
-    def _uptime_ms(self) -> float:
-        return now_ms() - self._started_ms
-
-    def _epoch_of(self, vm: str) -> int:
-        member = self._state.members.get(vm)
-        generation = member.generation if member else 0
-        return estimate_epoch(generation, time.time() * _MS_PER_S)
+OWN = 'own'
+# Composition root of each interface; only the one in use is imported.
+INTERFACES = {
+    OWN: 'gentianbank.nodes.own',
+    'platform': 'gentianbank.nodes.steering',
+}
 
 
 def serve(settings: str) -> None:
@@ -333,26 +29,20 @@
     settings
         Path of the settings file.
     """
-    match load_settings(Path(settings)):
-        case Result(tag='ok', ok=checked):
+    path = Path(settings)
+    match read_document(path):
+        case Result(tag='ok', ok=raw):
             pass
         case Result(error=error):
-            print(error, file=sys.stderr)
-            raise SystemExit(EXIT_BAD_SETTINGS)
-    if checked.balancer not in BALANCERS:
-        known = ', '.join(sorted(BALANCERS))
-        print(
-            f'{settings}: balancer: {checked.balancer!r} is none of {known}',
-            file=sys.stderr,
-        )
-        raise SystemExit(EXIT_BAD_SETTINGS)
-    set_up_logs(checked.logging, checked.vm)
-    with contextlib.ExitStack() as stack:
-        trace = None
-        if checked.recorder_path:
-            path = Path(checked.recorder_path)
-            trace = stack.enter_context(path.open('a', encoding='utf-8'))
-        asyncio.run(_run(checked, trace))
+            _refuse(str(error))
+    interface = _take_interface(raw)
+    if interface not in INTERFACES:
+        known = ', '.join(sorted(INTERFACES))
+        _refuse(f'{path}: interface: {interface!r} is none of {known}')
+    node = importlib.import_module(INTERFACES[interface])
+    match node.run(path, raw):
+        case Result(error=error) if error is not None:
+            _refuse(str(error))
 
 
 def main() -> None:
@@ -360,8 +50,13 @@
     fire.Fire(serve, name='gentianbankd')
 
 
-async def _run(settings: Settings, trace: TextIO | None) -> None:
-    await Daemon(settings, trace).run()
+def _take_interface(raw: Any) -> Any:
+    return raw.pop('interface', OWN) if isinstance(raw, dict) else OWN
+
+
+def _refuse(cause: str) -> None:
+    print(cause, file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
 
 
 if __name__ == '__main__':
--- a/src/gentianbank/dataplane/answers.py
+++ b/src/gentianbank/dataplane/answers.py
@@ -10,7 +10,7 @@
 from gentianbank.dataplane import headers as http_headers
 from gentianbank.dataplane.routing import is_large
 from gentianbank.domain.request_key import ScopedKey
-from gentianbank.platform.target_transport import TruncatedBodyError
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -16,10 +16,10 @@
 from gentianbank.dataplane.routing import is_large
 from gentianbank.dataplane.routing import Permit
 from gentianbank.dataplane.routing import Unavailable
-from gentianbank.platform.target_transport import MaybeSent
-from gentianbank.platform.target_transport import NotSent
-from gentianbank.platform.target_transport import SendError
-from gentianbank.platform.target_transport import TargetRequest
+from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import SendError
+from gentianbank.targets.transport import TargetRequest
 from gentianbank.policy.retry import MAX_ATTEMPTS
 from gentianbank.policy.retry import RetryBudget
 
@@ -31,8 +31,8 @@
     from gentianbank.dataplane.request import Request
     from gentianbank.dataplane.routing import Routing
     from gentianbank.domain.settings import Limits
-    from gentianbank.platform.target_transport import TargetAnswer
-    from gentianbank.platform.target_transport import TargetTransport
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetTransport
     from gentianbank.telemetry.metrics import Metrics
 
 MIN_WAIT_MS = 1.0
--- a/src/gentianbank/dataplane/exchange.py
+++ b/src/gentianbank/dataplane/exchange.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from gentianbank.platform.target_transport import RawHeaders
+    from gentianbank.targets.transport import RawHeaders
 
 ASGIMessage = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[ASGIMessage]]
--- a/src/gentianbank/dataplane/forwarder.py
+++ b/src/gentianbank/dataplane/forwarder.py
@@ -28,7 +28,7 @@
 from gentianbank.domain.outcome import NotRun
 from gentianbank.domain.outcome import Unknown
 from gentianbank.domain.request_key import ScopedKey
-from gentianbank.platform.target_transport import TruncatedBodyError
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from gentianbank.platform.target_transport import RawHeaders
+    from gentianbank.targets.transport import RawHeaders
 
 REQUEST_ID = b'x-request-id'
 TIMEOUT = b'request-timeout-ms'
--- a/src/gentianbank/dataplane/health_checker.py
+++ b/src/gentianbank/dataplane/health_checker.py
@@ -15,14 +15,14 @@
 from expression import Result
 
 from gentianbank.dataplane import headers as http_headers
-from gentianbank.platform.target_transport import TargetRequest
-from gentianbank.platform.target_transport import TruncatedBodyError
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from gentianbank.dataplane.routing import Routing
     from gentianbank.domain.configuration import Target
-    from gentianbank.platform.target_transport import TargetAnswer
-    from gentianbank.platform.target_transport import TargetTransport
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetTransport
 
 PERIOD_S = 1.0
 TIMEOUT_MS = 1_000
--- a/src/gentianbank/dataplane/outcomes.py
+++ b/src/gentianbank/dataplane/outcomes.py
@@ -34,8 +34,8 @@
 from gentianbank.domain.request_key import ScopedKey
 
 if TYPE_CHECKING:
-    from gentianbank.platform.claims import Claim
-    from gentianbank.platform.claims import ClaimStore
+    from gentianbank.storage.claims import Claim
+    from gentianbank.storage.claims import ClaimStore
 
 _MS_PER_S = 1_000
 
--- /dev/null
+++ b/src/gentianbank/dataplane/server.py
@@ -0,0 +1,20 @@
+"""The HTTP server of a node."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class HttpServer(uvicorn.Server):
+    """Leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers."""
+        yield
--- a/src/gentianbank/domain/settings.py
+++ b/src/gentianbank/domain/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -94,13 +95,18 @@
     recorder_path: str = schema.text(r'.{0,400}', default='')
 
 
-def load_settings(path: Path) -> Result[Settings, InvalidDocument]:
-    """Read and check a settings file."""
+def read_document(path: Path) -> Result[Any, InvalidDocument]:
+    """Read the plain document of a settings file."""
     try:
         data = path.read_bytes()
     except OSError as error:
         cause = FieldError('(file)', error.strerror or str(error))
         return Error(InvalidDocument(str(path), (cause,)))
-    return documents.load_yaml(data, str(path)).bind(
+    return documents.load_yaml(data, str(path))
+
+
+def load_settings(path: Path) -> Result[Settings, InvalidDocument]:
+    """Read and check a settings file of the product's own interface."""
+    return read_document(path).bind(
         lambda raw: schema.read(Settings, raw, str(path))
     )
--- /dev/null
+++ b/src/gentianbank/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Composition roots: one for each interface that a node can speak."""
--- a/src/gentianbank/platform/__init__.py
+++ b/src/gentianbank/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the platform's services."""
+"""Adapter to the users' platform: its calls, names and documents."""
--- /dev/null
+++ b/src/gentianbank/platform/fields.py
@@ -0,0 +1,114 @@
+"""Checked reading of the fields of the platform's documents.
+
+Unknown fields are ignored, since the platform adds fields without notice.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain.errors import FieldError
+from gentianbank.domain.errors import InvalidDocument
+
+
+class Fields:
+    """Fields of one JSON object; notes each that is missing or wrong."""
+
+    def __init__(self, raw: Any, path: str, errors: list[FieldError]) -> None:
+        self._path = path
+        self._errors = errors
+        self._raw: dict[str, Any] = raw if isinstance(raw, dict) else {}
+        if not isinstance(raw, dict):
+            self._refuse('', 'expected an object')
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Return a text that is not empty."""
+        value = self._raw.get(name, default)
+        if isinstance(value, str) and value:
+            return value
+        self._refuse(name, f'expected text, got {value!r:.60}')
+        return ''
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Return a number that is not negative."""
+        value = self._raw.get(name, default)
+        kind_fits = isinstance(value, int | float)
+        if kind_fits and not isinstance(value, bool) and value >= 0:
+            return float(value)
+        self._refuse(name, f'expected a number from 0, got {value!r:.60}')
+        return 0.0
+
+    def whole(self, name: str, default: int | None = None) -> int:
+        """Return a whole number that is not negative."""
+        value = self._raw.get(name, default)
+        if isinstance(value, int) and not isinstance(value, bool):
+            if value >= 0:
+                return value
+        self._refuse(name, f'expected a whole number, got {value!r:.60}')
+        return 0
+
+    def flag(self, name: str, *, default: bool) -> bool:
+        """Return a truth value."""
+        value = self._raw.get(name, default)
+        if isinstance(value, bool):
+            return value
+        self._refuse(name, f'expected true or false, got {value!r:.60}')
+        return default
+
+    def choice(self, name: str, choices: frozenset[str]) -> str:
+        """Return one of some words."""
+        value = self._raw.get(name)
+        if isinstance(value, str) and value in choices:
+            return value
+        expected = ', '.join(sorted(choices))
+        self._refuse(name, f'expected one of {expected}, got {value!r:.60}')
+        return ''
+
+    def objects(self, name: str) -> list[Fields]:
+        """Return the objects of a list."""
+        return [
+            Fields(item, f'{self._path}{name}[{index}].', self._errors)
+            for index, item in enumerate(self._list(name))
+        ]
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Return a list of texts; empty when the field is missing."""
+        return tuple(str(item) for item in self._list(name))
+
+    def nested(self, name: str) -> Fields:
+        """Return the fields of an object."""
+        raw = self._raw.get(name)
+        return Fields(raw, f'{self._path}{name}.', self._errors)
+
+    def has(self, name: str) -> bool:
+        """Tell whether a field has a value."""
+        return self._raw.get(name) is not None
+
+    def _list(self, name: str) -> list[Any]:
+        value = self._raw.get(name)
+        if value is None:
+            return []
+        if isinstance(value, list):
+            return value
+        self._refuse(name, f'expected a list, got {value!r:.60}')
+        return []
+
+    def _refuse(self, name: str, cause: str) -> None:
+        path = f'{self._path}{name}'.rstrip('.') or '(document)'
+        self._errors.append(FieldError(path, cause))
+
+
+def parse(
+    data: bytes, source: str, errors: list[FieldError]
+) -> Result[Fields, InvalidDocument]:
+    """Parse a document into its fields."""
+    try:
+        return Ok(Fields(json.loads(data), '', errors))
+    except (ValueError, RecursionError) as error:
+        cause = FieldError('(document)', f'not JSON: {error}')
+        return Error(InvalidDocument(source, (cause,)))
--- /dev/null
+++ b/src/gentianbank/platform/headers.py
@@ -0,0 +1,106 @@
+"""Headers that callers, nodes and targets exchange on the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gentianbank.domain.load_report import LoadReport
+
+if TYPE_CHECKING:
+    from gentianbank.targets.transport import RawHeaders
+
+REQUEST_ID = b'request-id'
+TIME_LEFT = b'deadline-ms'
+OBJECT = b'affinity-key'
+STAMP = b'server-stamp'
+EXPECTED_TARGET = b'expect-instance'
+RETRY_AFTER = b'retry-after'
+CONTENT_ENCODING = b'content-encoding'
+_LOAD = b'server-load'
+_NOT_RUN = b'not-executed'
+_MISDIRECTED = 421
+_USUAL_PERCENT = 100.0
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    )
+)
+_REPLACED = _HOP_BY_HOP | {TIME_LEFT, EXPECTED_TARGET, b'content-length'}
+_FRAMING = _HOP_BY_HOP | {b'content-length', _LOAD}
+
+
+def for_target(
+    received: RawHeaders,
+    *,
+    target_id: str,
+    time_left_ms: float,
+    body_bytes: int | None,
+) -> RawHeaders:
+    """Return the headers of a request to a target.
+
+    Parameters
+    ----------
+    time_left_ms
+        Time after which the target may stop work.
+    body_bytes
+        Length of the body, or nothing for a request without one.
+    """
+    dropped = _REPLACED | _named_by_connection(received)
+    headers = [pair for pair in received if pair[0].lower() not in dropped]
+    headers.append((TIME_LEFT, str(max(1, int(time_left_ms))).encode()))
+    headers.append((EXPECTED_TARGET, target_id.encode()))
+    if body_bytes is not None:
+        headers.append((b'content-length', str(body_bytes).encode()))
+    return headers
+
+
+def for_caller(received: RawHeaders) -> RawHeaders:
+    """Return the headers of a target's answer without its framing."""
+    return [
+        (name.lower(), value)
+        for name, value in received
+        if name.lower() not in _FRAMING
+    ]
+
+
+def find(headers: RawHeaders, name: bytes) -> bytes | None:
+    """Return the value of a header, by its lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def says_not_run(status: int, headers: RawHeaders) -> bool:
+    """Tell whether a target says that it did not run the request."""
+    return status == _MISDIRECTED or find(headers, _NOT_RUN) is not None
+
+
+def load_of(headers: RawHeaders) -> LoadReport | None:
+    """Return the load that a target reports; nothing if it is malformed."""
+    raw = find(headers, _LOAD)
+    if raw is None:
+        return None
+    figures = raw.decode('latin-1').split(',')
+    try:
+        running, waiting, slots = (int(figure) for figure in figures[:3])
+        percent = float(figures[3]) if len(figures) > 3 else _USUAL_PERCENT
+    except ValueError:
+        return None
+    return LoadReport(running, waiting, slots, percent / _USUAL_PERCENT)
+
+
+def _named_by_connection(received: RawHeaders) -> frozenset[bytes]:
+    value = find(received, b'connection')
+    if not value:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in value.split(b','))
--- /dev/null
+++ b/src/gentianbank/platform/keyspace.py
@@ -0,0 +1,124 @@
+"""Where the platform's store keeps what, and how each value is decoded."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+from typing import TYPE_CHECKING
+
+from expression import Ok
+from expression import Result
+
+from gentianbank.domain import schema
+from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.registration import NodeRegistration
+from gentianbank.domain.registration import TargetRegistration
+from gentianbank.domain.route_table import RouteTable
+from gentianbank.platform.documents import CONFIGURATION_KEY
+from gentianbank.platform.documents import decode_configuration
+from gentianbank.platform.documents import decode_target
+from gentianbank.platform.documents import EVACUATION_PREFIX
+from gentianbank.platform.documents import TARGET_PREFIX
+from gentianbank.storage.store import Put
+
+if TYPE_CHECKING:
+    from gentianbank.storage.store import StoredValue
+
+# Every key, since one watch for all costs one call.
+EVERYTHING = ''
+NODE_PREFIX = 'nodes/'
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuatedDomain:
+    """A failure domain whose targets get nothing."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetId:
+    """A target's entry, by its id."""
+
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeName:
+    """A node's entry, by its VM."""
+
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The operator's configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class Other:
+    """A key that does not concern the node."""
+
+
+Subject = Configuration | EvacuatedDomain | TargetId | NodeName | Other
+Decoded = RouteTable | TargetRegistration | NodeRegistration | EvacuatedDomain
+
+
+def subject_of(key: str) -> Subject:
+    """Return what a key is about."""
+    if key == CONFIGURATION_KEY:
+        return Configuration()
+    if key.startswith(EVACUATION_PREFIX):
+        return EvacuatedDomain(key.removeprefix(EVACUATION_PREFIX))
+    if key.startswith(TARGET_PREFIX):
+        return TargetId(key.removeprefix(TARGET_PREFIX))
+    if key.startswith(NODE_PREFIX):
+        return NodeName(key.removeprefix(NODE_PREFIX))
+    return Other()
+
+
+def decode(
+    stored: StoredValue,
+) -> Result[Decoded | None, InvalidDocument]:
+    """Decode a value by its key; nothing for other keys."""
+    match subject_of(stored.key):
+        case Configuration():
+            return decode_configuration(stored.value).map(_widen)
+        case TargetId():
+            return decode_target(stored.key, stored.value).map(_widen)
+        case NodeName():
+            return _decode_node(stored).map(_widen)
+        case EvacuatedDomain() as domain:
+            return Ok(domain)
+        case Other():
+            return Ok(None)
+
+
+def target_key(target_id: str) -> str:
+    """Return the key of a target's entry."""
+    return f'{TARGET_PREFIX}{target_id}'
+
+
+def node_key(vm: str) -> str:
+    """Return the key of a node's entry."""
+    return f'{NODE_PREFIX}{vm}'
+
+
+def encode_node(node: NodeRegistration, lease: int) -> Put:
+    """Return the write of a node's own entry."""
+    value = json.dumps(schema.dump(node)).encode()
+    return Put(node_key(node.vm), value, lease)
+
+
+def _decode_node(
+    stored: StoredValue,
+) -> Result[NodeRegistration, InvalidDocument]:
+    try:
+        raw = json.loads(stored.value)
+    except ValueError:
+        raw = None
+    return schema.read(NodeRegistration, raw, stored.key)
+
+
+def _widen(value: Decoded) -> Decoded | None:
+    return value
--- /dev/null
+++ b/src/gentianbank/policy/placement.py
@@ -0,0 +1,190 @@
+"""Choice of the target of a request by its expected cost.
+
+The cost is in milliseconds: the expected time to the answer, plus what the
+bytes between failure domains and regions are worth in time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gentianbank.policy.target_load import TargetLoad
+
+# Work of an object that the target has not handled lately, relative to the
+# latency objective, until it is measured.
+INITIAL_COLD_OF_GOAL = 1.3
+INITIAL_WARM_OF_GOAL = 0.4
+TIME_SMOOTHING = 0.05
+# Chance that an object is warm at the first targets of its order, by the
+# requests of other nodes.
+WARM_BY_RANK = (0.8, 0.6, 0.35)
+WARM_ELSEWHERE = 0.1
+DOMAIN_MS_PER_KB = 1.3
+REGION_MS_PER_KB = 3.0
+FAILURE_MS = 1_500.0
+# A target's own queue is used up to this many requests a slot.
+MAX_QUEUE_PER_SLOT = 1.5
+
+
+@dataclass(slots=True)
+class RouteTimes:
+    """Smoothed times and sizes of a route's answers.
+
+    Parameters
+    ----------
+    warm_ms, cold_ms
+        Time of work at the usual speed, for an object that the target has
+        handled lately and for another.
+    """
+
+    warm_ms: float
+    cold_ms: float
+    answer_kb: float = 5.0
+
+    @classmethod
+    def initial(cls, goal_ms: float) -> RouteTimes:
+        """Return what is assumed before the first answer."""
+        return cls(
+            goal_ms * INITIAL_WARM_OF_GOAL, goal_ms * INITIAL_COLD_OF_GOAL
+        )
+
+    def on_answer(
+        self, work_ms: float, answer_bytes: int, *, warm: bool
+    ) -> None:
+        """Take an answer that did not wait in the target's queue."""
+        self.answer_kb += TIME_SMOOTHING * (
+            answer_bytes / 1_000 - self.answer_kb
+        )
+        if warm:
+            # A few long requests must not hide what most take.
+            work_ms = min(work_ms, 2 * self.warm_ms)
+            self.warm_ms += TIME_SMOOTHING * (work_ms - self.warm_ms)
+        else:
+            work_ms = min(work_ms, 2 * self.cold_ms)
+            self.cold_ms += TIME_SMOOTHING * (work_ms - self.cold_ms)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """A request that looks for a target.
+
+    Parameters
+    ----------
+    topic
+        Object that the request concerns; empty for none.
+    patience_ms
+        Longest wait in a target's queue that is worth it.
+    time_left_ms
+        Time until the final answer is due.
+    """
+
+    topic: str
+    region: str
+    failure_domain: str
+    times: RouteTimes
+    patience_ms: float
+    time_left_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The chosen target and what was expected of it."""
+
+    target: TargetLoad
+    expected_ms: float
+    wait_ms: float
+    warm: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """Targets exist, but none can answer in time.
+
+    Parameters
+    ----------
+    wait_ms
+        Shortest expected wait.
+    """
+
+    wait_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """No target may be used."""
+
+
+Placement = Placed | Full | NoTarget
+
+
+@dataclass(slots=True)
+class _Best:
+    target: TargetLoad | None = None
+    cost_ms: float = float('inf')
+    expected_ms: float = 0.0
+    wait_ms: float = 0.0
+    warm: bool = False
+    shortest_wait_ms: float = field(default=float('inf'))
+
+
+def place(
+    demand: Demand, ordered: Iterable[TargetLoad], now_ms: float
+) -> Placement:
+    """Choose the target with the least expected cost.
+
+    Parameters
+    ----------
+    ordered
+        Targets that may be used, by the order of the request's object.
+    """
+    best = _Best()
+    times = demand.times
+    for rank, target in enumerate(ordered):
+        slots = target.registration.slots
+        over = target.occupancy(now_ms) - slots + 1
+        slowdown = target.slowdown(now_ms)
+        wait_ms = max(0.0, over) / slots * times.warm_ms * slowdown
+        best.shortest_wait_ms = min(best.shortest_wait_ms, wait_ms)
+        if over > slots * MAX_QUEUE_PER_SLOT or wait_ms > demand.patience_ms:
+            continue
+        known = bool(demand.topic) and target.knows(demand.topic)
+        work_ms = _work_ms(times, rank, known=known) * slowdown
+        if target.is_cold(now_ms):
+            work_ms *= 2
+        travel_ms = target.connect_ms
+        expected_ms = wait_ms + work_ms + travel_ms
+        if wait_ms and expected_ms > demand.time_left_ms:
+            continue
+        cost_ms = expected_ms + _carriage_ms(demand, target)
+        cost_ms += target.failure_rate * FAILURE_MS
+        if cost_ms < best.cost_ms:
+            best.target = target
+            best.cost_ms = cost_ms
+            best.expected_ms = expected_ms
+            best.wait_ms = wait_ms
+            best.warm = known
+    if best.target is not None:
+        return Placed(best.target, best.expected_ms, best.wait_ms, best.warm)
+    if best.shortest_wait_ms < float('inf'):
+        return Full(best.shortest_wait_ms)
+    return NoTarget()
+
+
+def _work_ms(times: RouteTimes, rank: int, *, known: bool) -> float:
+    if known:
+        return times.warm_ms
+    chance = WARM_BY_RANK[rank] if rank < len(WARM_BY_RANK) else WARM_ELSEWHERE
+    return chance * times.warm_ms + (1 - chance) * times.cold_ms
+
+
+def _carriage_ms(demand: Demand, target: TargetLoad) -> float:
+    if target.region != demand.region:
+        return demand.times.answer_kb * REGION_MS_PER_KB
+    if target.registration.failure_domain != demand.failure_domain:
+        return demand.times.answer_kb * DOMAIN_MS_PER_KB
+    return 0.0
--- /dev/null
+++ b/src/gentianbank/policy/target_load.py
@@ -0,0 +1,136 @@
+"""What a node knows of one target's load, speed and warm objects."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+import math
+from typing import TYPE_CHECKING
+
+from gentianbank.policy.shared_allowance import ColdAllowance
+
+if TYPE_CHECKING:
+    from gentianbank.domain.load_report import LoadReport
+    from gentianbank.domain.registration import TargetRegistration
+
+# Objects that a target is believed to keep warm.
+REMEMBERED_OBJECTS = 24
+# Neighbours' bursts on a target's machine last about this long.
+SLOWDOWN_MEMORY_MS = 500.0
+# What a report says of the load fades, as the requests it counted end.
+REPORT_MEMORY_MS = 400.0
+USUAL_SLOWDOWN = 1.15
+FAILURE_SMOOTHING = 0.15
+SUSPECT_MIN_MS = 400.0
+SUSPECT_MAX_MS = 4_000.0
+INITIAL_CONNECT_MS = 5.0
+CONNECT_SMOOTHING = 0.3
+
+
+@dataclass(slots=True, eq=False)
+class TargetLoad:
+    """A target as this node sees it.
+
+    Parameters
+    ----------
+    cold_until_ms
+        Time until which few requests may be sent.
+    in_flight
+        Requests of this node that the target has.
+    sent_since_report
+        Requests that were sent after the newest report was made.
+    failure_rate
+        Smoothed part of the requests that failed.
+    suspect_until_ms
+        Time until which the target is avoided after connection failures.
+    """
+
+    registration: TargetRegistration
+    region: str
+    cold_until_ms: float = float('-inf')
+    in_flight: int = 0
+    report: LoadReport | None = None
+    report_ms: float = float('-inf')
+    sent_since_report: int = 0
+    failure_rate: float = 0.0
+    failures_in_row: int = 0
+    suspect_until_ms: float = float('-inf')
+    connect_ms: float = INITIAL_CONNECT_MS
+    cold: ColdAllowance = field(default_factory=ColdAllowance)
+    _objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Tell whether the target is cold."""
+        return now_ms < self.cold_until_ms
+
+    def is_suspect(self, now_ms: float) -> bool:
+        """Tell whether connections to the target failed just now."""
+        return now_ms < self.suspect_until_ms
+
+    def slowdown(self, now_ms: float) -> float:
+        """Return the expected slowdown; an old report counts for less."""
+        if self.report is None:
+            return USUAL_SLOWDOWN
+        fading = math.exp((self.report_ms - now_ms) / SLOWDOWN_MEMORY_MS)
+        return USUAL_SLOWDOWN + fading * (
+            self.report.slowdown - USUAL_SLOWDOWN
+        )
+
+    def occupancy(self, now_ms: float) -> float:
+        """Return the estimated requests that the target has."""
+        if self.report is None:
+            return float(self.in_flight)
+        fading = math.exp((self.report_ms - now_ms) / REPORT_MEMORY_MS)
+        reported = (self.report.running + self.report.waiting) * fading
+        return max(float(self.in_flight), reported + self.sent_since_report)
+
+    def knows(self, topic: str) -> bool:
+        """Tell whether this node had the target handle an object lately."""
+        return topic in self._objects
+
+    def on_send(self, now_ms: float, topic: str) -> None:
+        """Count a request in."""
+        self.in_flight += 1
+        self.sent_since_report += 1
+        if self.is_cold(now_ms):
+            self.cold.on_send(now_ms)
+        if topic:
+            self._objects[topic] = None
+            self._objects.move_to_end(topic)
+            if len(self._objects) > REMEMBERED_OBJECTS:
+                self._objects.popitem(last=False)
+
+    def on_end(self) -> None:
+        """Count a request out, whatever became of it."""
+        self.in_flight -= 1
+
+    def on_report(self, report: LoadReport, now_ms: float) -> None:
+        """Take a load report."""
+        self.report = report
+        self.report_ms = now_ms
+        self.sent_since_report = 0
+
+    def on_answer(self, *, failed: bool) -> None:
+        """Count an answer."""
+        self.failures_in_row = 0
+        self.suspect_until_ms = float('-inf')
+        goal = 1.0 if failed else 0.0
+        self.failure_rate += FAILURE_SMOOTHING * (goal - self.failure_rate)
+
+    def on_broken(self, now_ms: float) -> None:
+        """Count a connection that failed: avoid the target for a while."""
+        self.failures_in_row += 1
+        self.failure_rate += FAILURE_SMOOTHING * (1 - self.failure_rate)
+        if self.failures_in_row < 2:
+            return
+        pause_ms = SUSPECT_MIN_MS * 2 ** (self.failures_in_row - 2)
+        self.suspect_until_ms = now_ms + min(pause_ms, SUSPECT_MAX_MS)
+
+    def on_connect(self, connect_ms: float) -> None:
+        """Take the time that opening a connection took."""
+        self.connect_ms += CONNECT_SMOOTHING * (connect_ms - self.connect_ms)
+
+    def forget_objects(self) -> None:
+        """Forget which objects are warm, as the target started anew."""
+        self._objects.clear()
--- a/src/gentianbank/rpc/changes.py
+++ b/src/gentianbank/rpc/changes.py
@@ -19,7 +19,7 @@
 from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.errors import RevisionConflict
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.revisions import Change
+from gentianbank.storage.revisions import Change
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,7 +27,7 @@
     from gentianbank.domain.errors import ChangeError
     from gentianbank.domain.revision import Head
     from gentianbank.domain.revision import Snapshot
-    from gentianbank.platform.revisions import RevisionStore
+    from gentianbank.storage.revisions import RevisionStore
 
 DRAIN_ATTEMPTS = 5
 MAX_TEXT_LENGTH = 200
--- a/src/gentianbank/rpc/server.py
+++ b/src/gentianbank/rpc/server.py
@@ -26,7 +26,7 @@
     from gentianbank.dataplane.decisions import DecisionLog
     from gentianbank.dataplane.lookups import Lookups
     from gentianbank.domain.errors import ChangeError
-    from gentianbank.platform.revisions import RevisionStore
+    from gentianbank.storage.revisions import RevisionStore
     from gentianbank.rpc.changes import Changes
 
 MAX_HISTORY = 1_000
--- /dev/null
+++ b/src/gentianbank/steering/__init__.py
@@ -0,0 +1,1 @@
+"""A node that steers for the users' platform."""
--- /dev/null
+++ b/src/gentianbank/steering/apps.py
@@ -0,0 +1,90 @@
+"""The node's HTTP applications, over ASGI."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from gentianbank.dataplane.exchange import ASGIMessage
+from gentianbank.dataplane.exchange import Exchange
+from gentianbank.dataplane.exchange import Receive
+from gentianbank.dataplane.exchange import SendMessage
+from gentianbank.platform import lookup
+from gentianbank.policy.entry_points import choose_entry_points
+
+if TYPE_CHECKING:
+    from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.steering.beliefs import Beliefs
+    from gentianbank.steering.proxy import Proxy
+
+App = Callable[[ASGIMessage, Receive, SendMessage], Awaitable[None]]
+CACHE_S = 1.0
+_JSON = [(b'content-type', b'application/json')]
+
+
+class ProxyApp:
+    """Requests for services."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        self._proxy = proxy
+
+    async def __call__(
+        self, scope: ASGIMessage, receive: Receive, send: SendMessage
+    ) -> None:
+        """Serve one exchange."""
+        await self._proxy.serve(Exchange(scope, receive, send))
+
+
+class ReadinessApp:
+    """Tells whether the node takes callers."""
+
+    def __init__(
+        self, beliefs: Beliefs, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._beliefs = beliefs
+        self._is_stopping = is_stopping
+
+    async def __call__(
+        self, scope: ASGIMessage, receive: Receive, send: SendMessage
+    ) -> None:
+        """Answer one check."""
+        ready = self._beliefs.table is not None and not self._is_stopping()
+        await Exchange(scope, receive, send).answer(
+            200 if ready else 503, [], b''
+        )
+
+
+class LookupApp:
+    """Tells callers which entry VMs to use."""
+
+    def __init__(
+        self,
+        me: NodeRegistration,
+        beliefs: Beliefs,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._me = me
+        self._beliefs = beliefs
+        self._is_stopping = is_stopping
+
+    async def __call__(
+        self, scope: ASGIMessage, receive: Receive, send: SendMessage
+    ) -> None:
+        """Answer one look-up."""
+        exchange = Exchange(scope, receive, send)
+        query = lookup.decode_query(scope.get('query_string', b''))
+        addresses = choose_entry_points(
+            self._living(), query.region, query.failure_domain
+        )
+        if not addresses:
+            await exchange.answer(503, _JSON, b'{}')
+            return
+        body = lookup.encode_answer(addresses, CACHE_S)
+        await exchange.answer(200, _JSON, body)
+
+    def _living(self) -> list[NodeRegistration]:
+        nodes = {**self._beliefs.nodes, self._me.vm: self._me}
+        if self._is_stopping() or self._beliefs.table is None:
+            del nodes[self._me.vm]
+        return list(nodes.values())
--- /dev/null
+++ b/src/gentianbank/steering/beliefs.py
@@ -0,0 +1,134 @@
+"""What a node believes of routes, targets and nodes, from the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from gentianbank.policy.target_load import TargetLoad
+
+if TYPE_CHECKING:
+    from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.domain.registration import TargetRegistration
+    from gentianbank.domain.route_table import RouteTable
+
+# A target whose failure domain was just given back, or that has only now
+# registered, is taken as cold for so long when its service says nothing.
+DEFAULT_COLD_MS = 3_000.0
+
+
+@dataclass(slots=True)
+class Beliefs:
+    """Routes, targets and nodes as this node knows them.
+
+    Parameters
+    ----------
+    regions
+        Region of each failure domain.
+    table
+        Configuration in force; nothing before the first one.
+    targets
+        Registered targets, by id.
+    leaving
+        Ids of targets that have said that they leave.
+    evacuated
+        Failure domains that get nothing.
+    generation
+        Grows whenever the set of usable targets may have changed.
+    """
+
+    regions: dict[str, str]
+    table: RouteTable | None = None
+    targets: dict[str, TargetLoad] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
+    nodes: dict[str, NodeRegistration] = field(default_factory=dict)
+    generation: int = 0
+
+    def put_table(self, table: RouteTable) -> bool:
+        """Put a configuration in force unless a newer one is."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.generation += 1
+        logging.info(
+            'configuration in force', extra={'version': table.version}
+        )
+        return True
+
+    def put_target(
+        self, entry: TargetRegistration, now_ms: float, *, first: bool
+    ) -> None:
+        """Take the entry of a target.
+
+        Parameters
+        ----------
+        first
+            Whether the entry is of the first listing, so that the target
+            need not have started just now.
+        """
+        held = self.targets.get(entry.target_id)
+        restarted = (
+            held is not None
+            and held.registration.born_ms != entry.born_ms
+            or held is not None
+            and held.registration.address != entry.address
+        )
+        if held is None or restarted:
+            held = TargetLoad(entry, self._region(entry))
+            self.targets[entry.target_id] = held
+            if not first:
+                held.cold_until_ms = now_ms + self._cold_ms(entry)
+        held.registration = entry
+        held.cold_until_ms = max(
+            held.cold_until_ms, now_ms + entry.cold_left_ms
+        )
+        self.generation += 1
+
+    def drop_target(self, target_id: str) -> None:
+        """Forget a target whose entry is gone."""
+        if self.targets.pop(target_id, None) is not None:
+            self.generation += 1
+
+    def evacuate(self, domains: frozenset[str], now_ms: float) -> None:
+        """Take the failure domains that get nothing from now on."""
+        returned = self.evacuated - domains
+        if domains == self.evacuated:
+            return
+        self.evacuated = domains
+        self.generation += 1
+        for target in self.targets.values():
+            entry = target.registration
+            if entry.failure_domain in returned:
+                target.cold_until_ms = now_ms + self._cold_ms(entry)
+                target.forget_objects()
+
+    def usable(self, service: str) -> list[TargetLoad]:
+        """Return the targets of a service that may get requests."""
+        return [
+            target
+            for target in self.targets.values()
+            if target.registration.service == service
+            and not target.registration.draining
+            and target.registration.failure_domain not in self.evacuated
+        ]
+
+    def is_usable(self, target: TargetLoad) -> bool:
+        """Tell whether a target may get requests now."""
+        entry = target.registration
+        return (
+            self.targets.get(entry.target_id) is target
+            and not entry.draining
+            and entry.failure_domain not in self.evacuated
+        )
+
+    def _region(self, entry: TargetRegistration) -> str:
+        return self.regions.get(entry.failure_domain, '')
+
+    def _cold_ms(self, entry: TargetRegistration) -> float:
+        if self.table is None:
+            return DEFAULT_COLD_MS
+        policy = self.table.services.get(entry.service)
+        return policy.cold_start_ms if policy else DEFAULT_COLD_MS
--- /dev/null
+++ b/src/gentianbank/steering/caller_request.py
@@ -0,0 +1,62 @@
+"""A caller's request on its way through the node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gentianbank.platform import headers as wire
+
+if TYPE_CHECKING:
+    from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.domain.route_table import Route
+
+MAX_WAIT_MS = 600_000.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """A request that has a route.
+
+    Parameters
+    ----------
+    topic
+        Object that the request concerns.
+    came_ms
+        Time when the request was read.
+    end_ms
+        Time when the caller gets a final answer at the latest.
+    caller_end_ms
+        Time when the caller stops waiting.
+    """
+
+    request_id: bytes
+    route: Route
+    service: str
+    topic: str
+    came_ms: float
+    end_ms: float
+    caller_end_ms: float
+
+
+def read_request(
+    exchange: Exchange, route: Route, service: str, now_ms: float
+) -> CallerRequest:
+    """Return a request by its headers."""
+    patience_ms = _whole_ms(exchange.header(wire.TIME_LEFT))
+    topic = exchange.header(wire.OBJECT) or ''
+    return CallerRequest(
+        request_id=(exchange.header(wire.REQUEST_ID) or '').encode('latin-1'),
+        route=route,
+        service=service,
+        topic=topic,
+        came_ms=now_ms,
+        end_ms=now_ms + min(patience_ms, route.timeout_ms),
+        caller_end_ms=now_ms + patience_ms,
+    )
+
+
+def _whole_ms(text: str | None) -> float:
+    if text is None or not text.isdecimal():
+        return MAX_WAIT_MS
+    return min(MAX_WAIT_MS, float(text))
--- /dev/null
+++ b/src/gentianbank/steering/membership.py
@@ -0,0 +1,104 @@
+"""Keeps this node's own entry in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.platform import keyspace
+from gentianbank.storage.replicated import LeaseGone
+
+if TYPE_CHECKING:
+    from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.domain.steering_settings import SteeringStore
+    from gentianbank.storage.replicated import PrefixStore
+
+# Renewals in one lifetime of the lease, so that one may be lost.
+RENEWALS_PER_LEASE = 2.5
+END_TIMEOUT_S = 1.0
+_MS_PER_S = 1_000
+
+
+class Membership:
+    """Registers the node under a lease and renews it.
+
+    Parameters
+    ----------
+    me
+        The node's own entry.
+    """
+
+    def __init__(
+        self,
+        me: NodeRegistration,
+        store: PrefixStore,
+        settings: SteeringStore,
+    ) -> None:
+        self._me = me
+        self._store = store
+        self._settings = settings
+        self._lease = 0
+        self._lost = asyncio.Event()
+        self._leaving = False
+
+    def on_entry_gone(self) -> None:
+        """Register again, as another one removed the entry."""
+        if not self._leaving:
+            self._lease = 0
+            self._lost.set()
+
+    async def run(self) -> None:
+        """Keep the entry until cancelled."""
+        pause_s = self._settings.lease_ms / RENEWALS_PER_LEASE / _MS_PER_S
+        retry_s = self._settings.retry_ms / _MS_PER_S
+        while not self._leaving:
+            held = await (self._renew() if self._lease else self._register())
+            self._lost.clear()
+            try:
+                async with asyncio.timeout(pause_s if held else retry_s):
+                    await self._lost.wait()
+                await asyncio.sleep(retry_s)
+            except TimeoutError:
+                continue
+
+    async def leave(self) -> None:
+        """Remove the entry; other nodes stop naming this one."""
+        self._leaving = True
+        if not self._lease:
+            return
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self._store.end_lease(self._lease)
+        except TimeoutError:
+            logging.warning('the entry of this node was not removed in time')
+
+    async def _register(self) -> bool:
+        match await self._store.grant_lease_ms(self._settings.lease_ms):
+            case Result(tag='ok', ok=lease):
+                pass
+            case Result(error=error):
+                logging.warning('node not registered: %s', error)
+                return False
+        put = keyspace.encode_node(self._me, lease)
+        match await self._store.put(put):
+            case Result(tag='ok'):
+                self._lease = lease
+                logging.info('node registered')
+                return True
+            case Result(error=error):
+                logging.warning('node not registered: %s', error)
+                return False
+
+    async def _renew(self) -> bool:
+        match await self._store.renew_lease(self._lease):
+            case Result(tag='ok'):
+                return True
+            case Result(error=LeaseGone()):
+                self._lease = 0
+                return await self._register()
+            case Result(error=error):
+                logging.warning('lease not renewed: %s', error)
+                return False
--- /dev/null
+++ b/src/gentianbank/steering/placer.py
@@ -0,0 +1,225 @@
+"""Finds the target of a request among those that the node believes in."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gentianbank.policy import rendezvous
+from gentianbank.policy.placement import Demand
+from gentianbank.policy.placement import Full
+from gentianbank.policy.placement import NoTarget
+from gentianbank.policy.placement import place
+from gentianbank.policy.placement import Placed
+from gentianbank.policy.placement import RouteTimes
+from gentianbank.policy.region_shares import RegionLoad
+from gentianbank.policy.region_shares import RegionShares
+from gentianbank.policy.shared_allowance import cold_share
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.domain.route_table import Route
+    from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.policy.placement import Placement
+    from gentianbank.policy.target_load import TargetLoad
+    from gentianbank.steering.beliefs import Beliefs
+
+# With fewer targets nearby, objects are spread over the whole region, since
+# each target keeps only some of them warm.
+MIN_NEAR_TARGETS = 3
+# Part of the allowed shift between two windows that is used.
+SHIFT_FRACTION = 0.25
+SHIFT_WINDOW_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs of a target.
+
+    Parameters
+    ----------
+    topic
+        Object that the request concerns.
+    left_ms
+        Time until the final answer is due.
+    goal_left_ms
+        Time until the latency objective is missed.
+    tried
+        Ids of targets that were tried before.
+    """
+
+    route: Route
+    service: str
+    topic: str
+    left_ms: float
+    goal_left_ms: float
+    tried: frozenset[str]
+
+
+class Placer:
+    """Chooses targets; owns what was measured of routes.
+
+    Parameters
+    ----------
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        region: str,
+        failure_domain: str,
+        beliefs: Beliefs,
+        bounds: Bounds,
+        clock: Callable[[], float],
+    ) -> None:
+        self._vm = vm
+        self._region = region
+        self._failure_domain = failure_domain
+        self._beliefs = beliefs
+        self._bounds = bounds
+        self._clock = clock
+        self._times: dict[str, RouteTimes] = {}
+        self._shares: dict[str, RegionShares] = {}
+        self._orders: dict[tuple[str, str, str, bool], list[TargetLoad]] = {}
+        self._cold_shares: dict[str, int] = {}
+        self._generation = -1
+
+    def times_of(self, route: Route) -> RouteTimes:
+        """Return what was measured of a route."""
+        times = self._times.get(route.name)
+        if times is None:
+            times = RouteTimes.initial(route.goal_ms)
+            self._times[route.name] = times
+        return times
+
+    @property
+    def nodes(self) -> int:
+        """Return how many nodes may be sending."""
+        known = len({*self._beliefs.nodes, self._vm})
+        return max(known, len(self._beliefs.regions) + 1)
+
+    def choose(self, wanted: Wanted) -> Placement:
+        """Return the target of a request, or why there is none."""
+        self._refresh()
+        now_ms = self._clock()
+        regions = self._step_shares(wanted.service, now_ms)
+        region = self._shares[wanted.service].region_of(wanted.topic)
+        homes = wanted.route.home_regions
+        if homes:
+            regions = [name for name in regions if name in homes]
+        first = [name for name in regions if name == region]
+        rest = [name for name in regions if name != region]
+        fullest: Placement = NoTarget()
+        for name in first + rest:
+            placement = self._choose_in(wanted, name, now_ms)
+            if isinstance(placement, Placed):
+                return placement
+            if isinstance(placement, Full):
+                return placement
+        return fullest
+
+    def _choose_in(
+        self, wanted: Wanted, region: str, now_ms: float
+    ) -> Placement:
+        order = self._order(wanted, region)
+        fit = [
+            target
+            for target in order
+            if target.registration.target_id not in wanted.tried
+            and self._fits(target, now_ms)
+        ]
+        sound = [target for target in fit if not target.is_suspect(now_ms)]
+        demand = Demand(
+            topic=wanted.topic,
+            region=self._region,
+            failure_domain=self._failure_domain,
+            times=self.times_of(wanted.route),
+            patience_ms=max(0.0, wanted.goal_left_ms),
+            time_left_ms=wanted.left_ms,
+        )
+        placement = place(demand, sound or fit, now_ms)
+        if isinstance(placement, NoTarget) and order:
+            return Full(0.0)
+        return placement
+
+    def _fits(self, target: TargetLoad, now_ms: float) -> bool:
+        if not target.is_cold(now_ms):
+            return True
+        target_id = target.registration.target_id
+        share = self._cold_shares.get(target_id)
+        if share is None:
+            share = self._cold_share(target)
+            self._cold_shares[target_id] = share
+        return target.cold.may_send(now_ms, share)
+
+    def _cold_share(self, target: TargetLoad) -> int:
+        assert self._beliefs.table is not None
+        entry = target.registration
+        policy = self._beliefs.table.services.get(entry.service)
+        rate = policy.cold_per_s if policy else 0.0
+        allowed = rate * self._bounds.cold_factor + self._bounds.cold_slack
+        names = sorted({*self._beliefs.nodes, self._vm})
+        unknown = range(self.nodes - len(names))
+        nodes = (*names, *(f'unknown {index}' for index in unknown))
+        return cold_share(entry.target_id, self._vm, nodes, allowed)
+
+    def _order(self, wanted: Wanted, region: str) -> list[TargetLoad]:
+        """Return a region's targets by the order of the object."""
+        large = wanted.route.large
+        key = (wanted.service, region, wanted.topic, large)
+        order = self._orders.get(key)
+        if order is not None:
+            return order
+        targets = {
+            target.registration.target_id: target
+            for target in self._beliefs.usable(wanted.service)
+            if target.region == region
+        }
+        order = [
+            targets[name] for name in rendezvous.rank(targets, wanted.topic)
+        ]
+        near = [t for t in order if self._is_near(t)]
+        if large or len(near) >= MIN_NEAR_TARGETS:
+            order = near + [t for t in order if not self._is_near(t)]
+        self._orders[key] = order
+        return order
+
+    def _is_near(self, target: TargetLoad) -> bool:
+        return target.registration.failure_domain == self._failure_domain
+
+    def _refresh(self) -> None:
+        if self._generation != self._beliefs.generation:
+            self._generation = self._beliefs.generation
+            self._orders.clear()
+            self._cold_shares.clear()
+
+    def _step_shares(self, service: str, now_ms: float) -> list[str]:
+        """Move the regions' parts; return the regions, this one first."""
+        shares = self._shares.get(service)
+        if shares is None:
+            rate = self._bounds.max_region_shift * SHIFT_FRACTION
+            shares = RegionShares(self._region, rate / SHIFT_WINDOW_S)
+            self._shares[service] = shares
+        loads = self._region_loads(service, now_ms)
+        shares.step(loads, now_ms)
+        return sorted(loads, key=lambda name: (name != self._region, name))
+
+    def _region_loads(
+        self, service: str, now_ms: float
+    ) -> dict[str, RegionLoad]:
+        occupied: defaultdict[str, float] = defaultdict(float)
+        slots: defaultdict[str, int] = defaultdict(int)
+        for target in self._beliefs.usable(service):
+            usable = not target.is_cold(now_ms)
+            usable = usable and not target.is_suspect(now_ms)
+            slots[target.region] += target.registration.slots * usable
+            occupied[target.region] += target.occupancy(now_ms) * usable
+        return {
+            region: RegionLoad(occupied[region], slots[region])
+            for region in slots
+        }
--- /dev/null
+++ b/src/gentianbank/steering/sending.py
@@ -0,0 +1,199 @@
+"""One attempt of a request at a target."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from gentianbank.platform import headers as wire
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.policy.placement import Placed
+    from gentianbank.policy.target_load import TargetLoad
+    from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.placer import Placer
+    from gentianbank.targets.transport import RawHeaders
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetTransport
+
+MAX_CONNECTIONS = 64
+CONNECT_TIMEOUT_MS = 300.0
+_HTTP_FAILURE = 500
+_MS_PER_S = 1_000
+_SUCCESS = range(200, 300)
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """A whole answer of the target."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+    @property
+    def cause(self) -> str:
+        """Return what the target answered."""
+        return f'the target answered {self.status}'
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The target says that it did not run the request."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotReached:
+    """No byte of the request can have reached the target."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request may have run, but there is no whole answer."""
+
+    cause: str
+
+
+Outcome = Delivered | Rejected | NotReached | Broken
+
+
+class Sending:
+    """Sends requests to chosen targets and notes how that went."""
+
+    def __init__(
+        self,
+        placer: Placer,
+        transport: TargetTransport,
+        clock: Callable[[], float],
+    ) -> None:
+        self._placer = placer
+        self._transport = transport
+        self._clock = clock
+
+    async def send(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        body: bytes | None,
+        placed: Placed,
+    ) -> Outcome:
+        """Send a request to the chosen target."""
+        target = placed.target
+        target.on_send(self._clock(), request.topic)
+        try:
+            return await self._send(exchange, request, body, placed)
+        finally:
+            target.on_end()
+
+    async def _send(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        body: bytes | None,
+        placed: Placed,
+    ) -> Outcome:
+        sent_ms = self._clock()
+        target = placed.target
+        message = self._message(exchange, request, body, target)
+        match await self._transport.send(message):
+            case Result(tag='ok', ok=answer):
+                return await self._take(request, answer, placed, sent_ms)
+            case Result(error=NotSent(cause)):
+                target.on_broken(self._clock())
+                return NotReached(cause)
+            case Result(error=error):
+                target.on_broken(self._clock())
+                return Broken(error.cause)
+
+    def _message(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        body: bytes | None,
+        target: TargetLoad,
+    ) -> TargetRequest:
+        left_ms = request.end_ms - self._clock()
+
+        def owns_answer(headers: RawHeaders) -> bool:
+            echo = wire.find(headers, wire.REQUEST_ID)
+            return echo is None or echo == request.request_id
+
+        return TargetRequest(
+            address=target.registration.address,
+            method=exchange.method,
+            path=exchange.path,
+            headers=wire.for_target(
+                exchange.raw_headers,
+                target_id=target.registration.target_id,
+                time_left_ms=left_ms,
+                body_bytes=len(body) if body is not None else None,
+            ),
+            body=body,
+            max_connections=MAX_CONNECTIONS,
+            connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
+            headers_timeout_ms=left_ms,
+            owns_answer=owns_answer,
+        )
+
+    async def _take(
+        self,
+        request: CallerRequest,
+        answer: TargetAnswer,
+        placed: Placed,
+        sent_ms: float,
+    ) -> Outcome:
+        """Read the whole answer and note what it tells of the target."""
+        target = placed.target
+        status, headers = answer.status, answer.headers
+        load = wire.load_of(headers)
+        if load is not None:
+            target.on_report(load, self._clock())
+        chunks = []
+        try:
+            left_ms = request.end_ms - self._clock()
+            async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
+                async for chunk in answer.chunks():
+                    chunks.append(chunk)
+        except (TruncatedBodyError, TimeoutError) as error:
+            target.on_broken(self._clock())
+            return Broken(f'the answer was cut short: {error}')
+        finally:
+            await answer.close()
+        if wire.says_not_run(status, headers):
+            target.on_answer(failed=False)
+            return Rejected(f'the target answered {status}')
+        target.on_answer(failed=status >= _HTTP_FAILURE)
+        body = b''.join(chunks)
+        if status in _SUCCESS:
+            if not _is_sound(headers):
+                return Broken('the answer is not the target\'s own')
+            work_ms = self._clock() - sent_ms - target.connect_ms
+            if not placed.wait_ms:
+                times = self._placer.times_of(request.route)
+                slowdown = load.slowdown if load else 1.0
+                times.on_answer(
+                    max(0.0, work_ms) / slowdown, len(body), warm=placed.warm
+                )
+        return Delivered(status, headers, body)
+
+
+def _is_sound(headers: RawHeaders) -> bool:
+    """Tell whether a success bears what every answer of a target bears."""
+    if wire.find(headers, wire.STAMP) is None:
+        return False
+    if wire.find(headers, wire.REQUEST_ID) is None:
+        return False
+    return wire.find(headers, wire.CONTENT_ENCODING) is None
--- /dev/null
+++ b/src/gentianbank/steering/store_sync.py
@@ -0,0 +1,227 @@
+"""Keeps the node's beliefs in step with the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.registration import NodeRegistration
+from gentianbank.domain.registration import TargetRegistration
+from gentianbank.domain.route_table import RouteTable
+from gentianbank.platform import keyspace
+from gentianbank.platform.keyspace import EvacuatedDomain
+from gentianbank.platform.keyspace import NodeName
+from gentianbank.platform.keyspace import TargetId
+from gentianbank.storage.replicated import HistoryGone
+from gentianbank.storage.replicated import Removal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.domain.errors import StoreUnavailable
+    from gentianbank.domain.steering_settings import SteeringStore
+    from gentianbank.steering.beliefs import Beliefs
+    from gentianbank.storage.replicated import Changes
+    from gentianbank.storage.replicated import Listing
+    from gentianbank.storage.replicated import PrefixStore
+    from gentianbank.storage.store import StoredValue
+
+_MS_PER_S = 1_000
+
+
+class StoreSync:
+    """Lists the store once, then follows its changes.
+
+    Parameters
+    ----------
+    grace_ms
+        Time after an outage for which entries that lapsed are kept.
+    on_own_entry_gone
+        Called when this node's own entry was removed.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        store: PrefixStore,
+        settings: SteeringStore,
+        beliefs: Beliefs,
+        grace_ms: float,
+        on_own_entry_gone: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._vm = vm
+        self._store = store
+        self._settings = settings
+        self._beliefs = beliefs
+        self._grace_ms = grace_ms
+        self._on_own_entry_gone = on_own_entry_gone
+        self._clock = clock
+        self._revision = 0
+        self._down_since_ms: float | None = None
+        self._back_ms = float('-inf')
+        self._listed = False
+        self._lapsed: dict[str, float] = {}
+
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the store answered last."""
+        return self._down_since_ms is None
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            if not self._revision:
+                await self._list()
+            else:
+                await self._follow()
+
+    async def _list(self) -> None:
+        match await self._store.list_prefix(keyspace.EVERYTHING):
+            case Result(tag='ok', ok=listing):
+                self._on_contact()
+                self._take_listing(listing)
+            case Result(error=error):
+                await self._on_failure(error)
+
+    async def _follow(self) -> None:
+        wait_ms = self._settings.watch_ms
+        if self._lapsed or not self.is_reachable:
+            wait_ms = min(wait_ms, self._settings.retry_ms)
+        answer = await self._store.wait_for_changes(
+            keyspace.EVERYTHING, self._revision, wait_ms
+        )
+        match answer:
+            case Result(tag='ok', ok=changes):
+                self._on_contact()
+                self._take_changes(changes)
+            case Result(error=HistoryGone()):
+                logging.info('store history is gone; listing again')
+                self._revision = 0
+            case Result(error=error):
+                await self._on_failure(error)
+
+    def _on_contact(self) -> None:
+        if self._down_since_ms is None:
+            return
+        now_ms = self._clock()
+        logging.info(
+            'store answers again',
+            extra={'down_ms': round(now_ms - self._down_since_ms)},
+        )
+        self._down_since_ms = None
+        self._back_ms = now_ms
+
+    async def _on_failure(self, error: StoreUnavailable) -> None:
+        if self._down_since_ms is None:
+            self._down_since_ms = self._clock()
+            logging.warning('store lost: %s', error.cause)
+        await asyncio.sleep(self._settings.retry_ms / _MS_PER_S)
+
+    def _take_listing(self, listing: Listing) -> None:
+        first = not self._listed
+        self._listed = True
+        keys = set()
+        evacuated = set()
+        for stored in listing.values:
+            keys.add(stored.key)
+            subject = keyspace.subject_of(stored.key)
+            if isinstance(subject, EvacuatedDomain):
+                evacuated.add(subject.name)
+            self._take_value(stored, first=first)
+        self._beliefs.evacuate(frozenset(evacuated), self._clock())
+        for target_id in list(self._beliefs.targets):
+            if keyspace.target_key(target_id) not in keys:
+                self._lose_target(target_id)
+        for vm in list(self._beliefs.nodes):
+            if keyspace.node_key(vm) not in keys:
+                self._lose_node(vm)
+        self._revision = listing.revision
+        self._drop_lapsed()
+
+    def _take_changes(self, changes: Changes) -> None:
+        for event in changes.events:
+            if isinstance(event, Removal):
+                self._take_removal(event)
+            else:
+                self._take_value(event, first=False)
+        self._revision = max(self._revision, changes.revision)
+        self._drop_lapsed()
+
+    def _take_value(self, stored: StoredValue, *, first: bool) -> None:
+        match keyspace.decode(stored):
+            case Result(tag='ok', ok=RouteTable() as table):
+                self._beliefs.put_table(table)
+            case Result(tag='ok', ok=TargetRegistration() as entry):
+                self._take_target(entry, first=first)
+            case Result(tag='ok', ok=NodeRegistration() as node):
+                self._beliefs.nodes[node.vm] = node
+            case Result(tag='ok', ok=EvacuatedDomain(name)):
+                domains = self._beliefs.evacuated | {name}
+                self._beliefs.evacuate(domains, self._clock())
+                logging.info('failure domain evacuated', extra={'name_': name})
+            case Result(error=InvalidDocument() as error):
+                self._refuse_value(stored, error)
+
+    def _take_target(self, entry: TargetRegistration, *, first: bool) -> None:
+        self._lapsed.pop(entry.target_id, None)
+        self._beliefs.put_target(entry, self._clock(), first=first)
+        logging.info(
+            'target registered',
+            extra={
+                'target': entry.target_id,
+                'draining': entry.draining,
+                'cold_left_ms': entry.cold_left_ms,
+                'failure_domain': entry.failure_domain,
+            },
+        )
+
+    def _refuse_value(
+        self, stored: StoredValue, error: InvalidDocument
+    ) -> None:
+        logging.warning('entry not used: %s', error)
+        subject = keyspace.subject_of(stored.key)
+        if isinstance(subject, TargetId):
+            self._beliefs.drop_target(subject.target_id)
+
+    def _take_removal(self, removal: Removal) -> None:
+        match keyspace.subject_of(removal.key):
+            case TargetId(target_id):
+                self._lose_target(target_id)
+            case NodeName(vm):
+                self._lose_node(vm)
+            case EvacuatedDomain(name):
+                domains = self._beliefs.evacuated - {name}
+                self._beliefs.evacuate(domains, self._clock())
+                logging.info('failure domain is back', extra={'name_': name})
+
+    def _lose_target(self, target_id: str) -> None:
+        """Drop a target, later if its entry may have lapsed in an outage."""
+        now_ms = self._clock()
+        if now_ms - self._back_ms < self._grace_ms:
+            self._lapsed.setdefault(target_id, self._back_ms + self._grace_ms)
+            return
+        self._beliefs.drop_target(target_id)
+        logging.info('target gone', extra={'target': target_id})
+
+    def _lose_node(self, vm: str) -> None:
+        if vm == self._vm:
+            self._on_own_entry_gone()
+            return
+        self._beliefs.nodes.pop(vm, None)
+        logging.info('node gone', extra={'vm': vm})
+
+    def _drop_lapsed(self) -> None:
+        now_ms = self._clock()
+        for target_id, end_ms in list(self._lapsed.items()):
+            if now_ms >= end_ms:
+                del self._lapsed[target_id]
+                self._beliefs.drop_target(target_id)
+                logging.info('target gone', extra={'target': target_id})
--- a/src/gentianbank/platform/claims.py
+++ b/src/gentianbank/storage/claims.py
@@ -18,13 +18,13 @@
 from expression import Result
 
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.store import Expected
-from gentianbank.platform.store import Put
+from gentianbank.storage.store import Expected
+from gentianbank.storage.store import Put
 
 if TYPE_CHECKING:
     from gentianbank.domain.request_key import OpaqueKey
-    from gentianbank.platform.store import Store
-    from gentianbank.platform.store import StoredValue
+    from gentianbank.storage.store import Store
+    from gentianbank.storage.store import StoredValue
 
 ATTEMPTS = 3
 
--- a/src/gentianbank/platform/etcd.py
+++ b/src/gentianbank/storage/etcd.py
@@ -13,10 +13,10 @@
 import httpx
 
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.store import Expected
-from gentianbank.platform.store import Put
-from gentianbank.platform.store import Store
-from gentianbank.platform.store import StoredValue
+from gentianbank.storage.store import Expected
+from gentianbank.storage.store import Put
+from gentianbank.storage.store import Store
+from gentianbank.storage.store import StoredValue
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/gentianbank/platform/revisions.py
+++ b/src/gentianbank/storage/revisions.py
@@ -24,15 +24,15 @@
 from gentianbank.domain.errors import ValueTooLarge
 from gentianbank.domain.revision import AuditEntry
 from gentianbank.domain.revision import Head
-from gentianbank.platform.store import Expected
-from gentianbank.platform.store import MAX_VALUE_BYTES
-from gentianbank.platform.store import Put
+from gentianbank.storage.store import Expected
+from gentianbank.storage.store import MAX_VALUE_BYTES
+from gentianbank.storage.store import Put
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from gentianbank.platform.store import Store
-    from gentianbank.platform.store import StoredValue
+    from gentianbank.storage.store import Store
+    from gentianbank.storage.store import StoredValue
 
 RESOLVE_ATTEMPTS = 6
 RESOLVE_DELAY_S = 0.25
--- /dev/null
+++ b/src/gentianbank/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to targets: the port and its adapters."""
--- /dev/null
+++ b/src/gentianbank/targets/pool.py
@@ -0,0 +1,313 @@
+"""Targets over HTTP/1.1, with kept connections to each."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import h11
+
+from gentianbank.domain.addresses import parse_address
+from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import SendError
+from gentianbank.targets.transport import TargetAnswer
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TargetTransport
+from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.wire import Wire
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gentianbank.targets.transport import RawHeaders
+
+# Below the idle timeout of targets that do not state theirs.
+DEFAULT_IDLE_S = 8.0
+# A connection is given up so long before the stated idle timeout.
+IDLE_MARGIN_S = 1.5
+MAX_SKIPPED_ANSWERS = 4
+MAX_HEAD_BYTES = 64 * 1024
+_MS_PER_S = 1_000
+_BROKEN = (OSError, h11.RemoteProtocolError)
+
+
+class ConnectionPool(TargetTransport):
+    """Sends requests through h11 over kept connections."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[_Connection]] = {}
+        self._open: dict[str, int] = {}
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.wire.close()
+        self._idle.clear()
+
+    def forget(self, address: str) -> None:
+        """Close the kept connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.wire.close()
+
+    async def send(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, SendError]:
+        connection = self._take_idle(request.address)
+        if connection is None:
+            match await self._connect(request):
+                case Result(tag='ok', ok=connection):
+                    pass
+                case Result(error=failure):
+                    return Error(failure)
+        try:
+            async with asyncio.timeout(
+                request.headers_timeout_ms / _MS_PER_S
+            ) as limit:
+                head = await connection.exchange_heads(request)
+        except h11.LocalProtocolError as error:
+            connection.abort()
+            return Error(NotSent(f'the request cannot be sent: {error}'))
+        except TimeoutError:
+            connection.abort()
+            if not limit.expired():
+                return Error(MaybeSent('the connection timed out'))
+            return Error(MaybeSent('the target did not answer in time'))
+        except _BROKEN as error:
+            connection.abort()
+            return Error(MaybeSent(_describe(error)))
+        except BaseException:
+            connection.abort()
+            raise
+        return Ok(_PooledAnswer(connection, head))
+
+    def keep(self, connection: _Connection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        connection.wire.is_idle = True
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def _take_idle(self, address: str) -> _Connection | None:
+        """Return the connection that was used last and is still good."""
+        connections = self._idle.get(address, [])
+        now_s = time.monotonic()
+        while connections:
+            connection = connections.pop()
+            if connection.wire.is_usable and now_s < connection.idle_until_s:
+                connection.wire.is_idle = False
+                return connection
+            connection.wire.close()
+        return None
+
+    async def _connect(
+        self, request: TargetRequest
+    ) -> Result[_Connection, SendError]:
+        address = request.address
+        if self._open.get(address, 0) >= request.max_connections:
+            return Error(NotSent('every connection to the target is in use'))
+        count = _Count(self._open, address)
+        peer = parse_address(address)
+        loop = asyncio.get_running_loop()
+        started_s = time.monotonic()
+        try:
+            async with asyncio.timeout(request.connect_timeout_ms / _MS_PER_S):
+                _, wire = await loop.create_connection(
+                    lambda: Wire(count.release),
+                    peer.host,
+                    peer.port,
+                )
+        except (OSError, TimeoutError) as error:
+            count.release()
+            return Error(NotSent(_describe(error)))
+        except BaseException:
+            count.release()
+            raise
+        connect_ms = (time.monotonic() - started_s) * _MS_PER_S
+        return Ok(_Connection(self, address, wire, connect_ms))
+
+
+class _Count:
+    """One of the open connections to an address, until it is released."""
+
+    def __init__(self, counts: dict[str, int], address: str) -> None:
+        self._counts = counts
+        self._address = address
+        self._held = True
+        counts[address] = counts.get(address, 0) + 1
+
+    def release(self) -> None:
+        """Count the connection out; later calls do nothing."""
+        if not self._held:
+            return
+        self._held = False
+        self._counts[self._address] -= 1
+        if not self._counts[self._address]:
+            del self._counts[self._address]
+
+
+class _Connection:
+    """One connection, which carries one request at a time.
+
+    Parameters
+    ----------
+    connect_ms
+        Time that opening the connection took.
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, address: str, wire: Wire, connect_ms: float
+    ) -> None:
+        self.address = address
+        self.wire = wire
+        self.connect_ms: float | None = connect_ms
+        self.idle_until_s = 0.0
+        self._pool = pool
+        self._parser = _new_parser()
+
+    async def exchange_heads(self, request: TargetRequest) -> h11.Response:
+        """Send a request and return the head of the answer to it."""
+        head = h11.Request(
+            method=request.method,
+            target=request.path,
+            headers=request.headers,
+        )
+        data = self._parser.send(head)
+        assert data is not None
+        if request.body is None or isinstance(request.body, bytes):
+            self.wire.write(data + self._frame(request.body))
+        else:
+            self.wire.write(data)
+            async for chunk in request.body:
+                self.wire.write(self._frame_part(chunk))
+                await self.wire.drain()
+            self.wire.write(self._frame(None))
+        await self.wire.drain()
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            response = await self._read_head()
+            owns = request.owns_answer
+            if owns is None or owns(list(response.headers.raw_items())):
+                return response
+            await self._skip_answer(head, request.body)
+        raise h11.RemoteProtocolError('too many answers to other requests')
+
+    async def next_chunk(self) -> bytes | None:
+        """Return a piece of the body, or nothing at its end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+
+    def finish(self, head: h11.Response) -> None:
+        """Keep the connection if it can carry another request."""
+        trailing, _ = self._parser.trailing_data
+        reusable = (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+            and not trailing
+            and self.wire.is_usable
+        )
+        if not reusable:
+            self.abort()
+            return
+        self._parser.start_next_cycle()
+        self.connect_ms = None
+        self.idle_until_s = time.monotonic() + _idle_s(head)
+        self._pool.keep(self)
+
+    def abort(self) -> None:
+        """End the connection, so that the target gives up the work."""
+        self.wire.abort()
+
+    def _frame(self, body: bytes | None) -> bytes:
+        data = self._frame_part(body) if body else b''
+        return data + (self._parser.send(h11.EndOfMessage()) or b'')
+
+    def _frame_part(self, chunk: bytes) -> bytes:
+        return self._parser.send(h11.Data(data=chunk)) or b''
+
+    async def _read_head(self) -> h11.Response:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise h11.RemoteProtocolError('the target closed')
+
+    async def _skip_answer(
+        self, head: h11.Request, body: AsyncIterator[bytes] | bytes | None
+    ) -> None:
+        """Read past an answer to another request."""
+        while await self.next_chunk() is not None:
+            pass
+        unread, ended = self._parser.trailing_data
+        if ended:
+            raise h11.RemoteProtocolError('closed after a foreign answer')
+        # A fresh parser that knows of the request takes what follows.
+        self._parser = _new_parser()
+        self._parser.send(head)
+        if isinstance(body, bytes) and body:
+            self._frame_part(body)
+        if body is None or isinstance(body, bytes):
+            self._parser.send(h11.EndOfMessage())
+        if unread:
+            self._parser.receive_data(unread)
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                self._parser.receive_data(await self.wire.read())
+                continue
+            assert not isinstance(event, type) or event is h11.PAUSED
+            return event
+
+
+class _PooledAnswer(TargetAnswer):
+    def __init__(self, connection: _Connection, head: h11.Response) -> None:
+        self._connection = connection
+        self._head = head
+        self._open = True
+        self.status = head.status_code
+        self.headers: RawHeaders = list(head.headers.raw_items())
+        self.connect_ms = connection.connect_ms
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        try:
+            while (chunk := await self._connection.next_chunk()) is not None:
+                yield chunk
+        except _BROKEN as error:
+            raise TruncatedBodyError(_describe(error)) from error
+        self._open = False
+        self._connection.finish(self._head)
+
+    async def close(self) -> None:
+        if self._open:
+            self._open = False
+            self._connection.abort()
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+    )
+
+
+def _idle_s(head: h11.Response) -> float:
+    for name, value in head.headers:
+        if name != b'keep-alive':
+            continue
+        for parameter in value.split(b','):
+            key, _, seconds = parameter.strip().partition(b'=')
+            if key == b'timeout' and seconds.isdigit():
+                return max(0.0, float(seconds) - IDLE_MARGIN_S)
+    return DEFAULT_IDLE_S
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__} {error}'.strip()
--- a/src/gentianbank/platform/target_transport.py
+++ b/src/gentianbank/targets/transport.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from expression import Result
 
@@ -45,21 +46,26 @@
     path
         Path and query as they go on the wire.
     body
-        Chunks of the body, or nothing for a request without one.
+        Chunks of the body, the whole body, or nothing for a request
+        without one.
     max_connections
         Connections that this node may hold to the target.
     headers_timeout_ms
         Time until the head of the answer is there.
+    owns_answer
+        Tells by the headers of an answer whether it belongs to this
+        request; others are skipped. Nothing accepts every answer.
     """
 
     address: str
     method: str
     path: bytes
     headers: RawHeaders
-    body: AsyncIterator[bytes] | None
+    body: AsyncIterator[bytes] | bytes | None
     max_connections: int
     connect_timeout_ms: float
     headers_timeout_ms: float
+    owns_answer: Callable[[RawHeaders], bool] | None = None
 
 
 class TargetAnswer(ABC):
--- /dev/null
+++ b/src/gentianbank/targets/wire.py
@@ -0,0 +1,138 @@
+"""Bytes of one connection to a target."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RECEIVE_BUFFER_BYTES = 256 * 1024
+# Data that stays unacknowledged for so long ends the connection.
+USER_TIMEOUT_MS = 2_000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+class Wire(asyncio.Protocol):
+    """Reads and writes a connection with flow control.
+
+    An idle connection closes itself when bytes come, as they belong to no
+    request.
+
+    Parameters
+    ----------
+    on_closed
+        Called once when the connection has ended.
+    """
+
+    def __init__(self, on_closed: Callable[[], None]) -> None:
+        self.is_idle = False
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport
+        self._buffer = bytearray()
+        self._ended = False
+        self._error: Exception | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the connection is open with nothing unread."""
+        return not (
+            self._ended or self._buffer or self._transport.is_closing()
+        )
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes for sending."""
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the peer has read enough to go on.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection has ended.
+        """
+        await self._writable.wait()
+        if self._ended:
+            raise ConnectionResetError(str(self._error or 'closed by peer'))
+
+    async def read(self) -> bytes:
+        """Return the next bytes; nothing at an orderly end.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection was reset.
+        """
+        while not self._buffer and not self._ended:
+            self._reader = asyncio.get_running_loop().create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        if self._buffer:
+            data = bytes(self._buffer)
+            self._buffer.clear()
+            self._transport.resume_reading()
+            return data
+        if self._error is not None:
+            raise ConnectionResetError(str(self._error))
+        return b''
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._transport.abort()
+
+    def close(self) -> None:
+        """End the connection after what is queued was sent."""
+        self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        _set_options(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        if len(self._buffer) > RECEIVE_BUFFER_BYTES:
+            self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._error = exc
+        self._ended = True
+        self._writable.set()
+        self._wake()
+        self._on_closed()
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def _wake(self) -> None:
+        if self.is_idle:
+            self._transport.close()
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+
+def _set_options(connection: socket.socket) -> None:
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        connection.setsockopt(level, name, value)
--- a/tests/dataplane/test_whole_answers.py
+++ b/tests/dataplane/test_whole_answers.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 
 from gentianbank.dataplane import headers as http_headers
-from gentianbank.platform.target_transport import TruncatedBodyError
+from gentianbank.targets.transport import TruncatedBodyError
 from tests.support import fakes
 from tests.support.machines import check_machine
 from tests.support.machines import check_mutant
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -38,10 +38,10 @@
 from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.domain.member import Member
 from gentianbank.domain.member import READY
-from gentianbank.platform.revisions import Change
-from gentianbank.platform.revisions import RevisionStore
-from gentianbank.platform.vm_list import ListedVM
-from gentianbank.platform.vm_list import VMList
+from gentianbank.storage.revisions import Change
+from gentianbank.storage.revisions import RevisionStore
+from gentianbank.storage.vm_list import ListedVM
+from gentianbank.storage.vm_list import VMList
 from tests.support.fakes import FakeStore
 from tests.support.virtual_loop import VirtualLoop
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -16,18 +16,18 @@
 from expression import Result
 
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.store import Expected
-from gentianbank.platform.store import Put
-from gentianbank.platform.store import Store
-from gentianbank.platform.store import StoredValue
-from gentianbank.platform.target_transport import MaybeSent
-from gentianbank.platform.target_transport import NotSent
-from gentianbank.platform.target_transport import RawHeaders
-from gentianbank.platform.target_transport import SendError
-from gentianbank.platform.target_transport import TargetAnswer
-from gentianbank.platform.target_transport import TargetRequest
-from gentianbank.platform.target_transport import TargetTransport
-from gentianbank.platform.target_transport import TruncatedBodyError
+from gentianbank.storage.store import Expected
+from gentianbank.storage.store import Put
+from gentianbank.storage.store import Store
+from gentianbank.storage.store import StoredValue
+from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import RawHeaders
+from gentianbank.targets.transport import SendError
+from gentianbank.targets.transport import TargetAnswer
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TargetTransport
+from gentianbank.targets.transport import TruncatedBodyError
 from gentianbank.telemetry.metrics import Metrics
 
 if TYPE_CHECKING:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -38,7 +38,7 @@
 from gentianbank.domain.member import READY
 from gentianbank.domain.outcome import OutcomeTable
 from gentianbank.domain.settings import Limits
-from gentianbank.platform.claims import ClaimStore
+from gentianbank.storage.claims import ClaimStore
 from gentianbank.policy.balancer import BALANCERS
 from gentianbank.requests import PeerRequests
 from tests.support.fakes import FakeStore
