--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -22,8 +22,10 @@
 TIME_SMOOTHING = 0.05
 # Chance that an object is warm at the first targets of its order, by the
 # requests of other nodes.
-WARM_BY_RANK = (0.8, 0.6, 0.35)
-WARM_ELSEWHERE = 0.1
+WARM_BY_RANK = (0.8, 0.3, 0.1)
+WARM_ELSEWHERE = 0.0
+# A target has handled its share of objects after so long.
+SETTLED_MS = 10_000.0
 DOMAIN_MS_PER_KB = 1.3
 REGION_MS_PER_KB = 3.0
 FAILURE_MS = 1_500.0
@@ -153,7 +155,11 @@
         if over > slots * MAX_QUEUE_PER_SLOT or wait_ms > demand.patience_ms:
             continue
         known = bool(demand.topic) and target.knows(demand.topic)
-        work_ms = _work_ms(times, rank, known=known) * slowdown
+        if known:
+            work_ms = times.warm_ms * slowdown
+        else:
+            settled = min(1.0, (now_ms - target.since_ms) / SETTLED_MS)
+            work_ms = _unknown_ms(times, rank, settled) * slowdown
         if target.is_cold(now_ms):
             work_ms *= 2
         travel_ms = target.connect_ms
@@ -175,10 +181,10 @@
     return NoTarget()
 
 
-def _work_ms(times: RouteTimes, rank: int, *, known: bool) -> float:
-    if known:
-        return times.warm_ms
+def _unknown_ms(times: RouteTimes, rank: int, settled: float) -> float:
+    """Return the time of work if others may have made the object warm."""
     chance = WARM_BY_RANK[rank] if rank < len(WARM_BY_RANK) else WARM_ELSEWHERE
+    chance *= settled
     return chance * times.warm_ms + (1 - chance) * times.cold_ms
 
 
--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -10,13 +10,19 @@
 from dataclasses import field
 import hashlib
 
-# A region over this part of its slots sends requests elsewhere.
-BUSY_FRACTION = 0.7
+from gentianbank.policy.windows import SlidingCount
+
+# A region over this part of its slots sends more requests elsewhere.
+BUSY_FRACTION = 0.6
 # The other region must have so much more room.
-ROOM_MARGIN = 0.15
-CALM_FRACTION = 0.5
+ROOM_MARGIN = 0.1
+# A region below this part of its slots takes requests back.
+CALM_FRACTION = 0.4
 MAX_REMOTE_SHARE = 0.9
 STEP_MS = 200.0
+WINDOW_MS = 2_000.0
+# Requests beyond the planned part that may leave a full region.
+OVERFLOW_SHARE = 0.05
 _MS_PER_S = 1_000
 _HASH_RANGE = 2**32
 
@@ -50,12 +56,38 @@
     rate_per_s: float
     shares: dict[str, float] = field(default_factory=dict)
     _stepped_ms: float = float('-inf')
+    _started: bool = False
+    _all: SlidingCount = field(
+        default_factory=lambda: SlidingCount(WINDOW_MS)
+    )
+    _overflowed: SlidingCount = field(
+        default_factory=lambda: SlidingCount(WINDOW_MS)
+    )
+
+    def start(self, loads: dict[str, RegionLoad]) -> None:
+        """Begin with what an even demand of all regions would need."""
+        if self._started:
+            return
+        self._started = True
+        home = loads.get(self.home, RegionLoad(0.0, 0))
+        others = {r: load.slots for r, load in loads.items() if r != self.home}
+        even = (home.slots + sum(others.values())) / max(1, len(loads))
+        if home.slots >= even:
+            return
+        remote = min(MAX_REMOTE_SHARE, 1 - home.slots / even)
+        spare = {r: max(0.0, slots - even) for r, slots in others.items()}
+        total = sum(spare.values())
+        for region, slots in spare.items():
+            if slots > 0:
+                self.shares[region] = remote * slots / total
+
+    def is_due(self, now_ms: float) -> bool:
+        """Tell whether the parts are to be moved."""
+        return now_ms - self._stepped_ms >= STEP_MS
 
     def step(self, loads: dict[str, RegionLoad], now_ms: float) -> None:
         """Move the parts towards where there is room."""
         elapsed_ms = now_ms - self._stepped_ms
-        if elapsed_ms < STEP_MS:
-            return
         self._stepped_ms = now_ms
         step = self.rate_per_s * min(elapsed_ms, 2 * STEP_MS) / _MS_PER_S
         home = loads.get(self.home, RegionLoad(0.0, 0))
@@ -77,6 +109,19 @@
             point -= share
         return self.home
 
+    def on_request(self, now_ms: float) -> None:
+        """Count a request."""
+        self._all.add(now_ms)
+
+    def may_overflow(self, now_ms: float) -> bool:
+        """Tell whether a request of a full region may go elsewhere."""
+        allowed = OVERFLOW_SHARE * self._all.count(now_ms)
+        return self._overflowed.count(now_ms) + 1 <= allowed
+
+    def on_overflow(self, now_ms: float) -> None:
+        """Count a request that went elsewhere beyond the plan."""
+        self._overflowed.add(now_ms)
+
     def _grow(
         self,
         loads: dict[str, RegionLoad],
@@ -85,8 +130,7 @@
         step: float,
     ) -> None:
         free = {
-            region: max(0.0, loads[region].slots * BUSY_FRACTION)
-            - loads[region].occupied
+            region: loads[region].slots - loads[region].occupied
             for region in others
             if loads[region].fraction + ROOM_MARGIN < home.fraction
         }
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -15,7 +15,7 @@
     from gentianbank.domain.registration import TargetRegistration
 
 # Objects that a target is believed to keep warm.
-REMEMBERED_OBJECTS = 24
+REMEMBERED_OBJECTS = 30
 # Neighbours' bursts on a target's machine last about this long.
 SLOWDOWN_MEMORY_MS = 500.0
 # What a report says of the load fades, as the requests it counted end.
@@ -34,6 +34,8 @@
 
     Parameters
     ----------
+    since_ms
+        Time when this node learned of the target.
     cold_until_ms
         Time until which few requests may be sent.
     in_flight
@@ -48,6 +50,7 @@
 
     registration: TargetRegistration
     region: str
+    since_ms: float
     cold_until_ms: float = float('-inf')
     in_flight: int = 0
     report: LoadReport | None = None
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -77,7 +77,7 @@
             and held.registration.address != entry.address
         )
         if held is None or restarted:
-            held = TargetLoad(entry, self._region(entry))
+            held = TargetLoad(entry, self._region(entry), now_ms)
             self.targets[entry.target_id] = held
             if not first:
                 held.cold_until_ms = now_ms + self._cold_ms(entry)
--- a/src/gentianbank/steering/caller_request.py
+++ b/src/gentianbank/steering/caller_request.py
@@ -44,12 +44,13 @@
 ) -> CallerRequest:
     """Return a request by its headers."""
     patience_ms = _whole_ms(exchange.header(wire.TIME_LEFT))
-    topic = exchange.header(wire.OBJECT) or ''
+    key = exchange.header(wire.OBJECT) if route.sticky else None
     return CallerRequest(
         request_id=(exchange.header(wire.REQUEST_ID) or '').encode('latin-1'),
         route=route,
         service=service,
-        topic=topic,
+        # Routes number their objects independently of each other.
+        topic=f'{route.name}/{key}' if key else '',
         came_ms=now_ms,
         end_ms=now_ms + min(patience_ms, route.timeout_ms),
         caller_end_ms=now_ms + patience_ms,
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -26,11 +26,8 @@
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.beliefs import Beliefs
 
-# With fewer targets nearby, objects are spread over the whole region, since
-# each target keeps only some of them warm.
-MIN_NEAR_TARGETS = 3
 # Part of the allowed shift between two windows that is used.
-SHIFT_FRACTION = 0.25
+SHIFT_FRACTION = 0.4
 SHIFT_WINDOW_S = 2.0
 
 
@@ -84,7 +81,8 @@
         self._bounds = bounds
         self._clock = clock
         self._times: dict[str, RouteTimes] = {}
-        self._shares: dict[str, RegionShares] = {}
+        self._shares: dict[tuple[str, bool], RegionShares] = {}
+        self._regions = sorted({*beliefs.regions.values()})
         self._orders: dict[tuple[str, str, str, bool], list[TargetLoad]] = {}
         self._cold_shares: dict[str, int] = {}
         self._generation = -1
@@ -107,21 +105,24 @@
         """Return the target of a request, or why there is none."""
         self._refresh()
         now_ms = self._clock()
-        regions = self._step_shares(wanted.service, now_ms)
-        region = self._shares[wanted.service].region_of(wanted.topic)
+        shares = self._step_shares(wanted, now_ms)
+        planned = shares.region_of(wanted.topic)
+        regions = [planned, *(r for r in self._regions if r != planned)]
         homes = wanted.route.home_regions
         if homes:
             regions = [name for name in regions if name in homes]
-        first = [name for name in regions if name == region]
-        rest = [name for name in regions if name != region]
-        fullest: Placement = NoTarget()
-        for name in first + rest:
-            placement = self._choose_in(wanted, name, now_ms)
+        first: Placement = NoTarget()
+        for region in regions:
+            if isinstance(first, Full) and not shares.may_overflow(now_ms):
+                break
+            placement = self._choose_in(wanted, region, now_ms)
             if isinstance(placement, Placed):
+                if isinstance(first, Full):
+                    shares.on_overflow(now_ms)
                 return placement
-            if isinstance(placement, Full):
-                return placement
-        return fullest
+            if isinstance(first, NoTarget):
+                first = placement
+        return first
 
     def _choose_in(
         self, wanted: Wanted, region: str, now_ms: float
@@ -183,14 +184,13 @@
         order = [
             targets[name] for name in rendezvous.rank(targets, wanted.topic)
         ]
-        near = [t for t in order if self._is_near(t)]
-        if large or len(near) >= MIN_NEAR_TARGETS:
-            order = near + [t for t in order if not self._is_near(t)]
+        if large:
+            order.sort(key=self._is_far)
         self._orders[key] = order
         return order
 
-    def _is_near(self, target: TargetLoad) -> bool:
-        return target.registration.failure_domain == self._failure_domain
+    def _is_far(self, target: TargetLoad) -> bool:
+        return target.registration.failure_domain != self._failure_domain
 
     def _refresh(self) -> None:
         if self._generation != self._beliefs.generation:
@@ -198,16 +198,21 @@
             self._orders.clear()
             self._cold_shares.clear()
 
-    def _step_shares(self, service: str, now_ms: float) -> list[str]:
-        """Move the regions' parts; return the regions, this one first."""
-        shares = self._shares.get(service)
+    def _step_shares(self, wanted: Wanted, now_ms: float) -> RegionShares:
+        """Move the regions' parts of a service's requests."""
+        key = (wanted.service, wanted.route.large)
+        shares = self._shares.get(key)
         if shares is None:
             rate = self._bounds.max_region_shift * SHIFT_FRACTION
             shares = RegionShares(self._region, rate / SHIFT_WINDOW_S)
-            self._shares[service] = shares
-        loads = self._region_loads(service, now_ms)
-        shares.step(loads, now_ms)
-        return sorted(loads, key=lambda name: (name != self._region, name))
+            self._shares[key] = shares
+            if not wanted.route.large:
+                shares.start(self._region_loads(wanted.service, now_ms))
+        shares.on_request(now_ms)
+        if shares.is_due(now_ms):
+            loads = self._region_loads(wanted.service, now_ms)
+            shares.step(loads, now_ms)
+        return shares
 
     def _region_loads(
         self, service: str, now_ms: float
