--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -16,12 +16,12 @@
 from gentianbank.dataplane.routing import is_large
 from gentianbank.dataplane.routing import Permit
 from gentianbank.dataplane.routing import Unavailable
+from gentianbank.policy.retry import MAX_ATTEMPTS
+from gentianbank.policy.retry import RetryBudget
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetRequest
-from gentianbank.policy.retry import MAX_ATTEMPTS
-from gentianbank.policy.retry import RetryBudget
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -17,7 +17,6 @@
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
 from gentianbank.domain.addresses import parse_address
-from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.platform.store import KvStore
@@ -35,6 +34,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from gentianbank.domain.errors import InvalidDocument
     from gentianbank.steering.apps import App
 
 # Idle connections of callers are kept so much longer than they use them.
@@ -153,9 +153,7 @@
         while self._proxy.in_flight and now_ms() < end_ms + STOP_MARGIN_MS / 2:
             await asyncio.sleep(IDLE_POLL_S)
         await leaving
-        logging.info(
-            'node stops', extra={'in_flight': self._proxy.in_flight}
-        )
+        logging.info('node stops', extra={'in_flight': self._proxy.in_flight})
 
 
 def run(path: Path, raw: Any) -> Result[None, InvalidDocument]:
--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -37,8 +37,8 @@
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number that is not negative."""
         value = self._raw.get(name, default)
-        kind_fits = isinstance(value, int | float)
-        if kind_fits and not isinstance(value, bool) and value >= 0:
+        plain = isinstance(value, int | float) and not isinstance(value, bool)
+        if plain and value is not None and value >= 0:
             return float(value)
         self._refuse(name, f'expected a number from 0, got {value!r:.60}')
         return 0.0
@@ -46,9 +46,9 @@
     def whole(self, name: str, default: int | None = None) -> int:
         """Return a whole number that is not negative."""
         value = self._raw.get(name, default)
-        if isinstance(value, int) and not isinstance(value, bool):
-            if value >= 0:
-                return value
+        plain = isinstance(value, int) and not isinstance(value, bool)
+        if plain and value is not None and value >= 0:
+            return int(value)
         self._refuse(name, f'expected a whole number, got {value!r:.60}')
         return 0
 
--- a/src/gentianbank/platform/keyspace.py
+++ b/src/gentianbank/platform/keyspace.py
@@ -10,7 +10,6 @@
 from expression import Result
 
 from gentianbank.domain import schema
-from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
@@ -22,6 +21,7 @@
 from gentianbank.storage.store import Put
 
 if TYPE_CHECKING:
+    from gentianbank.domain.errors import InvalidDocument
     from gentianbank.storage.store import StoredValue
 
 # Every key, since one watch for all costs one call.
--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -57,9 +57,7 @@
     shares: dict[str, float] = field(default_factory=dict)
     _stepped_ms: float = float('-inf')
     _started: bool = False
-    _all: SlidingCount = field(
-        default_factory=lambda: SlidingCount(WINDOW_MS)
-    )
+    _all: SlidingCount = field(default_factory=lambda: SlidingCount(WINDOW_MS))
     _overflowed: SlidingCount = field(
         default_factory=lambda: SlidingCount(WINDOW_MS)
     )
--- a/src/gentianbank/rpc/server.py
+++ b/src/gentianbank/rpc/server.py
@@ -26,8 +26,8 @@
     from gentianbank.dataplane.decisions import DecisionLog
     from gentianbank.dataplane.lookups import Lookups
     from gentianbank.domain.errors import ChangeError
-    from gentianbank.storage.revisions import RevisionStore
     from gentianbank.rpc.changes import Changes
+    from gentianbank.storage.revisions import RevisionStore
 
 MAX_HISTORY = 1_000
 MAX_MESSAGE_BYTES = 256 * 1024 * 1024
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -71,11 +71,8 @@
         """
         held = self.targets.get(entry.target_id)
         restarted = (
-            held is not None
-            and held.registration.born_ms != entry.born_ms
-            or held is not None
-            and held.registration.address != entry.address
-        )
+            held is not None and held.registration.born_ms != entry.born_ms
+        ) or (held is not None and held.registration.address != entry.address)
         if held is None or restarted:
             held = TargetLoad(entry, self._region(entry), now_ms)
             self.targets[entry.target_id] = held
--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -88,8 +88,8 @@
                 self._lease = lease
                 logging.info('node registered')
                 return True
-            case Result(error=error):
-                logging.warning('node not registered: %s', error)
+            case Result(error=refused):
+                logging.warning('node not registered: %s', refused)
                 return False
 
     async def _renew(self) -> bool:
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 import random
 from typing import TYPE_CHECKING
 
 from absl import logging
-from expression import Result
 
 from gentianbank.dataplane.buffered import Buffered
 from gentianbank.dataplane.exchange import CallerGoneError
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -180,7 +180,7 @@
         body = b''.join(chunks)
         if status in _SUCCESS:
             if not _is_sound(headers):
-                return Broken('the answer is not the target\'s own')
+                return Broken("the answer is not the target's own")
             work_ms = self._clock() - sent_ms - target.connect_ms
             logging.debug(
                 'answered',
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gentianbank.domain.errors import StoreUnavailable
     from gentianbank.domain.steering_settings import SteeringStore
     from gentianbank.steering.beliefs import Beliefs
     from gentianbank.storage.replicated import Changes
@@ -105,7 +105,7 @@
             case Result(error=HistoryGone()):
                 logging.info('store history is gone; listing again')
                 self._revision = 0
-            case Result(error=error):
+            case Result(error=StoreUnavailable() as error):
                 await self._on_failure(error)
 
     def _on_contact(self) -> None:
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -293,9 +293,7 @@
 
 
 def _new_parser() -> h11.Connection:
-    return h11.Connection(
-        h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-    )
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
 def _idle_s(head: h11.Response) -> float:
--- a/tests/dataplane/test_leaving.py
+++ b/tests/dataplane/test_leaving.py
@@ -22,13 +22,13 @@
 from gentianbank.dataplane.health_checker import HealthChecker
 from gentianbank.dataplane.routing import Permit
 from gentianbank.dataplane.routing import Routing
+from gentianbank.policy.balancer import BALANCERS
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetAnswer
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TargetTransport
-from gentianbank.policy.balancer import BALANCERS
 from tests.support.fakes import FakeAnswer
 from tests.support.machines import check_machine
 from tests.support.machines import check_mutant
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -268,7 +268,9 @@
             await asyncio.sleep(CALL_S)
             return Error(NotSent('refused'))
         body = b''
-        if request.body is not None:
+        if isinstance(request.body, bytes):
+            body = request.body
+        elif request.body is not None:
             async for chunk in request.body:
                 body += chunk
         headers = {name.lower(): value for name, value in request.headers}
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -38,9 +38,9 @@
 from gentianbank.domain.member import READY
 from gentianbank.domain.outcome import OutcomeTable
 from gentianbank.domain.settings import Limits
-from gentianbank.storage.claims import ClaimStore
 from gentianbank.policy.balancer import BALANCERS
 from gentianbank.requests import PeerRequests
+from gentianbank.storage.claims import ClaimStore
 from tests.support.fakes import FakeStore
 from tests.support.fakes import FakeTargets
 from tests.support.fakes import SilentMetrics
