--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -92,7 +92,20 @@
     hosts: dict[str, tuple[Route, ...]]
     services: dict[str, ServicePolicy]
     limits: CallerLimits
-    names: frozenset[str] = field(default_factory=frozenset)
+    _lowest: dict[str, int] = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        lowest: dict[str, int] = {}
+        for routes in self.hosts.values():
+            for route in routes:
+                for part in route.parts:
+                    rank = lowest.get(part.service, route.priority)
+                    lowest[part.service] = max(rank, route.priority)
+        object.__setattr__(self, '_lowest', lowest)
+
+    def lowest_priority(self, service: str) -> int:
+        """Return the rank of the least urgent route of a service."""
+        return self._lowest.get(service, 0)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path."""
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -82,7 +82,12 @@
 
 def says_not_run(status: int, headers: RawHeaders) -> bool:
     """Tell whether a target says that it did not run the request."""
-    return status == _MISDIRECTED or find(headers, _NOT_RUN) is not None
+    return is_misdirected(status) or find(headers, _NOT_RUN) is not None
+
+
+def is_misdirected(status: int) -> bool:
+    """Tell whether another target than the expected one answered."""
+    return status == _MISDIRECTED
 
 
 def load_of(headers: RawHeaders) -> LoadReport | None:
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -29,8 +29,12 @@
 DOMAIN_MS_PER_KB = 1.3
 REGION_MS_PER_KB = 3.0
 FAILURE_MS = 1_500.0
-# A target's own queue is used up to this many requests a slot.
-MAX_QUEUE_PER_SLOT = 1.5
+# A target's own queue is used up to this many requests a slot: short, since
+# who waits longer is late, and shorter for what is less urgent.
+MAX_QUEUE_PER_SLOT = 0.5
+MAX_URGENT_QUEUE_PER_SLOT = 1.0
+# A request that may take longer than the time it has is not sent.
+TIME_LEFT_FACTOR = 1.2
 
 
 @dataclass(slots=True)
@@ -42,17 +46,22 @@
     warm_ms, cold_ms
         Time of work at the usual speed, for an object that the target has
         handled lately and for another.
+    mean_ms
+        Time of work of all requests at their targets' speeds.
     """
 
     warm_ms: float
     cold_ms: float
+    mean_ms: float
     answer_kb: float = 5.0
 
     @classmethod
     def initial(cls, goal_ms: float) -> RouteTimes:
         """Return what is assumed before the first answer."""
         return cls(
-            goal_ms * INITIAL_WARM_OF_GOAL, goal_ms * INITIAL_COLD_OF_GOAL
+            goal_ms * INITIAL_WARM_OF_GOAL,
+            goal_ms * INITIAL_COLD_OF_GOAL,
+            goal_ms * INITIAL_COLD_OF_GOAL,
         )
 
     def on_answer(
@@ -62,6 +71,8 @@
         self.answer_kb += TIME_SMOOTHING * (
             answer_bytes / 1_000 - self.answer_kb
         )
+        bounded_ms = min(work_ms, 2 * self.cold_ms)
+        self.mean_ms += TIME_SMOOTHING * (bounded_ms - self.mean_ms)
         if warm:
             # A few long requests must not hide what most take.
             work_ms = min(work_ms, 2 * self.warm_ms)
@@ -79,8 +90,10 @@
     ----------
     topic
         Object that the request concerns; empty for none.
-    patience_ms
-        Longest wait in a target's queue that is worth it.
+    urgent
+        Whether the service also has less urgent routes.
+    goal_left_ms
+        Time until the latency objective is missed.
     time_left_ms
         Time until the final answer is due.
     """
@@ -89,7 +102,8 @@
     region: str
     failure_domain: str
     times: RouteTimes
-    patience_ms: float
+    urgent: bool
+    goal_left_ms: float
     time_left_ms: float
 
 
@@ -146,13 +160,16 @@
     """
     best = _Best()
     times = demand.times
+    queue_per_slot = MAX_QUEUE_PER_SLOT
+    if demand.urgent:
+        queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
     for rank, target in enumerate(ordered):
         slots = target.registration.slots
         over = target.occupancy(now_ms) - slots + 1
         slowdown = target.slowdown(now_ms)
-        wait_ms = max(0.0, over) / slots * times.warm_ms * slowdown
+        wait_ms = max(0.0, over) / slots * times.mean_ms * slowdown
         best.shortest_wait_ms = min(best.shortest_wait_ms, wait_ms)
-        if over > slots * MAX_QUEUE_PER_SLOT or wait_ms > demand.patience_ms:
+        if over > slots * queue_per_slot:
             continue
         known = bool(demand.topic) and target.knows(demand.topic)
         if known:
@@ -162,9 +179,10 @@
             work_ms = _unknown_ms(times, rank, settled) * slowdown
         if target.is_cold(now_ms):
             work_ms *= 2
-        travel_ms = target.connect_ms
-        expected_ms = wait_ms + work_ms + travel_ms
-        if wait_ms and expected_ms > demand.time_left_ms:
+        expected_ms = wait_ms + work_ms + target.connect_ms
+        if wait_ms and expected_ms > demand.goal_left_ms:
+            continue
+        if expected_ms * TIME_LEFT_FACTOR > demand.time_left_ms:
             continue
         cost_ms = expected_ms + _carriage_ms(demand, target)
         cost_ms += target.failure_rate * FAILURE_MS
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -19,11 +19,13 @@
 # Neighbours' bursts on a target's machine last about this long.
 SLOWDOWN_MEMORY_MS = 500.0
 # What a report says of the load fades, as the requests it counted end.
-REPORT_MEMORY_MS = 400.0
+REPORT_MEMORY_MS = 800.0
 USUAL_SLOWDOWN = 1.15
 FAILURE_SMOOTHING = 0.15
 SUSPECT_MIN_MS = 400.0
 SUSPECT_MAX_MS = 4_000.0
+# Another target has the address; the store's next word ends this.
+MISDIRECTED_MS = 15_000.0
 INITIAL_CONNECT_MS = 5.0
 CONNECT_SMOOTHING = 0.3
 
@@ -121,13 +123,24 @@
         goal = 1.0 if failed else 0.0
         self.failure_rate += FAILURE_SMOOTHING * (goal - self.failure_rate)
 
+    def on_misdirected(self, now_ms: float) -> None:
+        """Note that another target answered at the address."""
+        self.suspect_until_ms = now_ms + MISDIRECTED_MS
+
+    def on_unreachable(self, now_ms: float) -> None:
+        """Count a connection that could not be opened."""
+        self.failures_in_row += 1
+        self._avoid(now_ms, self.failures_in_row - 1)
+
     def on_broken(self, now_ms: float) -> None:
-        """Count a connection that failed: avoid the target for a while."""
+        """Count an answer that did not come whole."""
         self.failures_in_row += 1
         self.failure_rate += FAILURE_SMOOTHING * (1 - self.failure_rate)
-        if self.failures_in_row < 2:
-            return
-        pause_ms = SUSPECT_MIN_MS * 2 ** (self.failures_in_row - 2)
+        if self.failures_in_row > 1:
+            self._avoid(now_ms, self.failures_in_row - 2)
+
+    def _avoid(self, now_ms: float, step: int) -> None:
+        pause_ms = SUSPECT_MIN_MS * 2**step
         self.suspect_until_ms = now_ms + min(pause_ms, SUSPECT_MAX_MS)
 
     def on_connect(self, connect_ms: float) -> None:
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -26,6 +26,9 @@
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.beliefs import Beliefs
 
+# Targets that take the requests of one object. A target keeps a limited
+# number of objects warm: with more copies each, all would be cold.
+COPIES = 2
 # Part of the allowed shift between two windows that is used.
 SHIFT_FRACTION = 0.4
 SHIFT_WINDOW_S = 2.0
@@ -135,12 +138,15 @@
             and self._fits(target, now_ms)
         ]
         sound = [target for target in fit if not target.is_suspect(now_ms)]
+        if wanted.topic:
+            sound = sound[:COPIES]
         demand = Demand(
             topic=wanted.topic,
             region=self._region,
             failure_domain=self._failure_domain,
             times=self.times_of(wanted.route),
-            patience_ms=max(0.0, wanted.goal_left_ms),
+            urgent=self._is_urgent(wanted.route, wanted.service),
+            goal_left_ms=wanted.goal_left_ms,
             time_left_ms=wanted.left_ms,
         )
         placement = place(demand, sound or fit, now_ms)
@@ -148,6 +154,11 @@
             return Full(0.0)
         return placement
 
+    def _is_urgent(self, route: Route, service: str) -> bool:
+        table = self._beliefs.table
+        lowest = table.lowest_priority(service) if table else route.priority
+        return route.priority < lowest
+
     def _fits(self, target: TargetLoad, now_ms: float) -> bool:
         if not target.is_cold(now_ms):
             return True
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -113,7 +113,7 @@
             case Result(tag='ok', ok=answer):
                 return await self._take(request, answer, placed, sent_ms)
             case Result(error=NotSent(cause)):
-                target.on_broken(self._clock())
+                target.on_unreachable(self._clock())
                 return NotReached(cause)
             case Result(error=error):
                 target.on_broken(self._clock())
@@ -174,7 +174,10 @@
         finally:
             await answer.close()
         if wire.says_not_run(status, headers):
-            target.on_answer(failed=False)
+            if wire.is_misdirected(status):
+                target.on_misdirected(self._clock())
+            else:
+                target.on_answer(failed=False)
             return Rejected(f'the target answered {status}')
         target.on_answer(failed=status >= _HTTP_FAILURE)
         body = b''.join(chunks)
