--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -77,7 +77,9 @@
             settings.store.address, settings.store.timeout_ms
         )
         self._beliefs = Beliefs(dict(settings.regions))
-        self._membership = Membership(me, self._store, settings.store)
+        self._membership = Membership(
+            me, self._store, settings.store, lambda: self._sync.poke()
+        )
         self._sync = StoreSync(
             vm=settings.vm,
             store=self._store,
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -26,6 +26,7 @@
     from gentianbank.storage.store import Put
 
 MAX_PAGES = 10_000
+CONNECT_TIMEOUT_S = 0.5
 # A watch is answered at its end of waiting, plus the time of a slow answer.
 WATCH_SLACK_MS = 700
 _MS_PER_S = 1_000
@@ -169,7 +170,9 @@
                 params=query,
                 json=body,
                 timeout=httpx.Timeout(
-                    self._timeout_s, read=timeout_s or self._timeout_s
+                    self._timeout_s,
+                    connect=min(self._timeout_s, CONNECT_TIMEOUT_S),
+                    read=timeout_s or self._timeout_s,
                 ),
             )
         except httpx.HTTPError as error:
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -48,6 +48,9 @@
         Smoothed part of the requests that failed.
     suspect_until_ms
         Time until which the target is avoided after connection failures.
+    is_doubtful
+        Whether the entry was missing after an outage of the store, so that
+        the target may be gone.
     """
 
     registration: TargetRegistration
@@ -61,6 +64,7 @@
     failure_rate: float = 0.0
     failures_in_row: int = 0
     suspect_until_ms: float = float('-inf')
+    is_doubtful: bool = False
     connect_ms: float = INITIAL_CONNECT_MS
     cold: ColdAllowance = field(default_factory=ColdAllowance)
     _objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -79,11 +79,18 @@
             if not first:
                 held.cold_until_ms = now_ms + self._cold_ms(entry)
         held.registration = entry
+        held.is_doubtful = False
         held.cold_until_ms = max(
             held.cold_until_ms, now_ms + entry.cold_left_ms
         )
         self.generation += 1
 
+    def doubt_target(self, target_id: str) -> None:
+        """Avoid a target whose entry may have lapsed by an outage only."""
+        target = self.targets.get(target_id)
+        if target is not None:
+            target.is_doubtful = True
+
     def drop_target(self, target_id: str) -> None:
         """Forget a target whose entry is gone."""
         if self.targets.pop(target_id, None) is not None:
--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -12,6 +12,8 @@
 from gentianbank.storage.replicated import LeaseGone
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.domain.steering_settings import SteeringStore
     from gentianbank.storage.replicated import PrefixStore
@@ -29,6 +31,8 @@
     ----------
     me
         The node's own entry.
+    on_contact
+        Called when the store has answered after it had not.
     """
 
     def __init__(
@@ -36,11 +40,14 @@
         me: NodeRegistration,
         store: PrefixStore,
         settings: SteeringStore,
+        on_contact: Callable[[], None],
     ) -> None:
         self._me = me
         self._store = store
         self._settings = settings
+        self._on_contact = on_contact
         self._lease = 0
+        self._held = False
         self._lost = asyncio.Event()
         self._leaving = False
 
@@ -56,6 +63,9 @@
         retry_s = self._settings.retry_ms / _MS_PER_S
         while not self._leaving:
             held = await (self._renew() if self._lease else self._register())
+            if held and not self._held:
+                self._on_contact()
+            self._held = held
             self._lost.clear()
             try:
                 async with asyncio.timeout(pause_s if held else retry_s):
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -137,7 +137,11 @@
             if target.registration.target_id not in wanted.tried
             and self._fits(target, now_ms)
         ]
-        sound = [target for target in fit if not target.is_suspect(now_ms)]
+        sound = [
+            target
+            for target in fit
+            if not (target.is_doubtful or target.is_suspect(now_ms))
+        ]
         if wanted.topic:
             sound = sound[:COPIES]
         demand = Demand(
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -69,6 +70,7 @@
         self._back_ms = float('-inf')
         self._listed = False
         self._lapsed: dict[str, float] = {}
+        self._poked = asyncio.Event()
 
     @property
     def is_reachable(self) -> bool:
@@ -92,9 +94,7 @@
                 await self._on_failure(error)
 
     async def _follow(self) -> None:
-        wait_ms = self._settings.watch_ms
-        if self._lapsed or not self.is_reachable:
-            wait_ms = min(wait_ms, self._settings.retry_ms)
+        wait_ms = self._wait_ms()
         answer = await self._store.wait_for_changes(
             keyspace.EVERYTHING, self._revision, wait_ms
         )
@@ -108,6 +108,19 @@
             case Result(error=StoreUnavailable() as error):
                 await self._on_failure(error)
 
+    def poke(self) -> None:
+        """Try again at once, as another call has just been answered."""
+        self._poked.set()
+
+    def _wait_ms(self) -> int:
+        """Return how long the next watch waits."""
+        if not self.is_reachable:
+            return min(self._settings.watch_ms, self._settings.retry_ms)
+        if self._lapsed:
+            left_ms = min(self._lapsed.values()) - self._clock()
+            return min(self._settings.watch_ms, max(1, int(left_ms) + 1))
+        return self._settings.watch_ms
+
     def _on_contact(self) -> None:
         if self._down_since_ms is None:
             return
@@ -123,7 +136,10 @@
         if self._down_since_ms is None:
             self._down_since_ms = self._clock()
             logging.warning('store lost: %s', error.cause)
-        await asyncio.sleep(self._settings.retry_ms / _MS_PER_S)
+        self._poked.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.retry_ms / _MS_PER_S):
+                await self._poked.wait()
 
     def _take_listing(self, listing: Listing) -> None:
         first = not self._listed
@@ -207,6 +223,7 @@
         now_ms = self._clock()
         if now_ms - self._back_ms < self._grace_ms:
             self._lapsed.setdefault(target_id, self._back_ms + self._grace_ms)
+            self._beliefs.doubt_target(target_id)
             return
         self._beliefs.drop_target(target_id)
         logging.info('target gone', extra={'target': target_id})
