Refuse what comes late in a stop, and call the store over the one pool

Change: a stopping node serves what comes in the first half of its time, refuses the rest as not run, and ends once it is idle.

--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -45,7 +45,7 @@
     """
 
     address: str = schema.text(schema.ADDRESS_PATTERN)
-    timeout_ms: int = schema.integer(50, 60_000, default=1_000)
+    timeout_ms: int = schema.integer(50, 60_000, default=900)
     watch_ms: int = schema.integer(100, 30_000, default=4_000)
     retry_ms: int = schema.integer(10, 60_000, default=400)
     lease_ms: int = schema.integer(1_000, 600_000, default=4_000)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -20,6 +20,7 @@
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.platform.store import KvStore
+from gentianbank.policy.graceful_stop import StopPlan
 from gentianbank.steering.apps import LookupApp
 from gentianbank.steering.apps import ProxyApp
 from gentianbank.steering.apps import ReadinessApp
@@ -41,9 +42,7 @@
 IDLE_MARGIN_S = 2
 DEFAULT_IDLE_S = 60
 BACKLOG = 2_048
-# Time that is left for closing connections before the process is killed.
-STOP_MARGIN_MS = 900.0
-IDLE_POLL_S = 0.05
+STOP_POLL_S = 0.05
 _MS_PER_S = 1_000
 
 
@@ -73,8 +72,9 @@
             callers=addresses.callers,
             peers=addresses.peers,
         )
+        self._targets = ConnectionPool()
         self._store = KvStore(
-            settings.store.address, settings.store.timeout_ms
+            settings.store.address, settings.store.timeout_ms, self._targets
         )
         self._beliefs = Beliefs(dict(settings.regions))
         self._membership = Membership(
@@ -89,7 +89,6 @@
             on_own_entry_gone=self._membership.on_entry_gone,
             clock=now_ms,
         )
-        self._targets = ConnectionPool()
         placer = Placer(
             vm=settings.vm,
             region=settings.region,
@@ -142,18 +141,16 @@
             task.cancel()
         await asyncio.gather(*work, return_exceptions=True)
         await self._targets.close()
-        await self._store.close()
 
     async def _drain(self) -> None:
         """Leave the look-ups and serve what still comes."""
-        began_ms = now_ms()
         logging.info('node leaves')
         leaving = asyncio.create_task(self._membership.leave())
-        stop_ms = self._settings.bounds.stop_s * _MS_PER_S
-        end_ms = began_ms + stop_ms - STOP_MARGIN_MS
-        await asyncio.sleep((end_ms - now_ms()) / _MS_PER_S)
-        while self._proxy.in_flight and now_ms() < end_ms + STOP_MARGIN_MS / 2:
-            await asyncio.sleep(IDLE_POLL_S)
+        plan = StopPlan(now_ms(), self._settings.bounds.stop_s * _MS_PER_S)
+        while not plan.may_exit(now_ms(), self._proxy.in_flight):
+            if plan.refuses(now_ms()):
+                self._proxy.refuse_new()
+            await asyncio.sleep(STOP_POLL_S)
         await leaving
         logging.info('node stops', extra={'in_flight': self._proxy.in_flight})
 
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
 from typing import Any
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 from expression import Error
 from expression import Ok
 from expression import Result
-import httpx
 
 from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.storage.replicated import Changes
@@ -21,14 +22,20 @@
 from gentianbank.storage.replicated import PrefixStore
 from gentianbank.storage.replicated import Removal
 from gentianbank.storage.store import StoredValue
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from gentianbank.storage.store import Put
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetTransport
 
 MAX_PAGES = 10_000
-CONNECT_TIMEOUT_S = 0.5
-# A watch is answered at its end of waiting, plus the time of a slow answer.
-WATCH_SLACK_MS = 700
+MAX_CONNECTIONS = 8
+CONNECT_TIMEOUT_MS = 500.0
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
 _MS_PER_S = 1_000
 
 
@@ -41,20 +48,16 @@
         Address of the store, as ``IP:port``.
     timeout_ms
         Time that a call may take beyond what it waits for.
+    transport
+        Connections to the store.
     """
 
-    def __init__(self, address: str, timeout_ms: int) -> None:
-        self._timeout_s = timeout_ms / _MS_PER_S
-        self._client = httpx.AsyncClient(
-            base_url=f'http://{address}',
-            timeout=self._timeout_s,
-            trust_env=False,
-            verify=False,
-        )
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._client.aclose()
+    def __init__(
+        self, address: str, timeout_ms: int, transport: TargetTransport
+    ) -> None:
+        self._address = address
+        self._timeout_ms = float(timeout_ms)
+        self._transport = transport
 
     async def list_prefix(
         self, prefix: str
@@ -91,14 +94,13 @@
             'after': str(after_revision),
             'waitMs': str(wait_ms),
         }
-        timeout_s = (wait_ms + WATCH_SLACK_MS) / _MS_PER_S
         answer = await self._call(
-            'GET', '/kv-watch', query=query, timeout_s=timeout_s
+            'GET', '/kv-watch', query=query, wait_ms=wait_ms
         )
         match answer:
             case Result(tag='ok', ok=raw):
                 pass
-            case Result(error=httpx.codes.GONE):
+            case Result(error=error) if error == _GONE:
                 return Error(HistoryGone())
             case Result(error=error):
                 return Error(_unavailable(error))
@@ -118,7 +120,7 @@
         match await self._call('POST', '/kv-txn', body=body):
             case Result(tag='ok', ok=raw):
                 return Ok(int(raw.get('revision', 0)))
-            case Result(error=httpx.codes.NOT_FOUND):
+            case Result(error=error) if error == _NOT_FOUND:
                 return Error(LeaseGone())
             case Result(error=error):
                 return Error(_unavailable(error))
@@ -141,14 +143,16 @@
         match await self._call('POST', f'/kv-keep/{lease}'):
             case Result(tag='ok'):
                 return Ok(None)
-            case Result(error=httpx.codes.NOT_FOUND):
+            case Result(error=error) if error == _NOT_FOUND:
                 return Error(LeaseGone())
             case Result(error=error):
                 return Error(_unavailable(error))
 
     async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
         match await self._call('DELETE', f'/kv-lease-end/{lease}'):
-            case Result(tag='ok') | Result(error=httpx.codes.NOT_FOUND):
+            case Result(tag='ok'):
+                return Ok(None)
+            case Result(error=error) if error == _NOT_FOUND:
                 return Ok(None)
             case Result(error=error):
                 return Error(_unavailable(error))
@@ -160,30 +164,58 @@
         *,
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
-        timeout_s: float | None = None,
+        wait_ms: float = 0,
     ) -> Result[dict[str, Any], int | StoreUnavailable]:
         """Return the document of a 200, another status, or a failure."""
+        request = self._request(method, path, query, body, wait_ms)
+        match await self._transport.send(request):
+            case Result(tag='ok', ok=answer):
+                return await self._read(answer)
+            case Result(error=failure):
+                return Error(StoreUnavailable(failure.cause))
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        body: dict[str, Any] | None,
+        wait_ms: float,
+    ) -> TargetRequest:
+        target = f'{path}?{urlencode(query)}' if query else path
+        headers = [(b'host', self._address.encode())]
+        data = None
+        if method == 'POST':
+            data = json.dumps(body).encode() if body is not None else b''
+            headers.append((b'content-type', b'application/json'))
+            headers.append((b'content-length', str(len(data)).encode()))
+        return TargetRequest(
+            address=self._address,
+            method=method,
+            path=target.encode(),
+            headers=headers,
+            body=data,
+            max_connections=MAX_CONNECTIONS,
+            connect_timeout_ms=min(self._timeout_ms, CONNECT_TIMEOUT_MS),
+            headers_timeout_ms=self._timeout_ms + wait_ms,
+        )
+
+    async def _read(
+        self, answer: TargetAnswer
+    ) -> Result[dict[str, Any], int | StoreUnavailable]:
+        data = bytearray()
         try:
-            answer = await self._client.request(
-                method,
-                path,
-                params=query,
-                json=body,
-                timeout=httpx.Timeout(
-                    self._timeout_s,
-                    connect=min(self._timeout_s, CONNECT_TIMEOUT_S),
-                    read=timeout_s or self._timeout_s,
-                ),
-            )
-        except httpx.HTTPError as error:
-            cause = f'{type(error).__name__} {error}'.strip()
-            return Error(StoreUnavailable(cause))
-        if answer.status_code != httpx.codes.OK:
-            return Error(answer.status_code)
-        if not answer.content:
-            return Ok({})
+            async with asyncio.timeout(self._timeout_ms / _MS_PER_S):
+                async for chunk in answer.chunks():
+                    data += chunk
+        except (TruncatedBodyError, TimeoutError) as error:
+            return Error(StoreUnavailable(f'the answer was cut: {error}'))
+        finally:
+            await answer.close()
+        if answer.status != _OK:
+            return Error(answer.status)
         try:
-            raw = json.loads(answer.content)
+            raw = json.loads(data or b'{}')
         except ValueError:
             return Error(StoreUnavailable('the answer is not JSON'))
         if not isinstance(raw, dict):
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -101,8 +101,13 @@
         self._sending = Sending(placer, transport, clock)
         self._turns: dict[str, WeightedTurns] = {}
         self._budgets: dict[str, SharedRetryBudget] = {}
+        self._refuses_new = False
         self.in_flight = 0
 
+    def refuse_new(self) -> None:
+        """Refuse every request that comes from now on."""
+        self._refuses_new = True
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end."""
         self.in_flight += 1
@@ -116,8 +121,9 @@
     async def _serve(self, exchange: Exchange) -> None:
         now_ms = self._clock()
         table = self._beliefs.table
-        if table is None:
-            refusal = Refusal(503, 'no configuration yet', retry=True)
+        if table is None or self._refuses_new:
+            cause = 'this node stops' if table else 'no configuration yet'
+            refusal = Refusal(503, cause, retry=True)
             await self._refuse(exchange, None, refusal)
             return
         host = (exchange.header(b'host') or '').lower()
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -31,6 +31,8 @@
     from gentianbank.storage.replicated import PrefixStore
     from gentianbank.storage.store import StoredValue
 
+# Far below the time in which a change is to be in force.
+SETTLE_S = 0.25
 _MS_PER_S = 1_000
 
 
@@ -102,6 +104,9 @@
             case Result(tag='ok', ok=changes):
                 self._on_contact()
                 self._take_changes(changes)
+                if changes.events:
+                    # Changes often come several at a time.
+                    await asyncio.sleep(SETTLE_S)
             case Result(error=HistoryGone()):
                 logging.info('store history is gone; listing again')
                 self._revision = 0
