Stream large bodies, spread requests without an object, try every route

Cause: bodies over 256 KB were refused; requests without an object all went to the first target of one order.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -38,9 +38,8 @@
     from gentianbank.domain.errors import InvalidDocument
     from gentianbank.steering.apps import App
 
-# Idle connections of callers are kept so much longer than they use them.
-IDLE_MARGIN_S = 2
-DEFAULT_IDLE_S = 60
+# Longer than callers reuse idle connections.
+KEEP_ALIVE_S = 60
 BACKLOG = 2_048
 STOP_POLL_S = 0.05
 _MS_PER_S = 1_000
@@ -194,6 +193,6 @@
         server_header=False,
         date_header=False,
         backlog=BACKLOG,
-        timeout_keep_alive=DEFAULT_IDLE_S,
+        timeout_keep_alive=KEEP_ALIVE_S,
     )
     return HttpServer(config)
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from gentianbank.domain.load_report import LoadReport
@@ -38,12 +39,26 @@
 _FRAMING = _HOP_BY_HOP | {b'content-length', _LOAD}
 
 
+@dataclass(frozen=True, slots=True)
+class BodyFraming:
+    """How the body of a request is framed.
+
+    Parameters
+    ----------
+    size_bytes
+        Length of the body; nothing when there is none or it is not known.
+    """
+
+    size_bytes: int | None = None
+    chunked: bool = False
+
+
 def for_target(
     received: RawHeaders,
     *,
     target_id: str,
     time_left_ms: float,
-    body_bytes: int | None,
+    body: BodyFraming,
 ) -> RawHeaders:
     """Return the headers of a request to a target.
 
@@ -51,15 +66,17 @@
     ----------
     time_left_ms
         Time after which the target may stop work.
-    body_bytes
-        Length of the body, or nothing for a request without one.
+    body
+        How the body is framed.
     """
     dropped = _REPLACED | _named_by_connection(received)
     headers = [pair for pair in received if pair[0].lower() not in dropped]
     headers.append((TIME_LEFT, str(max(1, int(time_left_ms))).encode()))
     headers.append((EXPECTED_TARGET, target_id.encode()))
-    if body_bytes is not None:
-        headers.append((b'content-length', str(body_bytes).encode()))
+    if body.size_bytes is not None:
+        headers.append((b'content-length', str(body.size_bytes).encode()))
+    elif body.chunked:
+        headers.append((b'transfer-encoding', b'chunked'))
     return headers
 
 
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -33,7 +33,7 @@
 # who waits longer is late, and shorter for what is less urgent.
 MAX_QUEUE_PER_SLOT = 0.5
 MAX_URGENT_QUEUE_PER_SLOT = 1.0
-# A request that may take longer than the time it has is not sent.
+# A request waits only where even a longer time than expected would do.
 TIME_LEFT_FACTOR = 1.2
 
 
@@ -174,15 +174,15 @@
         known = bool(demand.topic) and target.knows(demand.topic)
         if known:
             work_ms = times.warm_ms * slowdown
+        elif not demand.topic:
+            work_ms = times.mean_ms * slowdown
         else:
             settled = min(1.0, (now_ms - target.since_ms) / SETTLED_MS)
             work_ms = _unknown_ms(times, rank, settled) * slowdown
         if target.is_cold(now_ms):
             work_ms *= 2
         expected_ms = wait_ms + work_ms + target.connect_ms
-        if wait_ms and expected_ms > demand.goal_left_ms:
-            continue
-        if expected_ms * TIME_LEFT_FACTOR > demand.time_left_ms:
+        if wait_ms and not _is_in_time(demand, expected_ms):
             continue
         cost_ms = expected_ms + _carriage_ms(demand, target)
         cost_ms += target.failure_rate * FAILURE_MS
@@ -199,6 +199,12 @@
     return NoTarget()
 
 
+def _is_in_time(demand: Demand, expected_ms: float) -> bool:
+    if expected_ms > demand.goal_left_ms:
+        return False
+    return expected_ms * TIME_LEFT_FACTOR <= demand.time_left_ms
+
+
 def _unknown_ms(times: RouteTimes, rank: int, settled: float) -> float:
     """Return the time of work if others may have made the object warm."""
     chance = WARM_BY_RANK[rank] if rank < len(WARM_BY_RANK) else WARM_ELSEWHERE
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+import zlib
 
 from gentianbank.policy import rendezvous
 from gentianbank.policy.placement import Demand
@@ -29,6 +30,8 @@
 # Targets that take the requests of one object. A target keeps a limited
 # number of objects warm: with more copies each, all would be cold.
 COPIES = 2
+# Orders of objects that are held; more are computed anew.
+MAX_ORDERS = 20_000
 # Part of the allowed shift between two windows that is used.
 SHIFT_FRACTION = 0.4
 SHIFT_WINDOW_S = 2.0
@@ -48,6 +51,8 @@
         Time until the latency objective is missed.
     tried
         Ids of targets that were tried before.
+    spread
+        Spreads requests that concern no object.
     """
 
     route: Route
@@ -56,6 +61,7 @@
     left_ms: float
     goal_left_ms: float
     tried: frozenset[str]
+    spread: bytes
 
 
 class Placer:
@@ -109,7 +115,7 @@
         self._refresh()
         now_ms = self._clock()
         shares = self._step_shares(wanted, now_ms)
-        planned = shares.region_of(wanted.topic)
+        planned = shares.region_of(wanted.topic or str(wanted.spread))
         regions = [planned, *(r for r in self._regions if r != planned)]
         homes = wanted.route.home_regions
         if homes:
@@ -131,6 +137,9 @@
         self, wanted: Wanted, region: str, now_ms: float
     ) -> Placement:
         order = self._order(wanted, region)
+        if order and not wanted.topic:
+            start = zlib.crc32(wanted.spread) % len(order)
+            order = order[start:] + order[:start]
         fit = [
             target
             for target in order
@@ -201,6 +210,8 @@
         ]
         if large:
             order.sort(key=self._is_far)
+        if len(self._orders) >= MAX_ORDERS:
+            self._orders.clear()
         self._orders[key] = order
         return order
 
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -8,7 +8,6 @@
 
 from absl import logging
 
-from gentianbank.dataplane.buffered import Buffered
 from gentianbank.dataplane.exchange import CallerGoneError
 from gentianbank.dataplane.exchange import cancel_when_gone
 from gentianbank.platform import headers as wire
@@ -19,11 +18,14 @@
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
 from gentianbank.steering.placer import Wanted
+from gentianbank.steering.request_body import read_body
+from gentianbank.steering.request_body import RequestBody
 from gentianbank.steering.sending import Broken
 from gentianbank.steering.sending import Delivered
 from gentianbank.steering.sending import NotReached
 from gentianbank.steering.sending import Rejected
 from gentianbank.steering.sending import Sending
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,10 +34,9 @@
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.steering.beliefs import Beliefs
     from gentianbank.steering.placer import Placer
+    from gentianbank.targets.transport import RawHeaders
     from gentianbank.targets.transport import TargetTransport
 
-# Bodies up to this size are held, so that they can be sent again.
-HELD_BODY_BYTES = 256 * 1024
 # Connections that may fail before a request is refused.
 MAX_NOT_REACHED = 3
 RETRY_AFTER_MIN_MS = 150.0
@@ -135,23 +136,19 @@
         turns = self._turns.setdefault(route.name, WeightedTurns())
         service = turns.choose(route.parts)
         request = read_request(exchange, route, service, now_ms)
-        body = None
-        if exchange.has_body:
-            body = Buffered(exchange.body())
-            await body.fill(HELD_BODY_BYTES)
-        if body is None or body.complete:
-            data = body.data if body else None
-            work = self._run(exchange, request, data)
-            if not await cancel_when_gone(exchange, work):
-                raise CallerGoneError
-        else:
-            # Too large to hold; sent once, as it comes.
-            await self._refuse(
-                exchange, request, Refusal(413, 'body too large')
-            )
+        if _declared_bytes(exchange) > table.limits.max_body_bytes:
+            refusal = Refusal(413, 'body too large')
+            await self._refuse(exchange, request, refusal)
+            return
+        body = await read_body(exchange)
+        work = self._run(exchange, request, body)
+        if not body.is_held:
+            await work
+        elif not await cancel_when_gone(exchange, work):
+            raise CallerGoneError
 
     async def _run(
-        self, exchange: Exchange, request: CallerRequest, body: bytes | None
+        self, exchange: Exchange, request: CallerRequest, body: RequestBody
     ) -> None:
         """Send a request until a target answers or none may be tried."""
         budget = self._budget(request.service)
@@ -198,6 +195,7 @@
                     'cause': outcome.cause,
                 },
             )
+            may_retry = may_retry and body.may_be_sent
             if not may_retry or not self._may_send_again(request, tries):
                 await self._give_up(exchange, request, tries, outcome.cause)
                 return
@@ -219,6 +217,7 @@
             left_ms=request.end_ms - now_ms,
             goal_left_ms=request.route.goal_ms - (now_ms - request.came_ms),
             tried=frozenset(tries.targets),
+            spread=request.request_id,
         )
 
     def _budget(self, service: str) -> SharedRetryBudget:
@@ -257,7 +256,43 @@
         headers = wire.for_caller(answer.headers)
         if self._is_stopping():
             headers.append((b'connection', b'close'))
-        await exchange.answer(answer.status, headers, answer.body)
+        if answer.rest is None:
+            await exchange.answer(answer.status, headers, answer.body)
+            return
+        await self._relay(exchange, request, answer, headers)
+
+    async def _relay(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        answer: Delivered,
+        headers: RawHeaders,
+    ) -> None:
+        """Pass a large answer on as it comes.
+
+        An answer that ends early is left without its end, so that the
+        server closes the connection and the caller can tell.
+        """
+        assert answer.rest is not None
+        size = wire.find(answer.headers, b'content-length')
+        if size is not None:
+            headers.append((b'content-length', size))
+        try:
+            await exchange.start(answer.status, headers)
+            await exchange.write(answer.body)
+            async for chunk in answer.rest.chunks():
+                await exchange.write(chunk)
+            await exchange.finish()
+        except TruncatedBodyError as error:
+            logging.warning(
+                'answer ended early',
+                extra={
+                    'request': request.request_id.decode('latin-1'),
+                    'cause': str(error),
+                },
+            )
+        finally:
+            await answer.rest.close()
 
     async def _refuse(
         self,
@@ -293,3 +328,8 @@
             left_ms = request.caller_end_ms - self._clock()
             wait_ms = min(wait_ms, left_ms * RETRY_AFTER_FRACTION)
         return f'{max(0.0, wait_ms) / _MS_PER_S:.3f}'.encode()
+
+
+def _declared_bytes(exchange: Exchange) -> int:
+    length = exchange.header(b'content-length') or '0'
+    return int(length) if length.isdecimal() else 0
--- /dev/null
+++ b/src/gentianbank/steering/request_body.py
@@ -0,0 +1,86 @@
+"""The body of a caller's request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gentianbank.dataplane.buffered import Buffered
+from gentianbank.platform.headers import BodyFraming
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gentianbank.dataplane.exchange import Exchange
+
+# Bodies up to this size are held, so that they can be sent again.
+HELD_BODY_BYTES = 256 * 1024
+
+
+class RequestBody:
+    """A body that is held, or one that can be sent once as it comes.
+
+    Parameters
+    ----------
+    buffered
+        What has been read; nothing for a request without a body.
+    declared_bytes
+        Length that the caller has stated, if any.
+    """
+
+    def __init__(
+        self, buffered: Buffered | None, declared_bytes: int | None
+    ) -> None:
+        self._buffered = buffered
+        self._declared_bytes = declared_bytes
+        self._begun = False
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the whole body has been read."""
+        return self._buffered is None or self._buffered.complete
+
+    @property
+    def may_be_sent(self) -> bool:
+        """Tell whether the body can be sent (again)."""
+        return self.is_held or not self._begun
+
+    @property
+    def framing(self) -> BodyFraming:
+        """Return how the body is framed."""
+        if self._buffered is None:
+            return BodyFraming()
+        if self._buffered.complete:
+            return BodyFraming(len(self._buffered.data))
+        if self._declared_bytes is not None:
+            return BodyFraming(self._declared_bytes)
+        return BodyFraming(chunked=True)
+
+    def content(self) -> AsyncIterator[bytes] | bytes | None:
+        """Return the body for sending."""
+        if self._buffered is None:
+            return None
+        if self._buffered.complete:
+            return self._buffered.data
+        return self._stream(self._buffered)
+
+    async def _stream(self, buffered: Buffered) -> AsyncIterator[bytes]:
+        self._begun = True
+        async for chunk in buffered.chunks():
+            yield chunk
+
+
+async def read_body(exchange: Exchange) -> RequestBody:
+    """Read a body as far as it is held.
+
+    Raises
+    ------
+    CallerGoneError
+        If the caller breaks off.
+    """
+    if not exchange.has_body:
+        return RequestBody(None, None)
+    length = exchange.header(b'content-length')
+    buffered = Buffered(exchange.body())
+    await buffered.fill(HELD_BODY_BYTES)
+    declared = int(length) if length and length.isdecimal() else None
+    return RequestBody(buffered, declared)
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -22,11 +22,14 @@
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.placer import Placer
+    from gentianbank.steering.request_body import RequestBody
     from gentianbank.targets.transport import RawHeaders
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
 
 MAX_CONNECTIONS = 64
+# Answers up to this size are read whole before the caller gets them.
+HELD_ANSWER_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_MS = 300.0
 _HTTP_FAILURE = 500
 _MS_PER_S = 1_000
@@ -35,11 +38,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """A whole answer of the target."""
+    """An answer of the target.
+
+    Parameters
+    ----------
+    body
+        The whole body, or what was read of a large one.
+    rest
+        The answer that the rest of a large body is read from.
+    """
 
     status: int
     headers: RawHeaders
     body: bytes
+    rest: TargetAnswer | None = None
 
     @property
     def cause(self) -> str:
@@ -88,7 +100,7 @@
         self,
         exchange: Exchange,
         request: CallerRequest,
-        body: bytes | None,
+        body: RequestBody,
         placed: Placed,
     ) -> Outcome:
         """Send a request to the chosen target."""
@@ -103,7 +115,7 @@
         self,
         exchange: Exchange,
         request: CallerRequest,
-        body: bytes | None,
+        body: RequestBody,
         placed: Placed,
     ) -> Outcome:
         sent_ms = self._clock()
@@ -123,7 +135,7 @@
         self,
         exchange: Exchange,
         request: CallerRequest,
-        body: bytes | None,
+        body: RequestBody,
         target: TargetLoad,
     ) -> TargetRequest:
         left_ms = request.end_ms - self._clock()
@@ -140,9 +152,9 @@
                 exchange.raw_headers,
                 target_id=target.registration.target_id,
                 time_left_ms=left_ms,
-                body_bytes=len(body) if body is not None else None,
+                body=body.framing,
             ),
-            body=body,
+            body=body.content(),
             max_connections=MAX_CONNECTIONS,
             connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
             headers_timeout_ms=left_ms,
@@ -162,17 +174,21 @@
         load = wire.load_of(headers)
         if load is not None:
             target.on_report(load, self._clock())
-        chunks = []
+        held = b''
         try:
             left_ms = request.end_ms - self._clock()
             async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
-                async for chunk in answer.chunks():
-                    chunks.append(chunk)
+                held, complete = await _read_body(answer)
         except (TruncatedBodyError, TimeoutError) as error:
+            await answer.close()
             target.on_broken(self._clock())
             return Broken(f'the answer was cut short: {error}')
-        finally:
+        except BaseException:
+            await answer.close()
+            raise
+        if not complete and status not in _SUCCESS:
             await answer.close()
+            return Broken('the failure of the target is too large')
         if wire.says_not_run(status, headers):
             if wire.is_misdirected(status):
                 target.on_misdirected(self._clock())
@@ -180,9 +196,9 @@
                 target.on_answer(failed=False)
             return Rejected(f'the target answered {status}')
         target.on_answer(failed=status >= _HTTP_FAILURE)
-        body = b''.join(chunks)
         if status in _SUCCESS:
             if not _is_sound(headers):
+                await answer.close()
                 return Broken("the answer is not the target's own")
             work_ms = self._clock() - sent_ms - target.connect_ms
             logging.debug(
@@ -205,9 +221,23 @@
                 times = self._placer.times_of(request.route)
                 slowdown = load.slowdown if load else 1.0
                 times.on_answer(
-                    max(0.0, work_ms) / slowdown, len(body), warm=placed.warm
+                    max(0.0, work_ms) / slowdown, len(held), warm=placed.warm
                 )
-        return Delivered(status, headers, body)
+        rest = None if complete else answer
+        return Delivered(status, headers, held, rest)
+
+
+async def _read_body(answer: TargetAnswer) -> tuple[bytes, bool]:
+    """Return the body as far as it is held, and whether that is all."""
+    chunks = []
+    size = 0
+    async for chunk in answer.chunks():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > HELD_ANSWER_BYTES:
+            return b''.join(chunks), False
+    await answer.close()
+    return b''.join(chunks), True
 
 
 def _is_sound(headers: RawHeaders) -> bool:
