--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -187,7 +187,9 @@
             case Result(tag='ok', ok=EvacuatedDomain(name)):
                 domains = self._beliefs.evacuated | {name}
                 self._beliefs.evacuate(domains, self._clock())
-                logging.info('failure domain evacuated', extra={'name_': name})
+                logging.info(
+                    'failure domain evacuated', extra={'failure_domain': name}
+                )
             case Result(error=InvalidDocument() as error):
                 self._refuse_value(stored, error)
 
@@ -221,7 +223,9 @@
             case EvacuatedDomain(name):
                 domains = self._beliefs.evacuated - {name}
                 self._beliefs.evacuate(domains, self._clock())
-                logging.info('failure domain is back', extra={'name_': name})
+                logging.info(
+                    'failure domain is back', extra={'failure_domain': name}
+                )
 
     def _lose_target(self, target_id: str) -> None:
         """Drop a target, later if its entry may have lapsed in an outage."""
