--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,59 @@
+"""Tests of the headers on the platform."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianbank.domain.load_report import LoadReport
+from gentianbank.platform import headers as wire
+from gentianbank.platform.headers import BodyFraming
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (b'3,0,8', LoadReport(3, 0, 8, 1.0)),
+        (b'3, 1, 8, 250', LoadReport(3, 1, 8, 2.5)),
+        (b'3,0', None),
+        (b'much', None),
+        (b'', None),
+    ],
+)
+def test_load_is_decoded(text: bytes, expected: LoadReport | None) -> None:
+    assert wire.load_of([(b'Server-Load', text)]) == expected
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'expected'),
+    [
+        (503, [(b'Not-Executed', b'1')], True),
+        (400, [(b'not-executed', b'1')], True),
+        (421, [], True),
+        (503, [], False),
+        (500, [], False),
+    ],
+)
+def test_only_the_targets_word_means_not_run(
+    status: int, headers: list[tuple[bytes, bytes]], expected: bool
+) -> None:
+    assert wire.says_not_run(status, headers) is expected
+
+
+def test_request_bears_the_expected_target_and_the_time_left() -> None:
+    received = [
+        (b'host', b'shop.example'),
+        (b'deadline-ms', b'3000'),
+        (b'expect-instance', b'forged'),
+        (b'transfer-encoding', b'chunked'),
+        (b'request-id', b'r-1'),
+    ]
+    sent = wire.for_target(
+        received, target_id='i-1', time_left_ms=12.7, body=BodyFraming(3)
+    )
+    assert sorted(sent) == [
+        (b'content-length', b'3'),
+        (b'deadline-ms', b'12'),
+        (b'expect-instance', b'i-1'),
+        (b'host', b'shop.example'),
+        (b'request-id', b'r-1'),
+    ]
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,171 @@
+"""Tests of the calls to the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from expression import Result
+import pytest
+
+from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.platform.store import KvStore
+from gentianbank.storage.replicated import HistoryGone
+from gentianbank.storage.replicated import LeaseGone
+from gentianbank.storage.replicated import Removal
+from gentianbank.storage.store import Put
+from gentianbank.storage.store import StoredValue
+from tests.support.steering import LOST
+from tests.support.steering import Script
+from tests.support.steering import ScriptedTargets
+from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+ADDRESS = '10.200.1.7:8169'
+
+
+class Calls:
+    """A client of the store over scripted answers."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.loop = VirtualLoop()
+        self.transport = ScriptedTargets()
+        self.transport.scripts = {ADDRESS: list(scripts)}
+        self.store = KvStore(ADDRESS, 900, self.transport)
+
+    def run(self, call: Coroutine[Any, Any, Result[Any, Any]]) -> Any:
+        """Return what a call returns, or its error."""
+        match self.loop.run_until_complete(call):
+            case Result(tag='ok', ok=value):
+                return value
+            case Result(error=error):
+                return error
+
+    @property
+    def paths(self) -> list[str]:
+        """Return the calls that were made."""
+        return [
+            f'{request.method} {request.path.decode()}'
+            for request in self.transport.requests
+        ]
+
+
+def reply(document: Any, status: int = 200) -> Script:
+    """Return the script of an answer with a document."""
+    return Script(status=status, body=json.dumps(document).encode())
+
+
+def item(key: str, revision: int, value: bytes = b'v') -> dict[str, Any]:
+    """Return an item as the store spells it."""
+    encoded = base64.b64encode(value).decode()
+    return {'key': key, 'value': encoded, 'revision': revision}
+
+
+def test_listing_reads_every_page() -> None:
+    first = {'items': [item('a', 1)], 'hasMore': True, 'currentRev': 5}
+    second = {'items': [item('b/c', 2)], 'hasMore': False, 'currentRev': 9}
+    calls = Calls(reply(first), reply(second))
+    listing = calls.run(calls.store.list_prefix(''))
+    assert [value.key for value in listing.values] == ['a', 'b/c']
+    # Later pages may be newer; the changes after the first bring the rest.
+    assert listing.revision == 5
+    assert calls.paths[1] == 'GET /kv-range?prefix=&after=a'
+
+
+def test_changes_are_decoded() -> None:
+    events = [item('a', 7, b'\xff'), {'key': 'b', 'revision': 8, 'removed': 1}]
+    calls = Calls(reply({'events': events, 'currentRev': 8}))
+    changes = calls.run(calls.store.wait_for_changes('x/', 6, 250))
+    assert changes.events == (StoredValue('a', b'\xff', 7), Removal('b', 8))
+    assert calls.paths == ['GET /kv-watch?prefix=x%2F&after=6&waitMs=250']
+
+
+def test_history_that_is_gone_is_told() -> None:
+    calls = Calls(reply({}, 410))
+    answer = calls.run(calls.store.wait_for_changes('', 6, 250))
+    assert answer == HistoryGone()
+
+
+@pytest.mark.parametrize(
+    'script',
+    [
+        reply({}, 429),
+        reply({}, 503),
+        LOST,
+        Script(after_s=60.0),
+        Script(cut=True),
+        Script(body=b'no document'),
+        reply([]),
+        reply({'items': 7}),
+        reply({'items': [{}], 'currentRev': 1}),
+    ],
+)
+def test_call_without_a_usable_answer_is_unavailable(script: Script) -> None:
+    calls = Calls(script)
+    answer = calls.run(calls.store.list_prefix(''))
+    assert isinstance(answer, StoreUnavailable)
+
+
+def test_watch_may_wait_as_long_as_it_asks() -> None:
+    answer = reply({'events': [], 'currentRev': 6})
+    calls = Calls(Script(body=answer.body, after_s=4.0))
+    changes = calls.run(calls.store.wait_for_changes('', 6, 4_000))
+    assert changes.revision == 6
+
+
+def test_entry_of_another_writer_spoils_no_listing() -> None:
+    forged = {'key': 'a', 'value': '%%%', 'revision': 1}
+    listing = {'items': [forged, item('b', 2)], 'currentRev': 3}
+    calls = Calls(reply(listing))
+    values = calls.run(calls.store.list_prefix('')).values
+    assert [value.value for value in values] == [b'', b'v']
+
+
+def test_write_bears_the_lease() -> None:
+    calls = Calls(reply({'revision': 12}))
+    put = Put('nodes/vm-1', b'me', 77)
+    assert calls.run(calls.store.put(put)) == 12
+    body = calls.transport.requests[0].body
+    assert isinstance(body, bytes)
+    written = json.loads(body)['writes']
+    assert written == [{'key': 'nodes/vm-1', 'value': 'bWU=', 'lease': 77}]
+
+
+def test_lease_is_granted_renewed_and_ended() -> None:
+    calls = Calls(reply({'lease': 77, 'ttlMs': 4_000}), reply({}), reply({}))
+    assert calls.run(calls.store.grant_lease_ms(4_000)) == 77
+    assert calls.run(calls.store.renew_lease(77)) is None
+    assert calls.run(calls.store.end_lease(77)) is None
+    assert calls.paths == [
+        'POST /kv-lease',
+        'POST /kv-keep/77',
+        'DELETE /kv-lease-end/77',
+    ]
+
+
+def test_lease_that_has_ended_is_told() -> None:
+    calls = Calls(reply({}, 404), reply({}, 404), reply({}, 404))
+    assert calls.run(calls.store.renew_lease(77)) == LeaseGone()
+    put = calls.store.put(Put('nodes/vm-1', b'me', 77))
+    assert calls.run(put) == LeaseGone()
+    assert calls.run(calls.store.end_lease(77)) is None
+
+
+def test_calls_do_not_wait_for_each_other() -> None:
+    slow = Script(body=reply({'events': [], 'currentRev': 6}).body, after_s=4)
+    calls = Calls(slow, reply({}))
+
+    async def both() -> float:
+        watch = asyncio.create_task(calls.store.wait_for_changes('', 6, 4_000))
+        await asyncio.sleep(0.1)
+        await calls.store.renew_lease(77)
+        ended_s = calls.loop.time()
+        await watch
+        return calls.loop.time() - ended_s
+
+    assert calls.loop.run_until_complete(both()) > 3
--- /dev/null
+++ b/tests/policy/test_placement.py
@@ -0,0 +1,135 @@
+"""Tests of the choice of a target by expected cost."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from gentianbank.domain.load_report import LoadReport
+from gentianbank.policy.placement import Demand
+from gentianbank.policy.placement import Full
+from gentianbank.policy.placement import NoTarget
+from gentianbank.policy.placement import place
+from gentianbank.policy.placement import Placed
+from gentianbank.policy.placement import RouteTimes
+from gentianbank.policy.target_load import TargetLoad
+from tests.support.steering import registration
+
+NOW_MS = 100_000.0
+TIMES = RouteTimes(warm_ms=160, cold_ms=540, mean_ms=200)
+DEMAND = Demand(
+    topic='read/7',
+    region='east',
+    failure_domain='east-1',
+    times=TIMES,
+    urgent=False,
+    goal_left_ms=400,
+    time_left_ms=1_500,
+)
+
+
+def build(name: str, *topics: str, **changes: Any) -> TargetLoad:
+    fields: dict[str, Any] = {'slots': 4} | changes
+    target = TargetLoad(registration(name, **fields), 'east', 0.0)
+    for topic in topics:
+        target.on_send(0.0, topic)
+        target.on_end()
+    target.on_report(LoadReport(0, 0, 4, 1.0), NOW_MS)
+    return target
+
+
+def occupy(target: TargetLoad, requests: int) -> None:
+    for _ in range(requests):
+        target.on_send(NOW_MS, '')
+
+
+def chosen(demand: Demand, *targets: TargetLoad) -> str:
+    placement = place(demand, targets, NOW_MS)
+    assert isinstance(placement, Placed)
+    return placement.target.registration.target_id
+
+
+def test_place_prefers_the_target_that_knows_the_object() -> None:
+    known = build('b-2', 'read/7')
+    assert chosen(DEMAND, build('a-1'), known) == 'b-2'
+
+
+def test_place_takes_the_first_of_the_order_among_equals() -> None:
+    assert chosen(DEMAND, build('a-1'), build('b-2')) == 'a-1'
+
+
+def test_place_avoids_a_slow_neighbourhood() -> None:
+    slow, calm = build('a-1', 'read/7'), build('b-2', 'read/7')
+    slow.on_report(LoadReport(1, 0, 4, 2.5), NOW_MS)
+    assert chosen(DEMAND, slow, calm) == 'b-2'
+
+
+def test_place_forgets_an_old_slowdown() -> None:
+    slow = build('a-1', 'read/7')
+    slow.on_report(LoadReport(1, 0, 4, 2.5), NOW_MS - 10_000)
+    unknown = TargetLoad(registration('b-2', slots=4), 'east', 0.0)
+    assert slow.slowdown(NOW_MS) == pytest.approx(unknown.slowdown(NOW_MS))
+
+
+def test_place_keeps_large_answers_near() -> None:
+    times = RouteTimes(160, 540, 200, answer_kb=90)
+    far = build('a-1', 'read/7', failure_domain='east-2')
+    near = build('b-2', 'read/7')
+    near.on_report(LoadReport(1, 0, 4, 1.3), NOW_MS)
+    assert chosen(replace(DEMAND, times=times), far, near) == 'b-2'
+
+
+def test_place_waits_only_within_the_objective() -> None:
+    target = build('a-1', 'read/7')
+    occupy(target, 5)
+    assert chosen(DEMAND, target) == 'a-1'
+    assert isinstance(
+        place(replace(DEMAND, goal_left_ms=150), [target], NOW_MS), Full
+    )
+
+
+def test_place_lets_urgent_requests_wait_longer() -> None:
+    target = build('a-1', 'read/7')
+    occupy(target, 7)
+    patient = replace(DEMAND, goal_left_ms=900)
+    assert isinstance(place(patient, [target], NOW_MS), Full)
+    assert chosen(replace(patient, urgent=True), target) == 'a-1'
+
+
+def test_place_tries_a_target_with_room_whatever_was_expected() -> None:
+    # A route whose first guess is too long would never be measured.
+    late = replace(DEMAND, time_left_ms=300, goal_left_ms=-1.0)
+    assert chosen(late, build('a-1')) == 'a-1'
+
+
+def test_place_counts_the_requests_sent_since_the_report() -> None:
+    busy = build('a-1')
+    occupy(busy, 4)
+    assert chosen(replace(DEMAND, topic=''), busy, build('b-2')) == 'b-2'
+
+
+def test_place_avoids_targets_that_fail_often() -> None:
+    failing = build('a-1', 'read/7')
+    for _ in range(10):
+        failing.on_answer(failed=True)
+    assert chosen(DEMAND, failing, build('b-2', 'read/7')) == 'b-2'
+
+
+def test_place_without_targets_is_none() -> None:
+    assert place(DEMAND, [], NOW_MS) == NoTarget()
+
+
+@pytest.mark.parametrize('warm', [True, False])
+def test_route_times_follow_the_answers(warm: bool) -> None:
+    times = RouteTimes.initial(400)
+    for _ in range(200):
+        times.on_answer(300, 5_000, warm=warm)
+    assert (times.warm_ms if warm else times.cold_ms) == pytest.approx(300, 1)
+
+
+def test_route_times_bear_single_long_answers() -> None:
+    times = RouteTimes(160, 540, 200)
+    times.on_answer(8_000, 5_000, warm=True)
+    assert times.warm_ms < 170
--- /dev/null
+++ b/tests/policy/test_shared_allowance.py
@@ -0,0 +1,45 @@
+"""Tests of a node's parts of what all nodes together may do."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianbank.policy.shared_allowance import cold_share
+from gentianbank.policy.shared_allowance import ColdAllowance
+from gentianbank.policy.shared_allowance import SharedRetryBudget
+
+
+@pytest.mark.parametrize('nodes', [1, 3, 7, 25, 300])
+@pytest.mark.parametrize('allowed_per_s', [10.4, 15.5, 60.0])
+def test_cold_shares_of_all_nodes_fit(
+    nodes: int, allowed_per_s: float
+) -> None:
+    names = tuple(f'vm-{number}' for number in range(nodes))
+    shares = [cold_share('t-1', name, names, allowed_per_s) for name in names]
+    assert 1 <= sum(shares) <= allowed_per_s
+    assert max(shares) - min(shares) <= 1
+
+
+def test_cold_allowance_counts_every_span_of_a_second() -> None:
+    allowance = ColdAllowance()
+    sent = []
+    for now_ms in range(0, 5_000, 10):
+        if allowance.may_send(now_ms, 2):
+            allowance.on_send(now_ms)
+            sent.append(now_ms)
+    for start_ms in sent:
+        assert sum(start_ms <= t < start_ms + 1_000 for t in sent) <= 2
+
+
+@pytest.mark.parametrize('nodes', [1, 7])
+def test_retry_budget_holds_in_every_window(nodes: int) -> None:
+    budget = SharedRetryBudget(ratio=0.2, slack=56, window_ms=10_000)
+    spent = []
+    for now_ms in range(0, 60_000, 20):
+        budget.on_request(now_ms)
+        if budget.try_spend(now_ms, nodes):
+            spent.append(now_ms)
+    for start_ms in range(0, 50_000, 500):
+        window = [t for t in spent if start_ms <= t < start_ms + 10_000]
+        assert len(window) <= 0.2 * 500 + 56 / nodes
+    assert spent
--- /dev/null
+++ b/tests/steering/test_apps.py
@@ -0,0 +1,92 @@
+"""Tests of look-ups and readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from gentianbank.domain.registration import NodeRegistration
+from gentianbank.steering.apps import App
+from gentianbank.steering.apps import LookupApp
+from gentianbank.steering.apps import ReadinessApp
+from tests.support.steering import Caller
+from tests.support.steering import Path
+from tests.support.steering import Reply
+
+
+def node(vm: str, failure_domain: str) -> NodeRegistration:
+    return NodeRegistration(
+        vm=vm,
+        region='east',
+        failure_domain=failure_domain,
+        callers=f'10.0.0.{vm[-1]}:80',
+        peers=f'10.0.0.{vm[-1]}:81',
+    )
+
+
+ME = node('vm-1', 'east-1')
+QUERY = '/?region=east&zone=east-1'
+
+
+class Node:
+    """The applications of a node that may be stopping."""
+
+    def __init__(self) -> None:
+        self.path = Path()
+        self.stopping = False
+        self.lookups = LookupApp(ME, self.path.beliefs, self._is_stopping)
+        self.readiness = ReadinessApp(self.path.beliefs, self._is_stopping)
+
+    def ask(self, app: App, path: str = QUERY) -> Reply:
+        """Ask an application."""
+        caller = Caller(self.path.loop, path=path)
+
+        async def receive() -> dict[str, Any]:
+            await asyncio.Event().wait()
+            return {}
+
+        async def send(message: Any) -> None:
+            await caller._send(message)
+
+        async def serve() -> None:
+            await app(caller.scope, receive, send)
+
+        self.path.run(serve())
+        return caller.reply
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of a look-up from east-1."""
+        reply = self.ask(self.lookups)
+        found: list[str] = json.loads(reply.body).get('addresses', [])
+        return found
+
+    def _is_stopping(self) -> bool:
+        return self.stopping
+
+
+def test_lookup_names_the_node_itself_without_the_store() -> None:
+    assert Node().addresses() == ['10.0.0.1:80']
+
+
+def test_lookup_of_a_stopping_node_names_others() -> None:
+    asked = Node()
+    asked.path.beliefs.nodes['vm-2'] = node('vm-2', 'east-2')
+    asked.stopping = True
+    assert asked.addresses() == ['10.0.0.2:80']
+
+
+def test_lookup_without_configuration_is_503() -> None:
+    asked = Node()
+    asked.path.beliefs.table = None
+    assert asked.ask(asked.lookups).status == 503
+
+
+def test_ready_with_a_configuration_until_the_stop() -> None:
+    asked = Node()
+    assert asked.ask(asked.readiness).status == 200
+    asked.stopping = True
+    assert asked.ask(asked.readiness).status == 503
+    asked.stopping = False
+    asked.path.beliefs.table = None
+    assert asked.ask(asked.readiness).status == 503
--- /dev/null
+++ b/tests/steering/test_membership.py
@@ -0,0 +1,152 @@
+"""Tests of the node's own entry in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pytest
+
+from gentianbank.domain.registration import NodeRegistration
+from gentianbank.domain.steering_settings import SteeringStore
+from gentianbank.steering.membership import Membership
+from gentianbank.storage.replicated import LeaseGone
+from tests.steering.test_store_sync import FakeStore
+from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from gentianbank.domain.errors import StoreUnavailable
+    from gentianbank.storage.store import Put
+
+LEASE_MS = 4_000
+ME = NodeRegistration(
+    vm='vm-1',
+    region='east',
+    failure_domain='east-1',
+    callers='10.0.0.1:1',
+    peers='10.0.0.1:2',
+)
+
+
+class LeaseStore(FakeStore):
+    """The store's leases, which run on the virtual clock."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+        self.ends_ms: dict[int, float] = {}
+        self.entries: dict[str, int] = {}
+
+    def lives(self, key: str) -> bool:
+        """Tell whether a key is there."""
+        lease = self.entries.get(key, 0)
+        return self.ends_ms.get(lease, 0.0) > self._loop.now_ms()
+
+    async def put(self, put: Put) -> Result[int, StoreUnavailable | LeaseGone]:
+        if error := await self._call():
+            return Error(error)
+        if not self._runs(put.lease):
+            return Error(LeaseGone())
+        self.entries[put.key] = put.lease
+        return Ok(1)
+
+    async def grant_lease_ms(
+        self, ttl_ms: int
+    ) -> Result[int, StoreUnavailable]:
+        if error := await self._call():
+            return Error(error)
+        lease = len(self.ends_ms) + 1
+        self.ends_ms[lease] = self._loop.now_ms() + ttl_ms
+        return Ok(lease)
+
+    async def renew_lease(
+        self, lease: int
+    ) -> Result[None, StoreUnavailable | LeaseGone]:
+        if error := await self._call():
+            return Error(error)
+        if not self._runs(lease):
+            return Error(LeaseGone())
+        self.ends_ms[lease] = self._loop.now_ms() + LEASE_MS
+        return Ok(None)
+
+    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
+        if error := await self._call():
+            return Error(error)
+        self.ends_ms[lease] = 0.0
+        return Ok(None)
+
+    def _runs(self, lease: int) -> bool:
+        return self.ends_ms.get(lease, 0.0) > self._loop.now_ms()
+
+
+class Node:
+    """A node that keeps its entry in a fake store."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self.store = LeaseStore(self.loop)
+        self.contacts = 0
+        settings = SteeringStore(address='10.0.0.9:1', lease_ms=LEASE_MS)
+        self.membership = Membership(ME, self.store, settings, self._contact)
+        self.task = self.loop.create_task(self.membership.run())
+        self.wait(0.1)
+
+    def wait(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @property
+    def is_registered(self) -> bool:
+        """Tell whether the node's entry is in the store."""
+        return self.store.lives('nodes/vm-1')
+
+    def _contact(self) -> None:
+        self.contacts += 1
+
+
+@pytest.fixture
+def node() -> Node:
+    return Node()
+
+
+def test_entry_lives_as_long_as_the_node(node: Node) -> None:
+    for _ in range(60):
+        assert node.is_registered
+        node.wait(0.5)
+
+
+@pytest.mark.parametrize('fault', ['refuse', 'silent'])
+def test_entry_is_back_soon_after_an_outage(node: Node, fault: str) -> None:
+    node.store.set_fault(fault)
+    node.wait(10)
+    assert not node.is_registered
+    before = node.contacts
+    node.store.set_fault('')
+    node.wait(1.8)
+    assert node.is_registered
+    assert node.contacts == before + 1
+
+
+def test_entry_that_was_removed_is_written_again(node: Node) -> None:
+    node.store.ends_ms = dict.fromkeys(node.store.ends_ms, 0.0)
+    node.membership.on_entry_gone()
+    node.wait(0.6)
+    assert node.is_registered
+
+
+def test_drain_leaving_node_is_named_no_more(node: Node) -> None:
+    node.loop.run_until_complete(node.membership.leave())
+    assert not node.is_registered
+    node.membership.on_entry_gone()
+    node.wait(30)
+    assert not node.is_registered
+
+
+def test_leaving_does_not_wait_for_a_silent_store(node: Node) -> None:
+    node.store.set_fault('silent')
+    began_s = node.loop.time()
+    node.loop.run_until_complete(node.membership.leave())
+    assert node.loop.time() - began_s <= 1.1
--- /dev/null
+++ b/tests/steering/test_store_sync.py
@@ -0,0 +1,351 @@
+"""Tests of the copy of the store, under faults of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pytest
+
+from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.domain.steering_settings import SteeringStore
+from gentianbank.steering.beliefs import Beliefs
+from gentianbank.steering.store_sync import StoreSync
+from gentianbank.storage.replicated import Changes
+from gentianbank.storage.replicated import HistoryGone
+from gentianbank.storage.replicated import LeaseGone
+from gentianbank.storage.replicated import Listing
+from gentianbank.storage.replicated import PrefixStore
+from gentianbank.storage.replicated import Removal
+from gentianbank.storage.store import StoredValue
+from tests.platform.test_documents import CONFIGURATION
+from tests.platform.test_documents import ENTRY
+from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from gentianbank.storage.store import Put
+
+CALL_S = 0.004
+GRACE_MS = 2_000.0
+
+
+class FakeStore(PrefixStore):
+    """The store, with faults that a test switches on.
+
+    Parameters
+    ----------
+    fault
+        ``''``, ``refuse`` or ``silent``.
+    """
+
+    def __init__(self) -> None:
+        self.values: dict[str, StoredValue] = {}
+        self.history: deque[StoredValue | Removal] = deque()
+        self.revision = 1
+        self.oldest = 0
+        self.fault = ''
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def write(self, key: str, value: Any) -> None:
+        """Write a document, or bytes as they are."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else _encode(value)
+        self.values[key] = StoredValue(key, data, self.revision)
+        self.history.append(self.values[key])
+        self._changed.set()
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.values[key]
+        self.history.append(Removal(key, self.revision))
+        self._changed.set()
+
+    def forget_history(self) -> None:
+        """Drop every change, and cut the watches."""
+        self.history.clear()
+        self.oldest = self.revision
+        self._changed.set()
+
+    def set_fault(self, fault: str) -> None:
+        """Begin or end a fault; watches that wait notice a refusal."""
+        self.fault = fault
+        if fault != 'silent':
+            self._changed.set()
+
+    async def list_prefix(
+        self, prefix: str
+    ) -> Result[Listing, StoreUnavailable]:
+        if error := await self._call():
+            return Error(error)
+        return Ok(Listing(tuple(self.values.values()), self.revision))
+
+    async def wait_for_changes(
+        self, prefix: str, after_revision: int, wait_ms: int
+    ) -> Result[Changes, StoreUnavailable | HistoryGone]:
+        if error := await self._call():
+            return Error(error)
+        if after_revision >= self.revision:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        if self.fault:
+            return Error(StoreUnavailable(self.fault))
+        if after_revision < self.oldest:
+            return Error(HistoryGone())
+        events = tuple(
+            event
+            for event in self.history
+            if event.mod_revision > after_revision
+        )
+        return Ok(Changes(events, self.revision))
+
+    async def put(self, put: Put) -> Result[int, StoreUnavailable | LeaseGone]:
+        raise AssertionError('not used')
+
+    async def grant_lease_ms(
+        self, ttl_ms: int
+    ) -> Result[int, StoreUnavailable]:
+        raise AssertionError('not used')
+
+    async def renew_lease(
+        self, lease: int
+    ) -> Result[None, StoreUnavailable | LeaseGone]:
+        raise AssertionError('not used')
+
+    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
+        raise AssertionError('not used')
+
+    async def _call(self) -> StoreUnavailable | None:
+        self.calls += 1
+        if self.fault == 'silent':
+            await asyncio.sleep(0.9)
+            return StoreUnavailable('silent')
+        await asyncio.sleep(CALL_S)
+        return StoreUnavailable(self.fault) if self.fault else None
+
+
+class Copy:
+    """A node's copy of a fake store with two targets."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self.store = FakeStore()
+        self.beliefs = Beliefs({'east-1': 'east'})
+        self.own_entry_lost = 0
+        self.sync = StoreSync(
+            vm='vm-1',
+            store=self.store,
+            settings=SteeringStore(address='10.0.0.1:1'),
+            beliefs=self.beliefs,
+            grace_ms=GRACE_MS,
+            on_own_entry_gone=self._lose_entry,
+            clock=self.loop.now_ms,
+        )
+        self.store.write('op/config', CONFIGURATION)
+        self.store.write('servers/i-1', ENTRY)
+        self.store.write('servers/i-2', ENTRY)
+        self.task = self.loop.create_task(self.sync.run())
+        self.wait(0.1)
+
+    def wait(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @property
+    def targets(self) -> set[str]:
+        """Return the ids of the targets that are believed in."""
+        return set(self.beliefs.targets)
+
+    def _lose_entry(self) -> None:
+        self.own_entry_lost += 1
+
+
+@pytest.fixture
+def copy() -> Copy:
+    return Copy()
+
+
+def test_listing_brings_everything(copy: Copy) -> None:
+    assert copy.beliefs.table is not None
+    assert copy.beliefs.table.version == 7
+    assert copy.targets == {'i-1', 'i-2'}
+
+
+def test_drain_reaches_the_node_at_once(copy: Copy) -> None:
+    copy.store.write('servers/i-1', ENTRY | {'state': 'draining'})
+    copy.wait(0.3)
+    assert copy.beliefs.targets['i-1'].registration.draining
+
+
+def test_drain_removal_reaches_the_node_at_once(copy: Copy) -> None:
+    copy.store.remove('servers/i-1')
+    copy.wait(0.3)
+    assert copy.targets == {'i-2'}
+
+
+def test_evacuation_begins_and_ends(copy: Copy) -> None:
+    copy.store.write('op/evacuate/east-1', {})
+    copy.wait(0.3)
+    assert copy.beliefs.evacuated == {'east-1'}
+    copy.store.remove('op/evacuate/east-1')
+    copy.wait(0.3)
+    assert copy.beliefs.evacuated == set()
+
+
+def test_changes_are_heard_while_nothing_changes_for_long(copy: Copy) -> None:
+    copy.wait(60)
+    copy.store.write('servers/i-3', ENTRY)
+    copy.wait(0.3)
+    assert 'i-3' in copy.targets
+
+
+def test_history_that_is_gone_leads_to_a_listing(copy: Copy) -> None:
+    copy.store.write('servers/i-3', ENTRY)
+    copy.store.remove('servers/i-1')
+    copy.store.forget_history()
+    copy.wait(1.0)
+    assert copy.targets == {'i-2', 'i-3'}
+
+
+@pytest.mark.parametrize('fault', ['refuse', 'silent'])
+def test_drain_during_an_outage_is_known_soon_after_it(
+    copy: Copy, fault: str
+) -> None:
+    copy.store.set_fault(fault)
+    copy.wait(5)
+    copy.store.write('servers/i-1', ENTRY | {'state': 'draining'})
+    copy.store.remove('servers/i-2')
+    copy.wait(5)
+    copy.store.set_fault('')
+    copy.wait(1.8)
+    assert copy.beliefs.targets['i-1'].registration.draining
+    gone = 'i-2' not in copy.targets
+    assert gone or copy.beliefs.targets['i-2'].is_doubtful
+
+
+def test_poke_ends_the_pause_after_a_failure(copy: Copy) -> None:
+    copy.store.set_fault('refuse')
+    copy.wait(5)
+    copy.store.write('servers/i-3', ENTRY)
+    copy.store.set_fault('')
+    copy.sync.poke()
+    copy.wait(0.05)
+    assert 'i-3' in copy.targets
+
+
+def test_lapsed_entries_are_kept_until_they_are_back(copy: Copy) -> None:
+    copy.store.set_fault('refuse')
+    copy.wait(6)
+    copy.store.remove('servers/i-1')
+    copy.store.remove('servers/i-2')
+    copy.store.set_fault('')
+    copy.wait(1.0)
+    assert copy.targets == {'i-1', 'i-2'}
+    assert copy.beliefs.targets['i-1'].is_doubtful
+    copy.store.write('servers/i-1', ENTRY)
+    copy.wait(0.3)
+    assert not copy.beliefs.targets['i-1'].is_doubtful
+    copy.wait(1.5)
+    assert copy.targets == {'i-1'}
+
+
+def test_lapsed_entry_ends_without_further_changes(copy: Copy) -> None:
+    copy.store.set_fault('refuse')
+    copy.wait(6)
+    copy.store.remove('servers/i-1')
+    copy.store.set_fault('')
+    copy.wait(0.6 + GRACE_MS / 1_000)
+    assert copy.targets == {'i-2'}
+
+
+def test_calls_are_few_at_rest_and_in_an_outage(copy: Copy) -> None:
+    before = copy.store.calls
+    copy.wait(60)
+    assert copy.store.calls - before <= 0.3 * 60
+    copy.store.set_fault('refuse')
+    before = copy.store.calls
+    copy.wait(60)
+    assert copy.store.calls - before <= 3 * 60
+
+
+@pytest.mark.parametrize(
+    'entry', [b'\xff', b'{}', ENTRY | {'state': 'asleep'}]
+)
+def test_unreadable_entry_names_no_target_and_others_hold(
+    copy: Copy, entry: Any
+) -> None:
+    copy.store.write('servers/i-1', entry)
+    copy.wait(0.3)
+    assert copy.targets == {'i-2'}
+
+
+def test_config_that_cannot_be_read_leaves_the_one_in_force(
+    copy: Copy,
+) -> None:
+    copy.store.write('op/config', CONFIGURATION | {'services': []})
+    copy.wait(0.3)
+    assert copy.beliefs.table is not None
+    assert copy.beliefs.table.version == 7
+
+
+def test_config_never_regresses(copy: Copy) -> None:
+    copy.store.write('op/config', CONFIGURATION | {'version': 6})
+    copy.wait(0.3)
+    assert copy.beliefs.table is not None
+    assert copy.beliefs.table.version == 7
+
+
+def test_target_that_was_born_again_knows_nothing(copy: Copy) -> None:
+    copy.beliefs.targets['i-1'].on_send(0.0, 'read/7')
+    copy.store.write('servers/i-1', ENTRY | {'born': ENTRY['born'] + 9})
+    copy.wait(0.3)
+    target = copy.beliefs.targets['i-1']
+    assert not target.knows('read/7')
+    assert target.is_cold(copy.loop.now_ms())
+
+
+def test_entry_that_is_written_again_changes_nothing(copy: Copy) -> None:
+    target = copy.beliefs.targets['i-1']
+    target.on_send(0.0, 'read/7')
+    copy.store.write('servers/i-1', ENTRY | {'sequence': 5})
+    copy.wait(0.3)
+    assert copy.beliefs.targets['i-1'] is target
+
+
+def test_new_target_is_cold(copy: Copy) -> None:
+    copy.store.write('servers/i-3', ENTRY)
+    copy.wait(0.3)
+    assert copy.beliefs.targets['i-3'].is_cold(copy.loop.now_ms())
+
+
+def test_own_entry_that_is_removed_is_reported(copy: Copy) -> None:
+    node = {
+        'vm': 'vm-1',
+        'region': 'east',
+        'failure_domain': 'east-1',
+        'callers': '10.0.0.1:1',
+        'peers': '10.0.0.1:2',
+    }
+    copy.store.write('nodes/vm-1', node)
+    copy.store.write('nodes/vm-2', node | {'vm': 'vm-2'})
+    copy.wait(0.6)
+    copy.store.remove('nodes/vm-1')
+    copy.store.remove('nodes/vm-2')
+    copy.wait(0.6)
+    assert copy.own_entry_lost == 1
+    assert 'vm-2' not in copy.beliefs.nodes
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/support/steering.py
@@ -0,0 +1,317 @@
+"""A node's request path over scripted targets, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from gentianbank.dataplane.exchange import Exchange
+from gentianbank.domain.registration import TargetRegistration
+from gentianbank.domain.route_table import CallerLimits
+from gentianbank.domain.route_table import Route
+from gentianbank.domain.route_table import RouteTable
+from gentianbank.domain.route_table import ServicePolicy
+from gentianbank.domain.route_table import SplitPart
+from gentianbank.domain.steering_settings import Bounds
+from gentianbank.steering.beliefs import Beliefs
+from gentianbank.steering.placer import Placer
+from gentianbank.steering.proxy import Proxy
+from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import SendError
+from gentianbank.targets.transport import TargetAnswer
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TargetTransport
+from gentianbank.targets.transport import TruncatedBodyError
+from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Coroutine
+
+    from gentianbank.targets.transport import RawHeaders
+
+REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
+HOST = 'shop.example'
+CHUNK_BYTES = 100_000
+STAMP = (b'server-stamp', b'stamp')
+READ = Route(
+    name='read',
+    prefix='/read/',
+    idempotent=True,
+    large=False,
+    timeout_ms=1_500,
+    goal_ms=400,
+    priority=2,
+    parts=(SplitPart('desk', 1),),
+    max_attempts=2,
+    sticky=True,
+    home_regions=frozenset(),
+)
+ORDER = replace(
+    READ,
+    name='order',
+    prefix='/order/',
+    idempotent=False,
+    goal_ms=600,
+    timeout_ms=2_000,
+    priority=1,
+)
+
+
+@dataclass(frozen=True)
+class Script:
+    """What a target does with a request."""
+
+    status: int = 200
+    body: bytes = b'whole'
+    headers: tuple[tuple[bytes, bytes], ...] = (STAMP,)
+    after_s: float = 0.1
+    failure: SendError | None = None
+    cut: bool = False
+    request_id: bytes | None = None
+
+
+SHED = Script(status=503, headers=((b'not-executed', b'1'),), after_s=0.002)
+LOST = Script(failure=MaybeSent('reset'), after_s=0.05)
+REFUSED = Script(failure=NotSent('refused'), after_s=0.001)
+SILENT = Script(after_s=3_600.0)
+FAILED = Script(status=500)
+
+
+class ScriptedAnswer(TargetAnswer):
+    """An answer that may be cut."""
+
+    def __init__(self, script: Script, request_id: bytes) -> None:
+        self._script = script
+        self._unread = script.body
+        self.status = script.status
+        echo = script.request_id or request_id
+        self.headers: RawHeaders = [
+            *script.headers,
+            (b'Request-Id', echo),
+        ]
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        if self._script.cut:
+            yield self._script.body[:1]
+            raise TruncatedBodyError('reset')
+        while self._unread:
+            chunk = self._unread[:CHUNK_BYTES]
+            self._unread = self._unread[CHUNK_BYTES:]
+            yield chunk
+
+    async def close(self) -> None:
+        return
+
+
+class ScriptedTargets(TargetTransport):
+    """Targets that do what their scripts say, by address."""
+
+    def __init__(self) -> None:
+        self.scripts: dict[str, list[Script]] = {}
+        self.default = Script()
+        self.requests: list[TargetRequest] = []
+        self.given_up: list[TargetRequest] = []
+
+    async def send(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, SendError]:
+        queue = self.scripts.get(request.address, [])
+        script = queue.pop(0) if queue else self.default
+        if not isinstance(script.failure, NotSent):
+            self.requests.append(request)
+        try:
+            async with asyncio.timeout(request.headers_timeout_ms / 1_000):
+                await asyncio.sleep(script.after_s)
+        except TimeoutError:
+            self.given_up.append(request)
+            return Error(MaybeSent('no answer in time'))
+        except asyncio.CancelledError:
+            self.given_up.append(request)
+            raise
+        if script.failure is not None:
+            return Error(script.failure)
+        sent_id = header(request.headers, b'request-id')
+        return Ok(ScriptedAnswer(script, sent_id))
+
+
+@dataclass
+class Reply:
+    """What a caller has got."""
+
+    status: int = 0
+    headers: RawHeaders = field(default_factory=list)
+    body: bytes = b''
+    complete: bool = False
+    at_ms: float = 0.0
+
+
+class Caller:
+    """Sends one request over ASGI messages."""
+
+    def __init__(self, loop: VirtualLoop, **head: Any) -> None:
+        self._loop = loop
+        self._parts = [head.pop('body', b'')]
+        self.gone = asyncio.Event()
+        self.reply = Reply()
+        headers = {
+            'host': HOST,
+            'request-id': head.get('request_id', 'r-1'),
+            'affinity-key': head.get('key', '7'),
+            'deadline-ms': str(head.get('deadline_ms', 3_000)),
+        }
+        if self._parts[0]:
+            headers['content-length'] = str(len(self._parts[0]))
+        headers |= head.get('headers', {})
+        path = head.get('path', '/read/1')
+        raw_path, _, query = path.partition('?')
+        self.scope = {
+            'method': head.get('method', 'GET'),
+            'path': raw_path,
+            'raw_path': raw_path.encode(),
+            'query_string': query.encode(),
+            'headers': [(k.encode(), v.encode()) for k, v in headers.items()],
+        }
+
+    def exchange(self) -> Exchange:
+        return Exchange(self.scope, self._receive, self._send)
+
+    async def _receive(self) -> dict[str, Any]:
+        if self._parts:
+            return {'type': 'http.request', 'body': self._parts.pop(0)}
+        await self.gone.wait()
+        return {'type': 'http.disconnect'}
+
+    async def _send(self, message: Any) -> None:
+        reply = self.reply
+        if message['type'] == 'http.response.start':
+            reply.status = message['status']
+            reply.headers = message['headers']
+            return
+        reply.body += message.get('body', b'')
+        if not message.get('more_body', False):
+            reply.complete = True
+            reply.at_ms = self._loop.now_ms()
+
+
+class Path:
+    """One node's request path; targets ``desk-1`` and on in east-1."""
+
+    def __init__(self, targets: int = 3, **bounds: float) -> None:
+        self.loop = VirtualLoop()
+        self.beliefs = Beliefs(dict(REGIONS))
+        self.put_table()
+        self.transport = ScriptedTargets()
+        settings = Bounds(**bounds)
+        self.stopping = False
+        placer = Placer(
+            vm='vm-1',
+            region='east',
+            failure_domain='east-1',
+            beliefs=self.beliefs,
+            bounds=settings,
+            clock=self.loop.now_ms,
+        )
+        self.proxy = Proxy(
+            beliefs=self.beliefs,
+            placer=placer,
+            transport=self.transport,
+            bounds=settings,
+            is_stopping=lambda: self.stopping,
+            clock=self.loop.now_ms,
+        )
+        for number in range(1, targets + 1):
+            self.put_target(f'desk-{number}')
+
+    def put_table(self, version: int = 1, *routes: Route) -> None:
+        """Put a configuration in force."""
+        self.beliefs.put_table(table(version, *routes))
+
+    def put_target(self, name: str, **changes: Any) -> None:
+        """Register a target or change its entry."""
+        self.beliefs.put_target(
+            registration(name, **changes), self.loop.now_ms(), first=True
+        )
+
+    def ask(self, **head: Any) -> Reply:
+        """Send one request and wait for its end."""
+        return self.ask_many([head])[0]
+
+    def ask_many(self, heads: list[dict[str, Any]]) -> list[Reply]:
+        """Send requests at once and wait for all of them."""
+        callers = [Caller(self.loop, **head) for head in heads]
+
+        async def serve() -> None:
+            await asyncio.gather(
+                *(self.proxy.serve(caller.exchange()) for caller in callers)
+            )
+
+        self.run(serve())
+        return [caller.reply for caller in callers]
+
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work on the virtual clock."""
+        self.loop.run_until_complete(work)
+
+    def sent_to(self) -> list[str]:
+        """Return the ids of the targets that got requests, in order."""
+        return [
+            header(request.headers, b'expect-instance').decode()
+            for request in self.transport.requests
+        ]
+
+
+def registration(name: str, **changes: Any) -> TargetRegistration:
+    """Return a target's entry."""
+    fields: dict[str, Any] = {
+        'target_id': name,
+        'service': 'desk',
+        'address': f'10.0.0.{name.rpartition("-")[2]}:80',
+        'failure_domain': 'east-1',
+        'slots': 2,
+        'draining': False,
+        'cold_left_ms': 0.0,
+        'born_ms': 1,
+    }
+    return TargetRegistration(**(fields | changes))
+
+
+def table(version: int, *routes: Route) -> RouteTable:
+    """Return a configuration."""
+    services = {
+        part.service
+        for route in routes or (READ, ORDER)
+        for part in route.parts
+    }
+    return RouteTable(
+        version=version,
+        hosts={HOST: routes or (READ, ORDER)},
+        services={
+            name: ServicePolicy(
+                name=name,
+                health_path='/health',
+                max_connections=100,
+                cold_start_ms=3_000,
+                cold_per_s=7,
+            )
+            for name in services
+        },
+        limits=CallerLimits(max_body_bytes=1_000_000, idle_timeout_ms=15_000),
+    )
+
+
+def header(headers: RawHeaders, name: bytes) -> bytes:
+    """Return a header's value; empty when it is missing."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return b''
--- /dev/null
+++ b/tests/targets/test_pool.py
@@ -0,0 +1,295 @@
+"""Tests of connections to targets, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+import socket
+import struct
+from typing import Any
+from typing import TYPE_CHECKING
+
+from expression import Result
+import pytest
+
+from gentianbank.targets.pool import ConnectionPool
+from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
+from gentianbank.targets.transport import SendError
+from gentianbank.targets.transport import TargetAnswer
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+PATIENCE_S = 10.0
+RESET = b'RESET'
+CLOSE = b'CLOSE'
+HANG = b'HANG'
+
+
+def answer(request_id: str, body: str = 'whole', more: str = '') -> bytes:
+    """Return an answer with a length."""
+    head = f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{more}'
+    return f'{head}Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+
+
+@dataclass
+class Server:
+    """Answers the requests of each connection by its scripts, in order."""
+
+    scripts: list[list[bytes]]
+    heads: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+    address: str = ''
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        script = self.scripts[min(self.connections, len(self.scripts) - 1)]
+        self.connections += 1
+        try:
+            for data in script:
+                self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+                await self._act(data, reader, writer)
+            await reader.read()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.ended.set()
+            writer.close()
+
+    async def _act(
+        self,
+        data: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if data == HANG:
+            await reader.read()
+            return
+        if data.endswith((RESET, CLOSE)):
+            writer.write(data[:-5])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if data.endswith(RESET):
+                _reset(writer)
+            else:
+                writer.close()
+            raise ConnectionError
+        writer.write(data)
+        await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    linger = struct.pack('ii', 1, 0)
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def build(address: str, request_id: str = 'r-1', **changes: Any) -> Any:
+    """Return a request."""
+
+    def owns_answer(headers: list[tuple[bytes, bytes]]) -> bool:
+        names = {name.lower(): value for name, value in headers}
+        return names.get(b'request-id') == request_id.encode()
+
+    fields: dict[str, Any] = {
+        'address': address,
+        'method': 'GET',
+        'path': b'/a?b=c',
+        'headers': [(b'host', b'h'), (b'request-id', request_id.encode())],
+        'body': None,
+        'max_connections': 8,
+        'connect_timeout_ms': 2_000,
+        'headers_timeout_ms': 5_000,
+        'owns_answer': owns_answer,
+    }
+    return TargetRequest(**(fields | changes))
+
+
+async def read(sent: Result[TargetAnswer, SendError]) -> bytes:
+    """Return the whole body of an answer."""
+    match sent:
+        case Result(tag='ok', ok=found):
+            return b''.join([chunk async for chunk in found.chunks()])
+        case Result(error=error):
+            raise AssertionError(error)
+
+
+def run(
+    scripts: list[list[bytes]],
+    test: Callable[[ConnectionPool, Server], Coroutine[Any, Any, None]],
+) -> Server:
+    """Run a test against a scripted server."""
+    served = Server(scripts)
+
+    async def body() -> None:
+        listener = await asyncio.start_server(served.serve, '127.0.0.1', 0)
+        host, port = listener.sockets[0].getsockname()
+        served.address = f'{host}:{port}'
+        pool = ConnectionPool()
+        async with asyncio.timeout(PATIENCE_S):
+            await test(pool, served)
+        await pool.close()
+        listener.close()
+
+    asyncio.run(body())
+    return served
+
+
+def test_connection_is_kept_for_the_next_request() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        for name in ('r-1', 'r-2'):
+            sent = await pool.send(build(server.address, name))
+            assert await read(sent) == b'whole'
+
+    server = run([[answer('r-1'), answer('r-2')]], test)
+    assert server.connections == 1
+    assert server.heads[0].startswith(b'GET /a?b=c HTTP/1.1\r\n')
+
+
+@pytest.mark.parametrize(
+    'first',
+    [
+        answer('r-1', more='Connection: close\r\n'),
+        answer('r-1', more='Keep-Alive: timeout=1\r\n'),
+        answer('r-1') + answer('r-0', 'other'),
+        answer('r-1') + b'noise',
+    ],
+    ids=['close', 'short idle time', 'second answer', 'noise'],
+)
+def test_connection_that_cannot_be_trusted_is_left(first: bytes) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        for name in ('r-1', 'r-2'):
+            sent = await pool.send(build(server.address, name))
+            assert await read(sent) == b'whole'
+
+    assert run([[first], [answer('r-2')]], test).connections == 2
+
+
+def test_bytes_on_an_idle_connection_end_it() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        await read(await pool.send(build(server.address)))
+        await server.ended.wait()
+        await asyncio.sleep(0.05)
+        sent = await pool.send(build(server.address, 'r-2'))
+        assert await read(sent) == b'whole'
+
+    late = answer('r-1') + CLOSE
+    assert run([[late], [answer('r-2')]], test).connections == 2
+
+
+def test_answer_to_another_request_is_skipped() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build(server.address))
+        assert await read(sent) == b'whole'
+
+    run([[answer('r-0', 'other') + answer('r-1')]], test)
+
+
+def test_answer_without_length_ends_with_the_connection() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build(server.address))
+        assert await read(sent) == b'all of it'
+
+    head = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\nall of it'
+    run([[head + CLOSE]], test)
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\nsome' + RESET,
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
+        b'Content-Length: 9\r\n\r\nsome' + CLOSE,
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n' + CLOSE,
+    ],
+    ids=['reset without length', 'short', 'no last chunk'],
+)
+def test_answer_that_ends_early_is_not_whole(data: bytes) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        with pytest.raises(TruncatedBodyError):
+            await read(await pool.send(build(server.address)))
+
+    run([[data]], test)
+
+
+@pytest.mark.parametrize(
+    'data', [b'nonsense\r\n\r\n', RESET, CLOSE, HANG, answer('r-0') + CLOSE]
+)
+def test_request_without_an_answer_may_have_been_sent(data: bytes) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        request = build(server.address, headers_timeout_ms=300)
+        match await pool.send(request):
+            case Result(tag='error', error=error):
+                assert isinstance(error, MaybeSent)
+            case _:
+                raise AssertionError('answered')
+
+    run([[data]], test)
+
+
+def test_refused_connection_is_not_sent() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        match await pool.send(build('127.0.0.1:1')):
+            case Result(tag='error', error=error):
+                assert isinstance(error, NotSent)
+            case _:
+                raise AssertionError('answered')
+
+    run([[]], test)
+
+
+def test_connections_to_a_target_are_limited_and_counted_out() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        request = build(server.address, max_connections=1)
+        first = asyncio.create_task(pool.send(request))
+        await asyncio.sleep(0.1)
+        refused = await pool.send(request)
+        assert isinstance(refused.error, NotSent)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        await asyncio.sleep(0.1)
+        assert await read(await pool.send(request)) == b'whole'
+
+    run([[HANG], [answer('r-1')]], test)
+
+
+def test_cancelled_request_ends_the_connection() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        task = asyncio.create_task(pool.send(build(server.address)))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await server.ended.wait()
+
+    run([[HANG]], test)
+
+
+def test_answer_before_the_body_is_sent_spoils_nothing() -> None:
+    async def body() -> Any:
+        yield b'first'
+        await asyncio.sleep(0.2)
+        yield b'second'
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        request = build(
+            server.address,
+            method='POST',
+            headers=[(b'host', b'h'), (b'content-length', b'11')],
+            body=body(),
+        )
+        assert await read(await pool.send(request)) == b'whole'
+        sent = await pool.send(build(server.address, 'r-2'))
+        assert await read(sent) == b'whole'
+
+    # What the server reads next is the rest of the body, then a head.
+    server = run([[answer('r-1'), answer('r-2')]], test)
+    assert server.heads[-1].startswith((b'firstsecondGET', b'GET'))
