--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -106,7 +106,9 @@
         )
         self._callers = _server(addresses.callers, ProxyApp(self._proxy))
         readiness = ReadinessApp(self._beliefs, self._stop.is_set)
-        lookups = LookupApp(me, self._beliefs, self._stop.is_set)
+        lookups = LookupApp(
+            me, self._beliefs, self._stop.is_set, bounds.max_cache_s
+        )
         self._servers = (
             self._callers,
             _server(addresses.readiness, readiness),
@@ -119,7 +121,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(
-            signal.SIGHUP, logging.info, 'settings are read at the start'
+            signal.SIGHUP,
+            logging.info,
+            'SIGHUP ignored: settings are read at the start only',
         )
         work = [asyncio.create_task(s.serve()) for s in self._servers]
         work.append(asyncio.create_task(self._sync.run()))
--- a/src/gentianbank/steering/apps.py
+++ b/src/gentianbank/steering/apps.py
@@ -19,6 +19,7 @@
     from gentianbank.steering.proxy import Proxy
 
 App = Callable[[ASGIMessage, Receive, SendMessage], Awaitable[None]]
+# Short, so that callers soon leave a node that has ended.
 CACHE_S = 1.0
 _JSON = [(b'content-type', b'application/json')]
 
@@ -63,7 +64,9 @@
         me: NodeRegistration,
         beliefs: Beliefs,
         is_stopping: Callable[[], bool],
+        max_cache_s: float,
     ) -> None:
+        self._cache_s = min(CACHE_S, max_cache_s)
         self._me = me
         self._beliefs = beliefs
         self._is_stopping = is_stopping
@@ -80,7 +83,7 @@
         if not addresses:
             await exchange.answer(503, _JSON, b'{}')
             return
-        body = lookup.encode_answer(addresses, CACHE_S)
+        body = lookup.encode_answer(addresses, self._cache_s)
         await exchange.answer(200, _JSON, body)
 
     def _living(self) -> list[NodeRegistration]:
--- a/tests/steering/test_apps.py
+++ b/tests/steering/test_apps.py
@@ -35,7 +35,7 @@
     def __init__(self) -> None:
         self.path = Path()
         self.stopping = False
-        self.lookups = LookupApp(ME, self.path.beliefs, self._is_stopping)
+        self.lookups = LookupApp(ME, self.path.beliefs, self._is_stopping, 0.5)
         self.readiness = ReadinessApp(self.path.beliefs, self._is_stopping)
 
     def ask(self, app: App, path: str = QUERY) -> Reply:
@@ -69,6 +69,11 @@
     assert Node().addresses() == ['10.0.0.1:80']
 
 
+def test_lookup_is_cached_no_longer_than_allowed() -> None:
+    asked = Node()
+    assert json.loads(asked.ask(asked.lookups).body)['ttlS'] == 0.5
+
+
 def test_lookup_of_a_stopping_node_names_others() -> None:
     asked = Node()
     asked.path.beliefs.nodes['vm-2'] = node('vm-2', 'east-2')
