--- a/tests/control/test_budgets.py
+++ b/tests/control/test_budgets.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections import defaultdict
 from collections import deque
+import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -332,11 +333,15 @@
     machine.teardown()
 
 
-def test_unused_loans_end() -> None:
+@pytest.mark.parametrize('seed', range(4))
+def test_unused_loans_end(seed: int) -> None:
+    random.seed(seed)
     _let_loans_end()
 
 
-def test_requests_end_before_their_loan() -> None:
+@pytest.mark.parametrize('seed', range(4))
+def test_requests_end_before_their_loan(seed: int) -> None:
+    random.seed(seed)
     _use_loans_to_their_end()
 
 
