--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -18,6 +18,7 @@
 from gentianbank.dataplane.routing import Unavailable
 from gentianbank.policy.retry import MAX_ATTEMPTS
 from gentianbank.policy.retry import RetryBudget
+from gentianbank.targets.http_headers import find
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -235,13 +236,13 @@
         in_flight = http_headers.reported_in_flight(answer.headers)
         if in_flight is not None:
             self._routing.on_report(permit.target.name, in_flight)
-        echo = http_headers.find(answer.headers, http_headers.REQUEST_ID)
+        echo = find(answer.headers, http_headers.REQUEST_ID)
         if echo is not None and echo != attempt_id.encode():
             await answer.close()
             self._routing.on_failure(permit)
             self._metrics.on_crossed(permit.service)
             return Error(MaybeSent('the answer is to another request'))
-        if http_headers.find(answer.headers, http_headers.NOT_RUN) == b'true':
+        if find(answer.headers, http_headers.NOT_RUN) == b'true':
             await answer.close()
             return Error(_Shed(f'the target answered {answer.status}'))
         self._routing.on_answer(permit, self._clock() - sent_ms)
--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -5,6 +5,9 @@
 import json
 from typing import TYPE_CHECKING
 
+from gentianbank.targets.http_headers import find
+from gentianbank.targets.http_headers import HOP_BY_HOP
+
 if TYPE_CHECKING:
     from gentianbank.targets.transport import RawHeaders
 
@@ -14,20 +17,7 @@
 NOT_RUN = b'request-not-run'
 LOAD_REPORT = b'endpoint-load-metrics'
 _JSON_PREFIX = 'JSON '
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
-_REPLACED = _HOP_BY_HOP | {b'host', REQUEST_ID, TIMEOUT, KEY, b'via'}
+_REPLACED = HOP_BY_HOP | {b'host', REQUEST_ID, TIMEOUT, KEY, b'via'}
 
 
 def for_target(
@@ -77,19 +67,11 @@
     return [
         (name.lower(), value)
         for name, value in received
-        if name.lower() not in _HOP_BY_HOP
+        if name.lower() not in HOP_BY_HOP
         and name.lower() not in (REQUEST_ID, LOAD_REPORT)
     ]
 
 
-def find(headers: RawHeaders, name: bytes) -> bytes | None:
-    """Return the value of a header, by its lower-case name."""
-    for key, value in headers:
-        if key.lower() == name:
-            return value
-    return None
-
-
 def reported_in_flight(headers: RawHeaders) -> int | None:
     """Return the requests in flight of an ORCA load report.
 
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.targets.http_headers import find
+from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
     from gentianbank.targets.transport import RawHeaders
@@ -21,22 +23,9 @@
 _NOT_RUN = b'not-executed'
 _MISDIRECTED = 421
 _USUAL_PERCENT = 100.0
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'expect',
-    )
-)
-_REPLACED = _HOP_BY_HOP | {TIME_LEFT, EXPECTED_TARGET, b'content-length'}
-_FRAMING = _HOP_BY_HOP | {b'content-length', _LOAD}
+_ONE_CONNECTION = HOP_BY_HOP | {b'expect'}
+_REPLACED = _ONE_CONNECTION | {TIME_LEFT, EXPECTED_TARGET, b'content-length'}
+_FRAMING = _ONE_CONNECTION | {b'content-length', _LOAD}
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,14 +78,6 @@
     ]
 
 
-def find(headers: RawHeaders, name: bytes) -> bytes | None:
-    """Return the value of a header, by its lower-case name."""
-    for key, value in headers:
-        if key.lower() == name:
-            return value
-    return None
-
-
 def says_not_run(status: int, headers: RawHeaders) -> bool:
     """Tell whether a target says that it did not run the request."""
     return is_misdirected(status) or find(headers, _NOT_RUN) is not None
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from gentianbank.policy.target_load import TargetLoad
 
@@ -29,6 +28,8 @@
 DOMAIN_MS_PER_KB = 1.3
 REGION_MS_PER_KB = 3.0
 FAILURE_MS = 1_500.0
+# Time on the way to a target and back, the same for all.
+TRAVEL_MS = 5.0
 # A target's own queue is used up to this many requests a slot: short, since
 # who waits longer is late, and shorter for what is less urgent.
 MAX_QUEUE_PER_SLOT = 0.5
@@ -119,15 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Full:
-    """Targets exist, but none can answer in time.
-
-    Parameters
-    ----------
-    wait_ms
-        Shortest expected wait.
-    """
-
-    wait_ms: float
+    """Targets exist, but none can answer in time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,18 +131,8 @@
 Placement = Placed | Full | NoTarget
 
 
-@dataclass(slots=True)
-class _Best:
-    target: TargetLoad | None = None
-    cost_ms: float = float('inf')
-    expected_ms: float = 0.0
-    wait_ms: float = 0.0
-    warm: bool = False
-    shortest_wait_ms: float = field(default=float('inf'))
-
-
 def place(
-    demand: Demand, ordered: Iterable[TargetLoad], now_ms: float
+    demand: Demand, ordered: Sequence[TargetLoad], now_ms: float
 ) -> Placement:
     """Choose the target with the least expected cost.
 
@@ -158,7 +141,10 @@
     ordered
         Targets that may be used, by the order of the request's object.
     """
-    best = _Best()
+    if not ordered:
+        return NoTarget()
+    best: Placed | None = None
+    best_cost_ms = float('inf')
     times = demand.times
     queue_per_slot = MAX_QUEUE_PER_SLOT
     if demand.urgent:
@@ -168,7 +154,6 @@
         over = target.occupancy(now_ms) - slots + 1
         slowdown = target.slowdown(now_ms)
         wait_ms = max(0.0, over) / slots * times.mean_ms * slowdown
-        best.shortest_wait_ms = min(best.shortest_wait_ms, wait_ms)
         if over > slots * queue_per_slot:
             continue
         known = bool(demand.topic) and target.knows(demand.topic)
@@ -181,22 +166,15 @@
             work_ms = _unknown_ms(times, rank, settled) * slowdown
         if target.is_cold(now_ms):
             work_ms *= 2
-        expected_ms = wait_ms + work_ms + target.connect_ms
+        expected_ms = wait_ms + work_ms + TRAVEL_MS
         if wait_ms and not _is_in_time(demand, expected_ms):
             continue
         cost_ms = expected_ms + _carriage_ms(demand, target)
         cost_ms += target.failure_rate * FAILURE_MS
-        if cost_ms < best.cost_ms:
-            best.target = target
-            best.cost_ms = cost_ms
-            best.expected_ms = expected_ms
-            best.wait_ms = wait_ms
-            best.warm = known
-    if best.target is not None:
-        return Placed(best.target, best.expected_ms, best.wait_ms, best.warm)
-    if best.shortest_wait_ms < float('inf'):
-        return Full(best.shortest_wait_ms)
-    return NoTarget()
+        if cost_ms < best_cost_ms:
+            best_cost_ms = cost_ms
+            best = Placed(target, expected_ms, wait_ms, known)
+    return best or Full()
 
 
 def _is_in_time(demand: Demand, expected_ms: float) -> bool:
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -26,8 +26,6 @@
 SUSPECT_MAX_MS = 4_000.0
 # Another target has the address; the store's next word ends this.
 MISDIRECTED_MS = 15_000.0
-INITIAL_CONNECT_MS = 5.0
-CONNECT_SMOOTHING = 0.3
 
 
 @dataclass(slots=True, eq=False)
@@ -65,7 +63,6 @@
     failures_in_row: int = 0
     suspect_until_ms: float = float('-inf')
     is_doubtful: bool = False
-    connect_ms: float = INITIAL_CONNECT_MS
     cold: ColdAllowance = field(default_factory=ColdAllowance)
     _objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
@@ -147,10 +144,6 @@
         pause_ms = SUSPECT_MIN_MS * 2**step
         self.suspect_until_ms = now_ms + min(pause_ms, SUSPECT_MAX_MS)
 
-    def on_connect(self, connect_ms: float) -> None:
-        """Take the time that opening a connection took."""
-        self.connect_ms += CONNECT_SMOOTHING * (connect_ms - self.connect_ms)
-
     def forget_objects(self) -> None:
         """Forget which objects are warm, as the target started anew."""
         self._objects.clear()
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -32,8 +32,6 @@
         Configuration in force; nothing before the first one.
     targets
         Registered targets, by id.
-    leaving
-        Ids of targets that have said that they leave.
     evacuated
         Failure domains that get nothing.
     generation
@@ -70,10 +68,7 @@
             need not have started just now.
         """
         held = self.targets.get(entry.target_id)
-        restarted = (
-            held is not None and held.registration.born_ms != entry.born_ms
-        ) or (held is not None and held.registration.address != entry.address)
-        if held is None or restarted:
+        if held is None or _is_other_start(held.registration, entry):
             held = TargetLoad(entry, self._region(entry), now_ms)
             self.targets[entry.target_id] = held
             if not first:
@@ -119,15 +114,6 @@
             and target.registration.failure_domain not in self.evacuated
         ]
 
-    def is_usable(self, target: TargetLoad) -> bool:
-        """Tell whether a target may get requests now."""
-        entry = target.registration
-        return (
-            self.targets.get(entry.target_id) is target
-            and not entry.draining
-            and entry.failure_domain not in self.evacuated
-        )
-
     def _region(self, entry: TargetRegistration) -> str:
         return self.regions.get(entry.failure_domain, '')
 
@@ -136,3 +122,9 @@
             return DEFAULT_COLD_MS
         policy = self.table.services.get(entry.service)
         return policy.cold_start_ms if policy else DEFAULT_COLD_MS
+
+
+def _is_other_start(
+    held: TargetRegistration, entry: TargetRegistration
+) -> bool:
+    return held.born_ms != entry.born_ms or held.address != entry.address
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -164,7 +164,7 @@
         )
         placement = place(demand, sound or fit, now_ms)
         if isinstance(placement, NoTarget) and order:
-            return Full(0.0)
+            return Full()
         return placement
 
     def _is_urgent(self, route: Route, service: str) -> bool:
--- a/src/gentianbank/steering/replies.py
+++ b/src/gentianbank/steering/replies.py
@@ -9,6 +9,7 @@
 from gentianbank.platform import headers as wire
 from gentianbank.steering.request_log import AnswerEndedEarly
 from gentianbank.steering.request_log import RequestRefused
+from gentianbank.targets.http_headers import find
 from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
@@ -115,7 +116,7 @@
         server closes the connection and the caller can tell.
         """
         assert answer.rest is not None
-        size = wire.find(answer.headers, b'content-length')
+        size = find(answer.headers, b'content-length')
         if size is not None:
             headers.append((b'content-length', size))
         try:
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -10,6 +10,8 @@
 from expression import Result
 
 from gentianbank.platform import headers as wire
+from gentianbank.policy.placement import TRAVEL_MS
+from gentianbank.targets.http_headers import find
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
@@ -141,7 +143,7 @@
         left_ms = request.end_ms - self._clock()
 
         def owns_answer(headers: RawHeaders) -> bool:
-            echo = wire.find(headers, wire.REQUEST_ID)
+            echo = find(headers, wire.REQUEST_ID)
             return echo is None or echo == request.request_id
 
         return TargetRequest(
@@ -200,7 +202,7 @@
             if not _is_sound(headers):
                 await answer.close()
                 return Broken("the answer is not the target's own")
-            work_ms = self._clock() - sent_ms - target.connect_ms
+            work_ms = self._clock() - sent_ms - TRAVEL_MS
             logging.debug(
                 'answered',
                 extra={
@@ -242,8 +244,8 @@
 
 def _is_sound(headers: RawHeaders) -> bool:
     """Tell whether a success bears what every answer of a target bears."""
-    if wire.find(headers, wire.STAMP) is None:
+    if find(headers, wire.STAMP) is None:
         return False
-    if wire.find(headers, wire.REQUEST_ID) is None:
+    if find(headers, wire.REQUEST_ID) is None:
         return False
-    return wire.find(headers, wire.CONTENT_ENCODING) is None
+    return find(headers, wire.CONTENT_ENCODING) is None
--- /dev/null
+++ b/src/gentianbank/targets/http_headers.py
@@ -0,0 +1,30 @@
+"""Headers of HTTP/1.1 that both interfaces treat alike."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gentianbank.targets.transport import RawHeaders
+
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def find(headers: RawHeaders, name: bytes) -> bytes | None:
+    """Return the value of a header, by its lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -50,11 +50,6 @@
                 connection.wire.close()
         self._idle.clear()
 
-    def forget(self, address: str) -> None:
-        """Close the kept connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.wire.close()
-
     async def send(
         self, request: TargetRequest
     ) -> Result[TargetAnswer, SendError]:
@@ -112,7 +107,6 @@
         count = _Count(self._open, address)
         peer = parse_address(address)
         loop = asyncio.get_running_loop()
-        started_s = time.monotonic()
         try:
             async with asyncio.timeout(request.connect_timeout_ms / _MS_PER_S):
                 _, wire = await loop.create_connection(
@@ -126,8 +120,7 @@
         except BaseException:
             count.release()
             raise
-        connect_ms = (time.monotonic() - started_s) * _MS_PER_S
-        return Ok(_Connection(self, address, wire, connect_ms))
+        return Ok(_Connection(self, address, wire))
 
 
 class _Count:
@@ -150,20 +143,11 @@
 
 
 class _Connection:
-    """One connection, which carries one request at a time.
+    """One connection, which carries one request at a time."""
 
-    Parameters
-    ----------
-    connect_ms
-        Time that opening the connection took.
-    """
-
-    def __init__(
-        self, pool: ConnectionPool, address: str, wire: Wire, connect_ms: float
-    ) -> None:
+    def __init__(self, pool: ConnectionPool, address: str, wire: Wire) -> None:
         self.address = address
         self.wire = wire
-        self.connect_ms: float | None = connect_ms
         self.idle_until_s = 0.0
         self._pool = pool
         self._parser = _new_parser()
@@ -216,7 +200,6 @@
             self.abort()
             return
         self._parser.start_next_cycle()
-        self.connect_ms = None
         self.idle_until_s = time.monotonic() + _idle_s(head)
         self._pool.keep(self)
 
@@ -275,7 +258,6 @@
         self._open = True
         self.status = head.status_code
         self.headers: RawHeaders = list(head.headers.raw_items())
-        self.connect_ms = connection.connect_ms
 
     async def chunks(self) -> AsyncIterator[bytes]:
         try:
--- a/tests/dataplane/test_whole_answers.py
+++ b/tests/dataplane/test_whole_answers.py
@@ -13,7 +13,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
-from gentianbank.dataplane import headers as http_headers
+from gentianbank.dataplane import attempts
+from gentianbank.targets.http_headers import find
 from gentianbank.targets.transport import TruncatedBodyError
 from tests.support import fakes
 from tests.support.machines import check_machine
@@ -119,12 +120,10 @@
 def test_proof_catches_answers_that_are_not_compared(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    find = http_headers.find
-
     def find_nothing(headers: Any, name: bytes) -> bytes | None:
         return None if name == b'x-request-id' else find(headers, name)
 
-    monkeypatch.setattr(http_headers, 'find', find_nothing)
+    monkeypatch.setattr(attempts, 'find', find_nothing)
     check_mutant(WholeAnswers, 'answer of another request', steps=20)
 
 
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -18,6 +18,8 @@
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianbank.domain.errors import StoreUnavailable
     from gentianbank.storage.store import Put
 
@@ -108,8 +110,10 @@
 
 
 @pytest.fixture
-def node() -> Node:
-    return Node()
+def node() -> Iterator[Node]:
+    made = Node()
+    yield made
+    made.loop.end()
 
 
 def test_entry_lives_as_long_as_the_node(node: Node) -> None:
--- a/tests/steering/test_store_sync.py
+++ b/tests/steering/test_store_sync.py
@@ -29,6 +29,8 @@
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianbank.storage.store import Put
 
 CALL_S = 0.004
@@ -172,8 +174,10 @@
 
 
 @pytest.fixture
-def copy() -> Copy:
-    return Copy()
+def copy() -> Iterator[Copy]:
+    made = Copy()
+    yield made
+    made.loop.end()
 
 
 def test_listing_brings_everything(copy: Copy) -> None:
