--- a/tests/support/virtual_loop.py
+++ b/tests/support/virtual_loop.py
@@ -35,7 +35,9 @@
         tasks = asyncio.all_tasks(self)
         for task in tasks:
             task.cancel()
-        self.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            ended = asyncio.gather(*tasks, return_exceptions=True)
+            self.run_until_complete(ended)
         self.close()
         asyncio.set_event_loop(None)
 
