Write logs from a bounded queue to standard output, and serve metrics on the platform

Cause: on-call engineers have only logs and metrics. Lines went to standard error by blocking writes, successes were not told of, decisions came without their inputs, no metrics were served on the platform and SIGHUP did nothing.

Change: a thread writes the lines; when the reader stalls, samples are dropped first, then lines of requests, then changes of belief, and the counts are told. Each attempt is a line with what decided for the target; each refusal names the busy targets and the age of the store's copy. Counters and histograms (OpenTelemetry, imported in a thread after the node serves) stand on a metrics address. Settings are read again on SIGHUP or when the file changes; a bad file leaves the old ones in force.

--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -48,6 +48,13 @@
     sticky: bool
     home_regions: frozenset[str]
 
+    @property
+    def kind(self) -> str:
+        """Return how the route's requests are told apart in metrics."""
+        if self.large:
+            return 'large'
+        return 'idempotent' if self.idempotent else 'once'
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServicePolicy:
--- a/src/gentianbank/domain/settings.py
+++ b/src/gentianbank/domain/settings.py
@@ -53,13 +53,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Logging:
-    """How the daemon logs."""
+    """How the daemon logs.
+
+    Parameters
+    ----------
+    request_lines_per_s
+        Lines of requests that are written in any second, on the users'
+        platform; half of them may be samples of what went well.
+    """
 
     json: bool = schema.flag(default=False)
     level: str = schema.text(
         choices=('debug', 'info', 'warning', 'error'), default='info'
     )
     requests: bool = schema.flag(default=False)
+    request_lines_per_s: int = schema.integer(0, 100_000, default=200)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -17,17 +17,20 @@
     callers
         Requests for services.
     readiness
-        Readiness checks and metrics.
+        Readiness checks.
     lookups
         Look-ups of entry VMs.
     peers
         Other nodes.
+    metrics
+        Metrics as text; empty for none.
     """
 
     callers: str = schema.text(schema.ADDRESS_PATTERN)
     readiness: str = schema.text(schema.ADDRESS_PATTERN)
     lookups: str = schema.text(schema.ADDRESS_PATTERN)
     peers: str = schema.text(schema.ADDRESS_PATTERN)
+    metrics: str = schema.text(rf'({schema.ADDRESS_PATTERN})?', default='')
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gentianbank/nodes/own.py
+++ b/src/gentianbank/nodes/own.py
@@ -55,7 +55,7 @@
 from gentianbank.storage.revisions import RevisionStore
 from gentianbank.storage.vm_list import HttpVMList
 from gentianbank.targets.pool import ConnectionPool
-from gentianbank.telemetry.logs import set_up_logs
+from gentianbank.telemetry.logs import open_logs
 from gentianbank.telemetry.metrics import Metrics
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import WebsocketPeers
@@ -338,8 +338,8 @@
         cause = f'{checked.balancer!r} is none of {known}'
         fault = FieldError('balancer', cause)
         return Error(InvalidDocument(str(path), (fault,)))
-    set_up_logs(checked.logging, checked.vm)
     with contextlib.ExitStack() as stack:
+        stack.enter_context(open_logs(checked.logging, checked.vm))
         trace = None
         if checked.recorder_path:
             recorder = Path(checked.recorder_path)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import resource
 import signal
 import time
 from typing import Any
@@ -19,18 +21,26 @@
 from gentianbank.domain.addresses import parse_address
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
+from gentianbank.nodes.settings_file import SettingsFile
 from gentianbank.platform.store import KvStore
 from gentianbank.policy.graceful_stop import StopPlan
 from gentianbank.steering.apps import LookupApp
+from gentianbank.steering.apps import MetricsApp
 from gentianbank.steering.apps import ProxyApp
 from gentianbank.steering.apps import ReadinessApp
 from gentianbank.steering.beliefs import Beliefs
 from gentianbank.steering.membership import Membership
 from gentianbank.steering.placer import Placer
 from gentianbank.steering.proxy import Proxy
+from gentianbank.steering.reporter import Reporter
+from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.store_sync import StoreSync
 from gentianbank.targets.pool import ConnectionPool
-from gentianbank.telemetry.logs import set_up_logs
+from gentianbank.telemetry.deferred import DeferredMetrics
+from gentianbank.telemetry.deferred import Gauge
+from gentianbank.telemetry.logs import open_logs
+from gentianbank.telemetry.logs import set_level
+from gentianbank.telemetry.loop_delay import LoopDelay
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -42,6 +52,9 @@
 KEEP_ALIVE_S = 60
 BACKLOG = 2_048
 STOP_POLL_S = 0.05
+# The settings file may change without a signal.
+SETTINGS_POLL_S = 1.0
+_BYTES_PER_KB = 1_024
 _MS_PER_S = 1_000
 
 
@@ -55,12 +68,17 @@
 
     Parameters
     ----------
+    path
+        Path of the settings file, which is read again when it changes.
     settings
         Checked settings of this VM.
     """
 
-    def __init__(self, settings: SteeringSettings) -> None:
+    def __init__(self, path: Path, settings: SteeringSettings) -> None:
         self._settings = settings
+        self._settings_file = SettingsFile(path, settings)
+        self._metrics = DeferredMetrics(settings.vm, settings.region)
+        self._loop_delay = LoopDelay()
         bounds = settings.bounds
         self._stop = asyncio.Event()
         addresses = settings.addresses
@@ -73,7 +91,10 @@
         )
         self._targets = ConnectionPool()
         self._store = KvStore(
-            settings.store.address, settings.store.timeout_ms, self._targets
+            settings.store.address,
+            settings.store.timeout_ms,
+            self._targets,
+            self._on_store_call,
         )
         self._beliefs = Beliefs(dict(settings.regions))
         self._membership = Membership(
@@ -88,7 +109,7 @@
             on_own_entry_gone=self._membership.on_entry_gone,
             clock=now_ms,
         )
-        placer = Placer(
+        self._placer = Placer(
             vm=settings.vm,
             region=settings.region,
             failure_domain=settings.failure_domain,
@@ -96,11 +117,18 @@
             bounds=bounds,
             clock=now_ms,
         )
+        reporter = Reporter(
+            beliefs=self._beliefs,
+            log=RequestLog(settings.logging.request_lines_per_s, now_ms),
+            metrics=self._metrics,
+            clock=now_ms,
+        )
         self._proxy = Proxy(
             beliefs=self._beliefs,
-            placer=placer,
+            placer=self._placer,
             transport=self._targets,
             bounds=bounds,
+            reporter=reporter,
             is_stopping=self._stop.is_set,
             clock=now_ms,
         )
@@ -109,26 +137,28 @@
         lookups = LookupApp(
             me, self._beliefs, self._stop.is_set, bounds.max_cache_s
         )
-        self._servers = (
+        self._servers = [
             self._callers,
             _server(addresses.readiness, readiness),
             _server(addresses.lookups, lookups),
-        )
+        ]
+        if addresses.metrics:
+            app = MetricsApp(self._metrics)
+            self._servers.append(_server(addresses.metrics, app))
 
     async def run(self) -> None:
         """Run until a signal asks for a graceful stop."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(
-            signal.SIGHUP,
-            logging.info,
-            'SIGHUP ignored: settings are read at the start only',
-        )
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         work = [asyncio.create_task(s.serve()) for s in self._servers]
         work.append(asyncio.create_task(self._sync.run()))
         work.append(asyncio.create_task(self._membership.run()))
-        logging.info('node runs')
+        work.append(asyncio.create_task(self._loop_delay.run()))
+        work.append(asyncio.create_task(self._watch_settings()))
+        work.append(asyncio.create_task(self._measure()))
+        logging.info('node runs', extra={'settings': self._settings})
         stopping = asyncio.create_task(self._stop.wait())
         await asyncio.wait(
             [stopping, *work], return_when=asyncio.FIRST_COMPLETED
@@ -145,6 +175,67 @@
         await asyncio.gather(*work, return_exceptions=True)
         await self._targets.close()
 
+    def _on_store_call(self, call: str, outcome: str) -> None:
+        self._metrics.record(lambda m: m.on_store_call(call, outcome))
+
+    async def _measure(self) -> None:
+        """Load the metrics if they are served, and add the gauges."""
+        if not self._settings.addresses.metrics:
+            await self._stop.wait()
+            return
+        await self._metrics.load(self._gauges())
+        await self._stop.wait()
+
+    def _gauges(self) -> list[Gauge]:
+        beliefs = self._beliefs
+        return [
+            Gauge(
+                'store.age',
+                'Milliseconds since the store answered.',
+                lambda: float(beliefs.age_ms(now_ms()) or 0),
+            ),
+            Gauge(
+                'configuration.version',
+                'Version in force.',
+                lambda: float(beliefs.table.version if beliefs.table else 0),
+            ),
+            Gauge('nodes', 'Known nodes.', lambda: float(self._placer.nodes)),
+            Gauge(
+                'targets',
+                'Known targets.',
+                lambda: float(len(beliefs.targets)),
+            ),
+            Gauge(
+                'requests.in_flight',
+                'Requests that are being served.',
+                lambda: float(self._proxy.in_flight),
+            ),
+            Gauge('memory.peak', 'Bytes.', _peak_bytes),
+            Gauge(
+                'loop.delay',
+                'Longest delay of a timer since the last scrape, in ms.',
+                self._loop_delay.take_ms,
+            ),
+        ]
+
+    async def _watch_settings(self) -> None:
+        while not self._stop.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_POLL_S):
+                    await self._stop.wait()
+            if self._settings_file.has_changed():
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take what a running node can take of changed settings."""
+        settings = self._settings_file.reload()
+        if settings is None:
+            return
+        self._settings = settings
+        self._placer.take_bounds(settings.bounds)
+        self._proxy.take_bounds(settings.bounds)
+        set_level(settings.logging)
+
     async def _drain(self) -> None:
         """Leave the look-ups and serve what still comes."""
         logging.info('node leaves')
@@ -173,13 +264,18 @@
             pass
         case Result(error=error):
             return Error(error)
-    set_up_logs(settings.logging, settings.vm)
-    asyncio.run(_run(settings))
+    with open_logs(settings.logging, settings.vm):
+        asyncio.run(_run(path, settings))
     return Ok(None)
 
 
-async def _run(settings: SteeringSettings) -> None:
-    await SteeringNode(settings).run()
+async def _run(path: Path, settings: SteeringSettings) -> None:
+    await SteeringNode(path, settings).run()
+
+
+def _peak_bytes() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return float(usage.ru_maxrss * _BYTES_PER_KB)
 
 
 def _server(address: str, app: App) -> HttpServer:
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -26,6 +26,8 @@
 from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gentianbank.storage.store import Put
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
@@ -50,14 +52,21 @@
         Time that a call may take beyond what it waits for.
     transport
         Connections to the store.
+    on_call
+        Takes the name and the outcome of each call.
     """
 
     def __init__(
-        self, address: str, timeout_ms: int, transport: TargetTransport
+        self,
+        address: str,
+        timeout_ms: int,
+        transport: TargetTransport,
+        on_call: Callable[[str, str], None],
     ) -> None:
         self._address = address
         self._timeout_ms = float(timeout_ms)
         self._transport = transport
+        self._on_call = on_call
 
     async def list_prefix(
         self, prefix: str
@@ -170,9 +179,13 @@
         request = self._request(method, path, query, body, wait_ms)
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
-                return await self._read(answer)
+                result = await self._read(answer)
+                outcome = str(answer.status)
             case Result(error=failure):
-                return Error(StoreUnavailable(failure.cause))
+                result = Error(StoreUnavailable(failure.cause))
+                outcome = 'no answer'
+        self._on_call(path.split('/')[1], outcome)
+        return result
 
     def _request(
         self,
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -110,17 +110,46 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The chosen target and what was expected of it."""
+    """The chosen target and what was expected of it.
+
+    Parameters
+    ----------
+    occupancy
+        Requests that the target was believed to have.
+    report_age_ms
+        Age of the target's last report; infinite before the first one.
+    slowdown
+        Slowdown that was expected of the target.
+    """
 
     target: TargetLoad
     expected_ms: float
     wait_ms: float
     warm: bool
+    occupancy: float
+    report_age_ms: float
+    slowdown: float
+
+
+@dataclass(frozen=True, slots=True)
+class BusyTarget:
+    """A target without room, and the requests it is believed to have."""
+
+    target_id: str
+    occupancy: float
 
 
 @dataclass(frozen=True, slots=True)
 class Full:
-    """Targets exist, but none can answer in time."""
+    """Targets exist, but none can answer in time.
+
+    Parameters
+    ----------
+    busy
+        The targets that were considered.
+    """
+
+    busy: tuple[BusyTarget, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +180,8 @@
         queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
     for rank, target in enumerate(ordered):
         slots = target.registration.slots
-        over = target.occupancy(now_ms) - slots + 1
+        occupancy = target.occupancy(now_ms)
+        over = occupancy - slots + 1
         slowdown = target.slowdown(now_ms)
         wait_ms = max(0.0, over) / slots * times.mean_ms * slowdown
         if over > slots * queue_per_slot:
@@ -173,8 +203,25 @@
         cost_ms += target.failure_rate * FAILURE_MS
         if cost_ms < best_cost_ms:
             best_cost_ms = cost_ms
-            best = Placed(target, expected_ms, wait_ms, known)
-    return best or Full()
+            best = Placed(
+                target,
+                expected_ms,
+                wait_ms,
+                known,
+                occupancy,
+                now_ms - target.report_ms,
+                slowdown,
+            )
+    return best or Full(_describe_busy(ordered, now_ms))
+
+
+def _describe_busy(
+    targets: Sequence[TargetLoad], now_ms: float
+) -> tuple[BusyTarget, ...]:
+    return tuple(
+        BusyTarget(target.registration.target_id, target.occupancy(now_ms))
+        for target in targets
+    )
 
 
 def _is_in_time(demand: Demand, expected_ms: float) -> bool:
--- a/src/gentianbank/steering/apps.py
+++ b/src/gentianbank/steering/apps.py
@@ -17,10 +17,12 @@
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.beliefs import Beliefs
     from gentianbank.steering.proxy import Proxy
+    from gentianbank.telemetry.deferred import DeferredMetrics
 
 App = Callable[[ASGIMessage, Receive, SendMessage], Awaitable[None]]
 # Short, so that callers soon leave a node that has ended.
 CACHE_S = 1.0
+_TEXT = [(b'content-type', b'text/plain; version=0.0.4')]
 _JSON = [(b'content-type', b'application/json')]
 
 
@@ -56,6 +58,22 @@
         )
 
 
+class MetricsApp:
+    """Shows the metrics of the node, whatever the path."""
+
+    def __init__(self, metrics: DeferredMetrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(
+        self, scope: ASGIMessage, receive: Receive, send: SendMessage
+    ) -> None:
+        """Answer one scrape."""
+        text = self._metrics.render()
+        await Exchange(scope, receive, send).answer(
+            503 if text is None else 200, _TEXT, text or b''
+        )
+
+
 class LookupApp:
     """Tells callers which entry VMs to use."""
 
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -36,6 +36,8 @@
         Failure domains that get nothing.
     generation
         Grows whenever the set of usable targets may have changed.
+    confirmed_ms
+        Time when the store last answered.
     """
 
     regions: dict[str, str]
@@ -44,6 +46,13 @@
     evacuated: frozenset[str] = frozenset()
     nodes: dict[str, NodeRegistration] = field(default_factory=dict)
     generation: int = 0
+    confirmed_ms: float | None = None
+
+    def age_ms(self, now_ms: float) -> int | None:
+        """Return the time since the store last answered, if it ever did."""
+        if self.confirmed_ms is None:
+            return None
+        return round(now_ms - self.confirmed_ms)
 
     def put_table(self, table: RouteTable) -> bool:
         """Put a configuration in force unless a newer one is."""
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -96,6 +96,14 @@
         self._cold_shares: dict[str, int] = {}
         self._generation = -1
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Keep other bounds from now on."""
+        self._bounds = bounds
+        self._cold_shares.clear()
+        rate_per_s = _shift_per_s(bounds)
+        for shares in self._shares.values():
+            shares.rate_per_s = rate_per_s
+
     def times_of(self, route: Route) -> RouteTimes:
         """Return what was measured of a route."""
         times = self._times.get(route.name)
@@ -229,8 +237,7 @@
         key = (wanted.service, wanted.route.large)
         shares = self._shares.get(key)
         if shares is None:
-            rate = self._bounds.max_region_shift * SHIFT_FRACTION
-            shares = RegionShares(self._region, rate / SHIFT_WINDOW_S)
+            shares = RegionShares(self._region, _shift_per_s(self._bounds))
             self._shares[key] = shares
             if not wanted.route.large:
                 shares.start(self._region_loads(wanted.service, now_ms))
@@ -254,3 +261,8 @@
             region: RegionLoad(occupied[region], slots[region])
             for region in slots
         }
+
+
+def _shift_per_s(bounds: Bounds) -> float:
+    """Return how fast the parts of the regions may change."""
+    return bounds.max_region_shift * SHIFT_FRACTION / SHIFT_WINDOW_S
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from absl import logging
-
 from gentianbank.dataplane.exchange import CallerGoneError
 from gentianbank.dataplane.exchange import cancel_when_gone
+from gentianbank.platform import headers as wire
 from gentianbank.policy.placement import Full
 from gentianbank.policy.placement import Placed
 from gentianbank.policy.shared_allowance import SharedRetryBudget
@@ -20,8 +19,6 @@
 from gentianbank.steering.replies import Replies
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
-from gentianbank.steering.request_log import AttemptFailed
-from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.sending import Delivered
 from gentianbank.steering.sending import NotReached
 from gentianbank.steering.sending import Rejected
@@ -32,14 +29,15 @@
 
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.policy.placement import Placement
     from gentianbank.steering.beliefs import Beliefs
     from gentianbank.steering.placer import Placer
+    from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Outcome
     from gentianbank.targets.transport import TargetTransport
 
 # Connections that may fail before a request is refused.
 MAX_NOT_REACHED = 3
-LOG_LINES_PER_S = 100
 _MS_PER_S = 1_000
 _HTTP_FAILURE = 500
 
@@ -53,6 +51,7 @@
     not_reached: int = 0
     may_have_run: bool = False
     failed: Delivered | None = None
+    placement: Placement | None = None
 
     def note(self, outcome: Outcome, *, idempotent: bool) -> bool:
         """Count an attempt; tell whether another one could be made."""
@@ -86,6 +85,7 @@
         placer: Placer,
         transport: TargetTransport,
         bounds: Bounds,
+        reporter: Reporter,
         is_stopping: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
@@ -93,14 +93,19 @@
         self._placer = placer
         self._bounds = bounds
         self._clock = clock
-        self._log = RequestLog(LOG_LINES_PER_S, clock)
-        self._replies = Replies(self._log, is_stopping, clock)
+        self._reporter = reporter
+        self._replies = Replies(reporter, is_stopping, clock)
         self._sending = Sending(placer, transport, clock)
         self._turns: dict[str, WeightedTurns] = {}
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._refuses_new = False
         self.in_flight = 0
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Keep other bounds from now on."""
+        self._bounds = bounds
+        self._budgets.clear()
+
     def refuse_new(self) -> None:
         """Refuse every request that comes from now on."""
         self._refuses_new = True
@@ -108,10 +113,12 @@
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end."""
         self.in_flight += 1
+        came_ms = self._clock()
         try:
             await self._serve(exchange)
         except CallerGoneError:
-            logging.debug('caller gone')
+            request_id = exchange.header(wire.REQUEST_ID) or ''
+            self._reporter.on_caller_gone(request_id, came_ms)
         finally:
             self.in_flight -= 1
 
@@ -155,6 +162,7 @@
         while True:
             now_ms = self._clock()
             placement = self._placer.choose(self._wanted(request, tries))
+            tries.placement = placement
             if now_ms >= request.end_ms or not isinstance(placement, Placed):
                 full = isinstance(placement, Full)
                 cause = 'every target is busy' if full else 'no target'
@@ -165,20 +173,21 @@
             outcome = await self._sending.send(
                 exchange, request, body, placement
             )
-            if _is_final(outcome):
+            final = _is_final(outcome)
+            self._reporter.on_attempt(
+                request,
+                len(tries.targets),
+                placement,
+                now_ms,
+                outcome,
+                final=final,
+            )
+            if final:
                 assert isinstance(outcome, Delivered)
-                await self._replies.deliver(exchange, outcome)
+                await self._replies.deliver(exchange, request, outcome)
                 return
             idempotent = request.route.idempotent
             may_retry = tries.note(outcome, idempotent=idempotent)
-            self._log.write(
-                AttemptFailed(
-                    request=request.request_id.decode('latin-1'),
-                    target=target.registration.target_id,
-                    outcome=type(outcome).__name__,
-                    cause=outcome.cause,
-                )
-            )
             may_retry = may_retry and body.may_be_sent
             if not may_retry or not self._may_send_again(request, tries):
                 await self._give_up(exchange, request, tries, outcome.cause)
@@ -190,7 +199,10 @@
         if not tries.sent:
             return True
         budget = self._budget(request.service)
-        return budget.try_spend(self._clock(), self._placer.nodes)
+        if not budget.try_spend(self._clock(), self._placer.nodes):
+            return False
+        self._reporter.on_retry(request.service)
+        return True
 
     def _wanted(self, request: CallerRequest, tries: _Tries) -> Wanted:
         now_ms = self._clock()
@@ -224,14 +236,20 @@
     ) -> None:
         """Send the final answer of a request that no target answered."""
         if tries.failed is not None:
-            await self._replies.deliver(exchange, tries.failed)
+            await self._replies.deliver(exchange, request, tries.failed)
             return
+        status = 502
         if not tries.may_have_run:
-            refusal = Refusal(503, cause, retry=True)
+            status = 503
         elif self._clock() >= request.end_ms:
-            refusal = Refusal(504, cause)
-        else:
-            refusal = Refusal(502, cause)
+            status = 504
+        refusal = Refusal(
+            status,
+            cause,
+            retry=not tries.may_have_run,
+            attempts=len(tries.targets),
+            placement=tries.placement,
+        )
         await self._replies.refuse(exchange, request, refusal)
 
 
--- a/src/gentianbank/steering/replies.py
+++ b/src/gentianbank/steering/replies.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.platform import headers as wire
-from gentianbank.steering.request_log import AnswerEndedEarly
-from gentianbank.steering.request_log import RequestRefused
 from gentianbank.targets.http_headers import find
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -16,8 +14,9 @@
     from collections.abc import Callable
 
     from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.policy.placement import Placement
     from gentianbank.steering.caller_request import CallerRequest
-    from gentianbank.steering.request_log import RequestLog
+    from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Delivered
     from gentianbank.targets.transport import RawHeaders
 
@@ -36,11 +35,17 @@
     ----------
     retry
         Whether the caller is told when to come back.
+    attempts
+        Targets that were tried.
+    placement
+        Last answer to the search for a target.
     """
 
     status: int
     cause: str
     retry: bool = False
+    attempts: int = 0
+    placement: Placement | None = None
 
 
 class Replies:
@@ -56,16 +61,19 @@
 
     def __init__(
         self,
-        log: RequestLog,
+        reporter: Reporter,
         is_stopping: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
-        self._log = log
+        self._reporter = reporter
         self._is_stopping = is_stopping
         self._clock = clock
 
-    async def deliver(self, exchange: Exchange, answer: Delivered) -> None:
+    async def deliver(
+        self, exchange: Exchange, request: CallerRequest, answer: Delivered
+    ) -> None:
         """Send a target's answer."""
+        self._reporter.on_answer(request, answer.status)
         headers = wire.for_caller(answer.headers)
         if self._is_stopping():
             headers.append((b'connection', b'close'))
@@ -95,15 +103,13 @@
             headers.append((wire.RETRY_AFTER, self._retry_after(request)))
         if self._is_stopping():
             headers.append((b'connection', b'close'))
-        held_ms = self._clock() - request.came_ms if request else 0.0
-        self._log.write(
-            RequestRefused(
-                request=request_id,
-                route=request.route.name if request else '',
-                status=refusal.status,
-                cause=refusal.cause,
-                held_ms=round(held_ms),
-            )
+        self._reporter.on_refusal(
+            request_id,
+            request,
+            status=refusal.status,
+            cause=refusal.cause,
+            attempts=refusal.attempts,
+            placement=refusal.placement,
         )
         await exchange.answer(refusal.status, headers, refusal.cause.encode())
 
@@ -127,7 +133,7 @@
             await exchange.finish()
         except TruncatedBodyError as error:
             request_id = exchange.header(wire.REQUEST_ID) or ''
-            self._log.write(AnswerEndedEarly(request_id, str(error)))
+            self._reporter.on_answer_ended_early(request_id, str(error))
         finally:
             await answer.rest.close()
 
--- /dev/null
+++ b/src/gentianbank/steering/reporter.py
@@ -0,0 +1,179 @@
+"""Reports what happens to requests, as log lines and as measurements."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from gentianbank.policy.placement import Full
+from gentianbank.steering.request_log import AnswerEndedEarly
+from gentianbank.steering.request_log import AttemptFailed
+from gentianbank.steering.request_log import RequestAbandoned
+from gentianbank.steering.request_log import RequestAnswered
+from gentianbank.steering.request_log import RequestLog
+from gentianbank.steering.request_log import RequestRefused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.policy.placement import Placed
+    from gentianbank.policy.placement import Placement
+    from gentianbank.steering.beliefs import Beliefs
+    from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.sending import Outcome
+    from gentianbank.telemetry.deferred import DeferredMetrics
+
+ANSWERED = 'answered'
+NO_ROUTE = 'none'
+
+
+class Reporter:
+    """Reports the decisions of one node.
+
+    Parameters
+    ----------
+    log
+        Takes the events.
+    metrics
+        Takes the measurements.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        beliefs: Beliefs,
+        log: RequestLog,
+        metrics: DeferredMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._beliefs = beliefs
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+
+    def on_attempt(
+        self,
+        request: CallerRequest,
+        attempt: int,
+        placed: Placed,
+        sent_ms: float,
+        outcome: Outcome,
+        *,
+        final: bool,
+    ) -> None:
+        """Report an attempt at a target.
+
+        Parameters
+        ----------
+        final
+            Whether the caller gets the target's answer.
+        """
+        name = ANSWERED if final else type(outcome).__name__.lower()
+        held_ms = sent_ms - request.came_ms
+        took_ms = self._clock() - sent_ms
+        entry = placed.target.registration
+        age_ms = placed.report_age_ms
+        event = RequestAnswered if final else AttemptFailed
+        self._log.write(
+            event(
+                request=request.request_id.decode('latin-1'),
+                route=request.route.name,
+                service=request.service,
+                topic=request.topic,
+                attempt=attempt,
+                target=entry.target_id,
+                failure_domain=entry.failure_domain,
+                outcome=name,
+                cause=outcome.cause,
+                version=self._version,
+                warm=placed.warm,
+                occupancy=round(placed.occupancy, 1),
+                report_age_ms=round(age_ms) if math.isfinite(age_ms) else None,
+                slowdown=round(placed.slowdown, 2),
+                expected_ms=round(placed.expected_ms),
+                wait_ms=round(placed.wait_ms),
+                held_ms=round(held_ms),
+                took_ms=round(took_ms),
+            )
+        )
+        self._metrics.record(
+            lambda metrics: metrics.on_attempt(
+                request.service, name, held_ms, took_ms
+            )
+        )
+
+    def on_refusal(
+        self,
+        request_id: str,
+        request: CallerRequest | None,
+        *,
+        status: int,
+        cause: str,
+        attempts: int,
+        placement: Placement | None,
+    ) -> None:
+        """Report an answer of the node's own.
+
+        Parameters
+        ----------
+        request
+            The request; nothing when it has no route.
+        placement
+            Last answer to the search for a target.
+        """
+        held_ms = self._clock() - request.came_ms if request else 0.0
+        busy = placement.busy if isinstance(placement, Full) else ()
+        self._log.write(
+            RequestRefused(
+                request=request_id,
+                route=request.route.name if request else '',
+                status=status,
+                cause=cause,
+                attempts=attempts,
+                held_ms=round(held_ms),
+                version=self._version,
+                store_age_ms=self._beliefs.age_ms(self._clock()),
+                busy=' '.join(
+                    f'{target.target_id}:{target.occupancy:.1f}'
+                    for target in busy
+                ),
+            )
+        )
+        self._count(request, f'refused {status}', held_ms)
+
+    def on_answer(self, request: CallerRequest, status: int) -> None:
+        """Report that a target's answer goes to the caller."""
+        took_ms = self._clock() - request.came_ms
+        self._count(request, f'answered {status}', took_ms)
+
+    def on_caller_gone(self, request_id: str, came_ms: float) -> None:
+        """Report that a caller left before it had an answer."""
+        held_ms = round(self._clock() - came_ms)
+        self._log.write(RequestAbandoned(request=request_id, held_ms=held_ms))
+        self._count(None, 'caller left', held_ms)
+
+    def on_answer_ended_early(self, request_id: str, cause: str) -> None:
+        """Report that an answer broke off on its way."""
+        self._log.write(AnswerEndedEarly(request=request_id, cause=cause))
+
+    def on_retry(self, service: str) -> None:
+        """Report an attempt after the first."""
+        self._metrics.record(lambda metrics: metrics.on_retry(service))
+
+    def _count(
+        self, request: CallerRequest | None, outcome: str, took_ms: float
+    ) -> None:
+        service = request.service if request else NO_ROUTE
+        kind = request.route.kind if request else NO_ROUTE
+        self._metrics.record(
+            lambda metrics: metrics.on_final_answer(
+                service, kind, outcome, took_ms
+            )
+        )
+
+    @property
+    def _version(self) -> int:
+        table = self._beliefs.table
+        return table.version if table else 0
--- a/src/gentianbank/steering/request_log.py
+++ b/src/gentianbank/steering/request_log.py
@@ -5,59 +5,143 @@
 import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
+from typing import ClassVar
 from typing import TYPE_CHECKING
 
 from absl import logging
 
 from gentianbank.policy.windows import SlidingCount
+from gentianbank.telemetry.line_writer import LineClass
+from gentianbank.telemetry.logs import CLASS_FIELD
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 WINDOW_MS = 1_000.0
+# Samples leave the other half to what went wrong.
+SAMPLE_PART = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailed:
-    """A target gave no usable answer."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEvent:
+    """What happened to a request.
+
+    Parameters
+    ----------
+    request
+        Id that the caller gave the request.
+    """
 
+    message: ClassVar[str]
+    line_class: ClassVar[LineClass] = LineClass.REQUEST
     request: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptEvent(RequestEvent):
+    """An attempt at a target, with what decided for the target.
+
+    Parameters
+    ----------
+    attempt
+        Number of this attempt, from 1 on.
+    outcome
+        What became of it.
+    version
+        Configuration that was in force.
+    warm
+        Whether the target was believed to have handled the object lately.
+    occupancy
+        Requests that the target was believed to have.
+    report_age_ms
+        Age of the target's last report; nothing before the first one.
+    slowdown
+        Slowdown that was expected of the target.
+    expected_ms, wait_ms
+        Expected time to the answer, and the part of it in a queue.
+    held_ms
+        Time from the request until it was sent.
+    took_ms
+        Time from then until the outcome.
+    """
+
+    route: str
+    service: str
+    topic: str
+    attempt: int
     target: str
+    failure_domain: str
     outcome: str
     cause: str
+    version: int
+    warm: bool
+    occupancy: float
+    report_age_ms: int | None
+    slowdown: float
+    expected_ms: int
+    wait_ms: int
+    held_ms: int
+    took_ms: int
+
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestAnswered(AttemptEvent):
+    """A target's answer went to the caller; such lines are samples."""
 
-@dataclass(frozen=True, slots=True)
-class RequestRefused:
+    message = 'request answered'
+    line_class = LineClass.SAMPLE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptFailed(AttemptEvent):
+    """A target gave no usable answer."""
+
+    message = 'attempt failed'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestRefused(RequestEvent):
     """The node gave an answer of its own.
 
     Parameters
     ----------
+    attempts
+        Targets that were tried.
     held_ms
         Time from the request until the refusal.
+    version
+        Configuration that was in force; 0 for none.
+    store_age_ms
+        Time since the store last answered; nothing before the first time.
+    busy
+        Targets that were full, with the requests that they had.
     """
 
-    request: str
+    message = 'request refused'
     route: str
     status: int
     cause: str
+    attempts: int
     held_ms: int
+    version: int
+    store_age_ms: int | None
+    busy: str
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerEndedEarly:
-    """A large answer broke off on its way to the caller."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestAbandoned(RequestEvent):
+    """The caller left before it had an answer; the work was given up."""
 
-    request: str
-    cause: str
+    message = 'caller left'
+    held_ms: int
 
 
-RequestEvent = AttemptFailed | RequestRefused | AnswerEndedEarly
-_MESSAGES: dict[type[RequestEvent], str] = {
-    AttemptFailed: 'attempt failed',
-    RequestRefused: 'request refused',
-    AnswerEndedEarly: 'answer ended early',
-}
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerEndedEarly(RequestEvent):
+    """A large answer broke off on its way to the caller."""
+
+    message = 'answer ended early'
+    cause: str
 
 
 @dataclass(slots=True)
@@ -82,7 +166,7 @@
     def write(self, event: RequestEvent) -> None:
         """Write an event unless there were too many of late."""
         now_ms = self.clock()
-        if self._written.count(now_ms) >= self.lines_per_s:
+        if self._written.count(now_ms) >= self._limit(event.line_class):
             self.suppressed += 1
             return
         self._written.add(now_ms)
@@ -90,4 +174,10 @@
         if self.suppressed:
             fields['lines_suppressed'] = self.suppressed
             self.suppressed = 0
-        logging.info(_MESSAGES[type(event)], extra=fields)
+        fields[CLASS_FIELD] = event.line_class
+        logging.info(event.message, extra=fields)
+
+    def _limit(self, line_class: LineClass) -> float:
+        if line_class is LineClass.SAMPLE:
+            return self.lines_per_s * SAMPLE_PART
+        return self.lines_per_s
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from absl import logging
 from expression import Result
 
 from gentianbank.platform import headers as wire
@@ -203,22 +202,6 @@
                 await answer.close()
                 return Broken("the answer is not the target's own")
             work_ms = self._clock() - sent_ms - TRAVEL_MS
-            logging.debug(
-                'answered',
-                extra={
-                    'request': request.request_id.decode('latin-1'),
-                    'route': request.route.name,
-                    'topic': request.topic,
-                    'target': target.registration.target_id,
-                    'target_domain': target.registration.failure_domain,
-                    'warm': placed.warm,
-                    'expected_ms': round(placed.expected_ms),
-                    'wait_ms': round(placed.wait_ms),
-                    'took_ms': round(self._clock() - sent_ms),
-                    'load': load,
-                    'held_ms': round(sent_ms - request.came_ms),
-                },
-            )
             if not placed.wait_ms:
                 times = self._placer.times_of(request.route)
                 slowdown = load.slowdown if load else 1.0
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -127,9 +127,10 @@
         return self._settings.watch_ms
 
     def _on_contact(self) -> None:
+        now_ms = self._clock()
+        self._beliefs.confirmed_ms = now_ms
         if self._down_since_ms is None:
             return
-        now_ms = self._clock()
         logging.info(
             'store answers again',
             extra={'down_ms': round(now_ms - self._down_since_ms)},
--- /dev/null
+++ b/src/gentianbank/telemetry/deferred.py
@@ -0,0 +1,75 @@
+"""Metrics of a node that serves before their library is loaded."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+import importlib
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gentianbank.telemetry.metrics import Metrics
+
+MAX_HELD = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is read when metrics are scraped."""
+
+    name: str
+    description: str
+    read: Callable[[], float]
+
+
+class DeferredMetrics:
+    """Holds measurements until the library is there, then passes them on.
+
+    The library takes a while to import, and a node that starts has callers
+    to serve first.
+
+    Parameters
+    ----------
+    vm, region
+        Names that the metrics carry.
+    """
+
+    def __init__(self, vm: str, region: str) -> None:
+        self._vm = vm
+        self._region = region
+        self._metrics: Metrics | None = None
+        self._held: deque[Callable[[Metrics], None]] = deque()
+        self._lost = 0
+
+    def record(self, measure: Callable[[Metrics], None]) -> None:
+        """Apply a measurement, now or as soon as the library is there."""
+        if self._metrics is not None:
+            measure(self._metrics)
+        elif len(self._held) < MAX_HELD:
+            self._held.append(measure)
+        else:
+            self._lost += 1
+
+    async def load(self, gauges: Iterable[Gauge]) -> None:
+        """Import the library in a thread and apply what was held."""
+        module = await asyncio.to_thread(
+            importlib.import_module, 'gentianbank.telemetry.metrics'
+        )
+        metrics: Metrics = module.Metrics(self._vm, self._region)
+        for gauge in gauges:
+            metrics.add_gauge(gauge.name, gauge.description, gauge.read)
+        while self._held:
+            self._held.popleft()(metrics)
+        if self._lost:
+            logging.warning('%d measurements were not counted', self._lost)
+        self._metrics = metrics
+
+    def render(self) -> bytes | None:
+        """Return all metrics as text; nothing until the library is there."""
+        return self._metrics.render() if self._metrics else None
--- a/src/gentianbank/telemetry/logs.py
+++ b/src/gentianbank/telemetry/logs.py
@@ -1,10 +1,12 @@
-"""Logs through absl, as text or as one JSON object a line."""
+"""Structured logs on standard output: one JSON object a line."""
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import json
 import logging as std_logging
+import os
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -12,40 +14,80 @@
 from absl import flags
 from absl import logging
 
+from gentianbank.telemetry.line_writer import LineClass
+from gentianbank.telemetry.line_writer import LineWriter
+
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gentianbank.domain.settings import Logging
 
+# Time to write the last lines before the process ends.
+CLOSE_TIMEOUT_S = 0.3
+# Field of a record that holds its class; it is not written.
+CLASS_FIELD = 'line_class'
 _MS_PER_S = 1_000
-_STANDARD = frozenset(vars(std_logging.makeLogRecord({})))
+_STANDARD = frozenset(
+    {*vars(std_logging.makeLogRecord({})), 'message', CLASS_FIELD}
+)
 _LEVELS = {
-    'debug': logging.DEBUG,
-    'info': logging.INFO,
-    'warning': logging.WARNING,
-    'error': logging.ERROR,
+    'debug': (logging.DEBUG, std_logging.DEBUG),
+    'info': (logging.INFO, std_logging.INFO),
+    'warning': (logging.WARNING, std_logging.WARNING),
+    'error': (logging.ERROR, std_logging.ERROR),
 }
+_NOISY = ('uvicorn', 'httpx', 'httpcore', 'websockets')
 
 
-def set_up_logs(settings: Logging, node: str) -> None:
-    """Send the logs of this process to standard error."""
+@contextlib.contextmanager
+def open_logs(settings: Logging, node: str) -> Iterator[None]:
+    """Send the logs of this process to standard output meanwhile."""
     # Logs are set up by the settings file, not by flags.
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
-    if settings.json:
-        handler.setFormatter(JsonFormatter(node))
-    logging.set_verbosity(_LEVELS[settings.level])
-    std_logging.getLogger().setLevel(_LEVELS_STD[settings.level])
-    for noisy in ('uvicorn', 'httpx', 'httpcore', 'websockets'):
+    formatter: std_logging.Formatter
+    formatter = JsonFormatter(node) if settings.json else TextFormatter()
+
+    def describe_dropped(dropped: dict[LineClass, int]) -> bytes:
+        counts = {f'{c.name.lower()}_lines': n for c, n in dropped.items()}
+        record = std_logging.makeLogRecord(
+            {'msg': 'log lines dropped', 'levelname': 'WARNING', **counts}
+        )
+        return _encode(formatter, record)
+
+    writer = LineWriter(_write_out, describe_dropped)
+    std_logging.getLogger().handlers[:] = [QueueHandler(formatter, writer)]
+    set_level(settings)
+    for noisy in _NOISY:
         std_logging.getLogger(noisy).setLevel(std_logging.CRITICAL)
+    writer.start()
+    try:
+        yield
+    finally:
+        writer.close(CLOSE_TIMEOUT_S)
 
 
-_LEVELS_STD = {
-    'debug': std_logging.DEBUG,
-    'info': std_logging.INFO,
-    'warning': std_logging.WARNING,
-    'error': std_logging.ERROR,
-}
+def set_level(settings: Logging) -> None:
+    """Write lines of the level of the settings and above."""
+    verbosity, level = _LEVELS[settings.level]
+    logging.set_verbosity(verbosity)
+    std_logging.getLogger().setLevel(level)
+
+
+class QueueHandler(std_logging.Handler):
+    """Hands formatted records to the writer; never waits for it."""
+
+    def __init__(
+        self, formatter: std_logging.Formatter, writer: LineWriter
+    ) -> None:
+        super().__init__()
+        self.setFormatter(formatter)
+        self._format = formatter
+        self._writer = writer
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Queue the line of a record."""
+        line_class = getattr(record, CLASS_FIELD, LineClass.STATE)
+        self._writer.put(_encode(self._format, record), line_class)
 
 
 class JsonFormatter(std_logging.Formatter):
@@ -68,17 +110,45 @@
             'level': record.levelname.lower(),
             'node': self._node,
             'message': record.getMessage(),
-            'source': f'{record.filename}:{record.lineno}',
         }
         for name, value in vars(record).items():
-            if name not in _STANDARD and name != 'message':
+            if name not in _STANDARD:
                 document[name] = _plain(value)
         if record.exc_info:
             document['exception'] = self.formatException(record.exc_info)
         return json.dumps(document)
 
 
+class TextFormatter(std_logging.Formatter):
+    """Writes a record and its extra fields as text for people."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        now = time.strftime('%H:%M:%S')
+        words = [now, record.levelname.lower(), record.getMessage()]
+        for name, value in vars(record).items():
+            if name not in _STANDARD:
+                words.append(f'{name}={_plain(value)}')
+        if record.exc_info:
+            words.append(self.formatException(record.exc_info))
+        return ' '.join(words)
+
+
 def _plain(value: object) -> object:
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return dataclasses.asdict(value)
-    return value if isinstance(value, str | int | float) else str(value)
+    if value is None or isinstance(value, str | int | float | list | tuple):
+        return value
+    return str(value)
+
+
+def _encode(
+    formatter: std_logging.Formatter, record: std_logging.LogRecord
+) -> bytes:
+    return f'{formatter.format(record)}\n'.encode()
+
+
+def _write_out(data: bytes) -> None:
+    descriptor = sys.stdout.fileno()
+    while data:
+        data = data[os.write(descriptor, data) :]
--- /dev/null
+++ b/src/gentianbank/telemetry/loop_delay.py
@@ -0,0 +1,29 @@
+"""How late the event loop runs what is due."""
+
+from __future__ import annotations
+
+import asyncio
+
+PERIOD_S = 1.0
+_MS_PER_S = 1_000
+
+
+class LoopDelay:
+    """Measures the delay of a timer that is due each second."""
+
+    def __init__(self) -> None:
+        self._longest_ms = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + PERIOD_S
+            await asyncio.sleep(PERIOD_S)
+            delay_ms = (loop.time() - due_s) * _MS_PER_S
+            self._longest_ms = max(self._longest_ms, delay_ms)
+
+    def take_ms(self) -> float:
+        """Return the longest delay since the last call."""
+        longest_ms, self._longest_ms = self._longest_ms, 0.0
+        return longest_ms
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -42,6 +42,15 @@
             'gentianbank.answers.crossed',
             description='Answers to another request, refused.',
         )
+        self._attempts = self._meter.create_histogram(
+            'gentianbank.attempt.duration', 'ms', 'Time at a target.'
+        )
+        self._held = self._meter.create_histogram(
+            'gentianbank.request.held', 'ms', 'Time until a request is sent.'
+        )
+        self._store_calls = self._meter.create_counter(
+            'gentianbank.store.calls', description='Calls to the store.'
+        )
         self._lookups = self._meter.create_counter(
             'gentianbank.lookups', description='Look-ups answered.'
         )
@@ -62,6 +71,34 @@
         """Count an answer that belongs to another request."""
         self._crossed.add(1, {'service': service})
 
+    def on_final_answer(
+        self, service: str, kind: str, outcome: str, duration_ms: float
+    ) -> None:
+        """Count a request of a route kind that has ended."""
+        labels = {'service': service, 'kind': kind, 'outcome': outcome}
+        self._requests.add(1, labels)
+        self._duration.record(duration_ms, labels)
+
+    def on_attempt(
+        self, service: str, outcome: str, held_ms: float, took_ms: float
+    ) -> None:
+        """Count an attempt at a target.
+
+        Parameters
+        ----------
+        held_ms
+            Time from the request until it was sent.
+        took_ms
+            Time from then until the outcome.
+        """
+        self._held.record(held_ms, {'service': service})
+        labels = {'service': service, 'outcome': outcome}
+        self._attempts.record(took_ms, labels)
+
+    def on_store_call(self, call: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.add(1, {'call': call, 'outcome': outcome})
+
     def on_lookup(self) -> None:
         """Count a look-up."""
         self._lookups.add(1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -36,7 +36,13 @@
         self.loop = VirtualLoop()
         self.transport = ScriptedTargets()
         self.transport.scripts = {ADDRESS: list(scripts)}
-        self.store = KvStore(ADDRESS, 900, self.transport)
+        self.outcomes: list[tuple[str, str]] = []
+        self.store = KvStore(
+            ADDRESS,
+            900,
+            self.transport,
+            lambda call, outcome: self.outcomes.append((call, outcome)),
+        )
 
     def run(self, call: Coroutine[Any, Any, Result[Any, Any]]) -> Any:
         """Return what a call returns, or its error."""
@@ -169,3 +175,11 @@
         return calls.loop.time() - ended_s
 
     assert calls.loop.run_until_complete(both()) > 3
+
+
+def test_each_call_is_counted_with_its_outcome() -> None:
+    calls = Calls(reply({}, 503), LOST, reply({'lease': 7, 'ttlMs': 1}))
+    for _ in range(3):
+        calls.run(calls.store.grant_lease_ms(1_000))
+    outcomes = ['503', 'no answer', '200']
+    assert calls.outcomes == [('kv-lease', outcome) for outcome in outcomes]
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -24,6 +24,8 @@
 from gentianbank.steering.beliefs import Beliefs
 from gentianbank.steering.placer import Placer
 from gentianbank.steering.proxy import Proxy
+from gentianbank.steering.reporter import Reporter
+from gentianbank.steering.request_log import RequestLog
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -31,6 +33,7 @@
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TargetTransport
 from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.telemetry.deferred import DeferredMetrics
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
@@ -41,6 +44,7 @@
 
 REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
 HOST = 'shop.example'
+LOG_LINES_PER_S = 1_000
 CHUNK_BYTES = 100_000
 STAMP = (b'server-stamp', b'stamp')
 READ = Route(
@@ -212,6 +216,12 @@
         self.put_table()
         self.transport = ScriptedTargets()
         settings = Bounds(**bounds)
+        reporter = Reporter(
+            beliefs=self.beliefs,
+            log=RequestLog(LOG_LINES_PER_S, self.loop.now_ms),
+            metrics=DeferredMetrics('vm-1', 'east'),
+            clock=self.loop.now_ms,
+        )
         self.stopping = False
         placer = Placer(
             vm='vm-1',
@@ -226,6 +236,7 @@
             placer=placer,
             transport=self.transport,
             bounds=settings,
+            reporter=reporter,
             is_stopping=lambda: self.stopping,
             clock=self.loop.now_ms,
         )
--- /dev/null
+++ b/tests/telemetry/test_logs.py
@@ -0,0 +1,50 @@
+"""Tests of the structured logs of a process."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+CODE = """
+from absl import logging
+from gentianbank.domain.settings import Logging
+from gentianbank.telemetry.line_writer import LineClass
+from gentianbank.telemetry.logs import CLASS_FIELD
+from gentianbank.telemetry.logs import open_logs
+with open_logs(Logging(json={json}, level='info'), 'vm-1'):
+    logging.debug('not written')
+    logging.info('target gone', extra={{'target': 'desk-1'}})
+    logging.info('sample', extra={{CLASS_FIELD: LineClass.SAMPLE}})
+"""
+
+
+@pytest.fixture(params=[True, False])
+def is_json(request: pytest.FixtureRequest) -> bool:
+    return bool(request.param)
+
+
+def test_lines_go_to_standard_output_with_their_fields(is_json: bool) -> None:
+    done = subprocess.run(
+        [sys.executable, '-c', CODE.format(json=is_json)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stderr == ''
+    lines = done.stdout.splitlines()
+    assert len(lines) == 2
+    if not is_json:
+        assert lines[0].endswith('info target gone target=desk-1')
+        return
+    gone, sample = map(json.loads, lines)
+    assert isinstance(gone.pop('time_ms'), int)
+    assert gone == {
+        'level': 'info',
+        'node': 'vm-1',
+        'message': 'target gone',
+        'target': 'desk-1',
+    }
+    assert 'line_class' not in sample
