Let nodes on the platform tell each other their loads

Nodes believed 3.2 requests at targets that had 12 or more: each of 25 nodes hears of a target every 2.5 s only, and reports fade within 0.8 s.

Ruled out: objects put out of the targets' memory (1 % of the requests).

Change: nodes connect to each other over the internal ports (websockets, CBOR, a key for each node in its entry of the store) and tell changed requests in flight and reported slowdowns each 100 ms. With most nodes heard, a target's load is the sum of what all have in flight. The mesh is imported after the node serves.

A test found that requests in flight at a target which is dropped would have stayed in the peers' sums; mended.

--- a/src/gentianbank/control/peers.py
+++ b/src/gentianbank/control/peers.py
@@ -49,6 +49,7 @@
 EventSink = Callable[[PeerEvent], None]
 RequestHandler = Callable[[str, Message], Awaitable[Message | None]]
 AddressBook = Callable[[str], str | None]
+KeyBook = Callable[[str], bytes | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,10 @@
     def send(self, vm: str, message: Message) -> None:
         """Queue a message to a connected peer."""
 
+    @abstractmethod
+    def send_to_all(self, message: Message) -> None:
+        """Queue a message to every connected peer."""
+
     @abstractmethod
     async def request(
         self, vm: str, address: str, message: Numbered, timeout_ms: float
--- a/src/gentianbank/domain/registration.py
+++ b/src/gentianbank/domain/registration.py
@@ -31,10 +31,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NodeRegistration:
-    """A node's entry: where callers and other nodes reach it."""
+    """A node's entry: where callers and other nodes reach it.
+
+    Parameters
+    ----------
+    peer_key
+        Key that other nodes prove on a connection to this one. They have
+        it from the store, which only the fleet can read.
+    """
 
     vm: str = schema.text()
     region: str = schema.text()
     failure_domain: str = schema.text()
     callers: str = schema.text(schema.ADDRESS_PATTERN)
     peers: str = schema.text(schema.ADDRESS_PATTERN)
+    peer_key: str = schema.text(r'[0-9a-f]{32}', default='')
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import importlib
 import resource
+import secrets
 import signal
 import time
 from typing import Any
@@ -54,6 +56,7 @@
 STOP_POLL_S = 0.05
 # The settings file may change without a signal.
 SETTINGS_POLL_S = 1.0
+PEER_KEY_BYTES = 16
 _BYTES_PER_KB = 1_024
 _MS_PER_S = 1_000
 
@@ -88,7 +91,9 @@
             failure_domain=settings.failure_domain,
             callers=addresses.callers,
             peers=addresses.peers,
+            peer_key=secrets.token_hex(PEER_KEY_BYTES),
         )
+        self._me = me
         self._targets = ConnectionPool()
         self._store = KvStore(
             settings.store.address,
@@ -158,6 +163,7 @@
         work.append(asyncio.create_task(self._loop_delay.run()))
         work.append(asyncio.create_task(self._watch_settings()))
         work.append(asyncio.create_task(self._measure()))
+        work.append(asyncio.create_task(self._run_mesh()))
         logging.info('node runs', extra={'settings': self._settings})
         stopping = asyncio.create_task(self._stop.wait())
         await asyncio.wait(
@@ -178,6 +184,12 @@
     def _on_store_call(self, call: str, outcome: str) -> None:
         self._metrics.record(lambda m: m.on_store_call(call, outcome))
 
+    async def _run_mesh(self) -> None:
+        module = await asyncio.to_thread(
+            importlib.import_module, 'gentianbank.nodes.steering_mesh'
+        )
+        await module.run_mesh(self._me, self._beliefs, now_ms)
+
     async def _measure(self) -> None:
         """Load the metrics if they are served, and add the gauges."""
         if not self._settings.addresses.metrics:
--- /dev/null
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -0,0 +1,63 @@
+"""Wires the connections between nodes on the users' platform.
+
+This is imported after the node serves, since a node needs no peers to start.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gentianbank.steering.mesh import Mesh
+from gentianbank.transport.handshake import Credentials
+from gentianbank.transport.peers import WebsocketPeers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.control.messages import Message
+    from gentianbank.control.peers import PeerEvent
+    from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.steering.beliefs import Beliefs
+
+
+async def run_mesh(
+    me: NodeRegistration, beliefs: Beliefs, clock: Callable[[], float]
+) -> None:
+    """Exchange loads with other nodes until cancelled.
+
+    Parameters
+    ----------
+    me
+        This node's own entry.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def address_of(vm: str) -> str | None:
+        node = beliefs.nodes.get(vm)
+        return node.peers if node else None
+
+    def key_of(vm: str) -> bytes | None:
+        node = beliefs.nodes.get(vm)
+        return node.peer_key.encode() if node else None
+
+    def take_event(event: PeerEvent) -> None:
+        mesh.on_event(event)
+
+    async def answer(vm: str, message: Message) -> None:
+        """Answer nothing: nodes here ask each other nothing."""
+
+    peers = WebsocketPeers(
+        Credentials(me.vm, me.peer_key.encode()),
+        me.peers,
+        take_event,
+        answer,
+        address_of,
+        key_of,
+    )
+    mesh = Mesh(vm=me.vm, beliefs=beliefs, peers=peers, clock=clock)
+    await peers.start()
+    try:
+        await mesh.run()
+    finally:
+        await peers.close()
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -8,6 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.shared_allowance import ColdAllowance
 
 if TYPE_CHECKING:
@@ -49,6 +50,10 @@
     is_doubtful
         Whether the entry was missing after an outage of the store, so that
         the target may be gone.
+    peer_loads
+        What other nodes have in flight; shared by all targets.
+    changed_loads
+        Ids of targets whose load changed lately; shared by all targets.
     """
 
     registration: TargetRegistration
@@ -63,7 +68,12 @@
     failures_in_row: int = 0
     suspect_until_ms: float = float('-inf')
     is_doubtful: bool = False
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    changed_loads: set[str] = field(default_factory=set)
     cold: ColdAllowance = field(default_factory=ColdAllowance)
+    _speed: float = USUAL_SLOWDOWN
+    _speed_ms: float = float('-inf')
+    _untold: LoadReport | None = None
     _objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     def is_cold(self, now_ms: float) -> bool:
@@ -76,20 +86,18 @@
 
     def slowdown(self, now_ms: float) -> float:
         """Return the expected slowdown; an old report counts for less."""
-        if self.report is None:
-            return USUAL_SLOWDOWN
-        fading = math.exp((self.report_ms - now_ms) / SLOWDOWN_MEMORY_MS)
-        return USUAL_SLOWDOWN + fading * (
-            self.report.slowdown - USUAL_SLOWDOWN
-        )
+        fading = math.exp((self._speed_ms - now_ms) / SLOWDOWN_MEMORY_MS)
+        return USUAL_SLOWDOWN + fading * (self._speed - USUAL_SLOWDOWN)
 
     def occupancy(self, now_ms: float) -> float:
         """Return the estimated requests that the target has."""
-        if self.report is None:
-            return float(self.in_flight)
+        others = self.peer_loads.of(self.registration.target_id)
+        known = self.in_flight + others
+        if self.report is None or self.peer_loads.is_complete:
+            return known
         fading = math.exp((self.report_ms - now_ms) / REPORT_MEMORY_MS)
         reported = (self.report.running + self.report.waiting) * fading
-        return max(float(self.in_flight), reported + self.sent_since_report)
+        return max(known, reported + self.sent_since_report)
 
     def knows(self, topic: str) -> bool:
         """Tell whether this node had the target handle an object lately."""
@@ -98,6 +106,7 @@
     def on_send(self, now_ms: float, topic: str) -> None:
         """Count a request in."""
         self.in_flight += 1
+        self.changed_loads.add(self.registration.target_id)
         self.sent_since_report += 1
         if self.is_cold(now_ms):
             self.cold.on_send(now_ms)
@@ -110,12 +119,25 @@
     def on_end(self) -> None:
         """Count a request out, whatever became of it."""
         self.in_flight -= 1
+        self.changed_loads.add(self.registration.target_id)
 
     def on_report(self, report: LoadReport, now_ms: float) -> None:
         """Take a load report."""
         self.report = report
         self.report_ms = now_ms
         self.sent_since_report = 0
+        self._untold = report
+        self.on_speed(report.slowdown, now_ms)
+
+    def on_speed(self, slowdown: float, now_ms: float) -> None:
+        """Take how long work takes at the target now."""
+        self._speed = slowdown
+        self._speed_ms = now_ms
+
+    def take_untold_report(self) -> LoadReport | None:
+        """Return the newest report unless it was returned before."""
+        report, self._untold = self._untold, None
+        return report
 
     def on_answer(self, *, failed: bool) -> None:
         """Count an answer."""
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.target_load import TargetLoad
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
         Grows whenever the set of usable targets may have changed.
     confirmed_ms
         Time when the store last answered.
+    peer_loads
+        Requests in flight of other nodes.
+    changed_loads
+        Ids of the targets whose load changed since peers were told.
     """
 
     regions: dict[str, str]
@@ -47,6 +52,8 @@
     nodes: dict[str, NodeRegistration] = field(default_factory=dict)
     generation: int = 0
     confirmed_ms: float | None = None
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
+    changed_loads: set[str] = field(default_factory=set)
 
     def age_ms(self, now_ms: float) -> int | None:
         """Return the time since the store last answered, if it ever did."""
@@ -78,7 +85,13 @@
         """
         held = self.targets.get(entry.target_id)
         if held is None or _is_other_start(held.registration, entry):
-            held = TargetLoad(entry, self._region(entry), now_ms)
+            held = TargetLoad(
+                entry,
+                self._region(entry),
+                now_ms,
+                peer_loads=self.peer_loads,
+                changed_loads=self.changed_loads,
+            )
             self.targets[entry.target_id] = held
             if not first:
                 held.cold_until_ms = now_ms + self._cold_ms(entry)
--- /dev/null
+++ b/src/gentianbank/steering/mesh.py
@@ -0,0 +1,207 @@
+"""Tells other nodes the loads that this one sees, and takes theirs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import register_message
+from gentianbank.control.peers import Connected
+from gentianbank.control.peers import Disconnected
+from gentianbank.control.peers import Received
+from gentianbank.domain import schema
+from gentianbank.policy import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gentianbank.control.peers import PeerEvent
+    from gentianbank.control.peers import Peers
+    from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.policy.target_load import TargetLoad
+    from gentianbank.steering.beliefs import Beliefs
+
+TICK_MS = 100.0
+# More peers are told more rarely, so that the cost stays bounded.
+TICK_MS_PER_PEER = 3.0
+# Connections that one node opens; the loads of these stand for all.
+MAX_PEERS = 40
+DIAL_PERIOD_MS = 1_000.0
+# A message goes at least so often, so that peers know that the node lives.
+HEARTBEAT_MS = 500.0
+MAX_IN_FLIGHT = 255
+# Slowdowns are told in steps of this size.
+SLOWDOWN_STEP = 0.05
+MAX_STEPS = 255
+_MS_PER_S = 1_000
+
+
+@register_message('loads')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Loads(Message):
+    """Targets whose load changed at the node that sends this.
+
+    Parameters
+    ----------
+    targets
+        Ids of the targets; the other fields have one byte for each.
+    in_flight
+        Requests of the sending node, at most ``MAX_IN_FLIGHT``.
+    slowdowns
+        Newest report in steps of ``SLOWDOWN_STEP``; 0 without a new one.
+    """
+
+    targets: tuple[str, ...] = schema.sequence(str)
+    in_flight: bytes = schema.binary()
+    slowdowns: bytes = schema.binary()
+
+
+class Mesh:
+    """Keeps this node connected to others and exchanges loads.
+
+    Parameters
+    ----------
+    peers
+        Connections to other nodes.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        beliefs: Beliefs,
+        peers: Peers,
+        clock: Callable[[], float],
+    ) -> None:
+        self._vm = vm
+        self._beliefs = beliefs
+        self._loads = beliefs.peer_loads
+        self._peers = peers
+        self._clock = clock
+        self._connected: set[str] = set()
+        self._dialled_ms = float('-inf')
+        self._told_ms = float('-inf')
+
+    async def run(self) -> None:
+        """Exchange loads until cancelled."""
+        while True:
+            self.tick()
+            peers = len(self._connected)
+            pause_ms = max(TICK_MS, TICK_MS_PER_PEER * peers)
+            await asyncio.sleep(pause_ms / _MS_PER_S)
+
+    def tick(self) -> None:
+        """Do what is due now."""
+        now_ms = self._clock()
+        if now_ms - self._dialled_ms >= DIAL_PERIOD_MS:
+            self._dialled_ms = now_ms
+            self._keep_connections(now_ms)
+        self._tell_changes(now_ms)
+
+    def on_event(self, event: PeerEvent) -> None:
+        """Take an event of a connection."""
+        match event:
+            case Connected(vm):
+                self._connected.add(vm)
+                self._loads.on_heard(vm, self._clock())
+                self._peers.send(vm, _encode(self._busy_targets()))
+                logging.info('peer connected', extra={'peer': vm})
+            case Disconnected(vm):
+                self._connected.discard(vm)
+                self._loads.forget(vm)
+                logging.info('peer lost', extra={'peer': vm})
+            case Received(vm, Loads() as loads):
+                self._take(vm, loads)
+
+    def _keep_connections(self, now_ms: float) -> None:
+        nodes = self._beliefs.nodes
+        self._loads.peers = len(nodes.keys() - {self._vm})
+        for vm in self._loads.silent(now_ms):
+            logging.warning('peer is silent', extra={'peer': vm})
+            self._loads.forget(vm)
+            self._peers.hang_up(vm)
+        for node in choose_peers(self._vm, nodes.values()):
+            if node.vm not in self._connected:
+                self._peers.dial(node.vm, node.peers)
+
+    def _tell_changes(self, now_ms: float) -> None:
+        if not self._connected:
+            self._beliefs.changed_loads.clear()
+            return
+        changed = self._take_changed()
+        if not changed and now_ms - self._told_ms < HEARTBEAT_MS:
+            return
+        self._told_ms = now_ms
+        self._peers.send_to_all(_encode(changed))
+
+    def _take_changed(self) -> list[_Row]:
+        names = self._beliefs.changed_loads
+        targets = self._beliefs.targets
+        # A target that is gone may come back under its id, with no load.
+        rows = [_row(targets.get(name), name) for name in names]
+        names.clear()
+        return rows
+
+    def _busy_targets(self) -> list[_Row]:
+        targets = self._beliefs.targets.items()
+        return [_row(t, name) for name, t in targets if t.in_flight]
+
+    def _take(self, vm: str, loads: Loads) -> None:
+        now_ms = self._clock()
+        self._loads.on_heard(vm, now_ms)
+        rows = zip(
+            loads.targets, loads.in_flight, loads.slowdowns, strict=False
+        )
+        for target_id, in_flight, steps in rows:
+            self._loads.put(vm, target_id, in_flight)
+            target = self._beliefs.targets.get(target_id)
+            if steps and target is not None:
+                target.on_speed(steps * SLOWDOWN_STEP, now_ms)
+
+
+def choose_peers(
+    vm: str, nodes: Iterable[NodeRegistration]
+) -> list[NodeRegistration]:
+    """Return the nodes that a node connects to.
+
+    Of two nodes that know each other one connects, unless there are more
+    than ``MAX_PEERS``.
+    """
+    others = {node.vm: node for node in nodes if node.vm != vm and node.peers}
+    if len(others) <= MAX_PEERS:
+        return [node for name, node in others.items() if vm < name]
+    return [others[name] for name in rendezvous.rank(others, vm)[:MAX_PEERS]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Row:
+    target_id: str
+    in_flight: int
+    slowdown_steps: int
+
+
+def _row(target: TargetLoad | None, target_id: str) -> _Row:
+    """Return what is told of a target; no report is told twice."""
+    if target is None:
+        return _Row(target_id, 0, 0)
+    report = target.take_untold_report()
+    steps = 0
+    if report is not None:
+        steps = round(report.slowdown / SLOWDOWN_STEP)
+        steps = max(1, min(MAX_STEPS, steps))
+    return _Row(target_id, min(MAX_IN_FLIGHT, target.in_flight), steps)
+
+
+def _encode(rows: list[_Row]) -> Loads:
+    return Loads(
+        targets=tuple(row.target_id for row in rows),
+        in_flight=bytes(row.in_flight for row in rows),
+        slowdowns=bytes(row.slowdown_steps for row in rows),
+    )
--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -42,6 +42,7 @@
 
     from gentianbank.control.peers import AddressBook
     from gentianbank.control.peers import EventSink
+    from gentianbank.control.peers import KeyBook
     from gentianbank.control.peers import RequestHandler
 
 DIAL_TIMEOUT_S = 2.0
@@ -63,8 +64,12 @@
 
     def put(self, message: Message) -> None:
         """Queue a message; a peer that does not read is cut off."""
+        self.put_encoded(encode_message(message))
+
+    def put_encoded(self, data: bytes) -> None:
+        """Queue the bytes of a message."""
         try:
-            self.outbox.put_nowait(encode_message(message))
+            self.outbox.put_nowait(data)
         except asyncio.QueueFull:
             logging.warning('peer %s does not read; closing', self.vm)
             self.socket.transport.abort()
@@ -123,6 +128,9 @@
         Answers requests of other nodes.
     book
         Returns the peer address of a VM, if it is known.
+    key_of
+        Returns the key that another VM must hold, if it is known; by
+        default all hold the key of this node.
     """
 
     def __init__(
@@ -132,8 +140,10 @@
         sink: EventSink,
         handler: RequestHandler,
         book: AddressBook,
+        key_of: KeyBook | None = None,
     ) -> None:
         self._own = own
+        self._key_of = key_of
         self._address = parse_address(address)
         self._sink = sink
         self._handler = handler
@@ -185,13 +195,20 @@
             connection.put(message)
             return
 
+    def send_to_all(self, message: Message) -> None:
+        data = encode_message(message)
+        for connections in self._connections.values():
+            for connection in connections:
+                connection.put_encoded(data)
+                break
+
     async def request(
         self, vm: str, address: str, message: Numbered, timeout_ms: float
     ) -> Result[Numbered, PeerUnreachable]:
         channel = self._channels.get(vm)
         if channel is None or channel.closed:
             channel = self._channels[vm] = RequestChannel()
-            self._spawn(self._serve_channel(channel, address))
+            self._spawn(self._serve_channel(channel, vm, address))
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
                 return Ok(await channel.request(message))
@@ -214,14 +231,20 @@
             proxy=None,
         ).__aenter__()
 
+    def _credentials(self, vm: str) -> handshake.Credentials:
+        """Return what this node proves to a VM that it dials."""
+        if self._key_of is None:
+            return self._own
+        return handshake.Credentials(self._own.vm, self._key_of(vm) or b'')
+
     async def _serve_channel(
-        self, channel: RequestChannel, address: str
+        self, channel: RequestChannel, vm: str, address: str
     ) -> None:
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 socket = await self._connect(address)
                 answer = await handshake.greet(
-                    socket, self._own, handshake.REQUESTS
+                    socket, self._credentials(vm), handshake.REQUESTS
                 )
         except _FAILURES:
             channel.close()
@@ -238,7 +261,7 @@
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 socket = await self._connect(address)
                 answer = await handshake.greet(
-                    socket, self._own, handshake.CONTROL
+                    socket, self._credentials(vm), handshake.CONTROL
                 )
         except _FAILURES:
             self._dialling.discard(vm)
--- /dev/null
+++ b/tests/steering/test_mesh.py
@@ -0,0 +1,223 @@
+"""Tests of the exchange of loads between nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from gentianbank.control.messages import decode_message
+from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import Numbered
+from gentianbank.control.peers import Connected
+from gentianbank.control.peers import Disconnected
+from gentianbank.control.peers import PeerEvent
+from gentianbank.control.peers import Peers
+from gentianbank.control.peers import PeerUnreachable
+from gentianbank.control.peers import Received
+from gentianbank.domain.load_report import LoadReport
+from gentianbank.domain.registration import NodeRegistration
+from gentianbank.policy.peer_loads import SILENCE_MS
+from gentianbank.steering.beliefs import Beliefs
+from gentianbank.steering.mesh import choose_peers
+from gentianbank.steering.mesh import MAX_PEERS
+from gentianbank.steering.mesh import Mesh
+from tests.support.steering import REGIONS
+from tests.support.steering import registration
+
+if TYPE_CHECKING:
+    import pytest
+
+TICK_MS = 100.0
+
+
+class Hub:
+    """Connects nodes at once; a node may be cut off without a word."""
+
+    def __init__(self, *names: str) -> None:
+        self.now_ms = 0.0
+        self.cut: set[str] = set()
+        self.messages = 0
+        self.nodes = {name: Node(self, name) for name in names}
+        for node in self.nodes.values():
+            for name in names:
+                node.beliefs.nodes[name] = entry(name)
+        self.pass_ms(TICK_MS)
+
+    def pass_ms(self, duration_ms: float) -> None:
+        """Let time pass, tick by tick."""
+        for _ in range(round(duration_ms / TICK_MS)):
+            self.now_ms += TICK_MS
+            for node in self.nodes.values():
+                node.mesh.tick()
+
+    def deliver(self, vm: str, to: str, event: PeerEvent) -> None:
+        """Give an event to a node unless either is cut off."""
+        if not self.cut & {vm, to}:
+            self.messages += 1
+            self.nodes[to].mesh.on_event(event)
+
+
+class HubPeers(Peers):
+    """Connections of one node."""
+
+    def __init__(self, hub: Hub, vm: str) -> None:
+        self._hub = hub
+        self._vm = vm
+        self.connected: set[str] = set()
+
+    def dial(self, vm: str, address: str) -> None:
+        if self._hub.cut & {vm, self._vm}:
+            return
+        self.connected.add(vm)
+        self._hub.nodes[vm].peers.connected.add(self._vm)
+        self._hub.deliver(vm, self._vm, Connected(vm))
+        self._hub.deliver(self._vm, vm, Connected(self._vm))
+
+    def hang_up(self, vm: str) -> None:
+        self.connected.discard(vm)
+        self._hub.nodes[self._vm].mesh.on_event(Disconnected(vm))
+
+    def send(self, vm: str, message: Message) -> None:
+        match decode_message(encode_message(message)):
+            case Result(tag='ok', ok=decoded):
+                self._hub.deliver(self._vm, vm, Received(self._vm, decoded))
+
+    def send_to_all(self, message: Message) -> None:
+        for vm in self.connected:
+            self.send(vm, message)
+
+    async def request(
+        self, vm: str, address: str, message: Numbered, timeout_ms: float
+    ) -> Result[Numbered, PeerUnreachable]:
+        raise NotImplementedError
+
+
+class Node:
+    """One node's mesh, with two targets."""
+
+    def __init__(self, hub: Hub, vm: str) -> None:
+        self.beliefs = Beliefs(dict(REGIONS))
+        for name in ('desk-1', 'desk-2'):
+            self.beliefs.put_target(registration(name), 0.0, first=True)
+        self.peers = HubPeers(hub, vm)
+        self.mesh = Mesh(
+            vm=vm,
+            beliefs=self.beliefs,
+            peers=self.peers,
+            clock=lambda: hub.now_ms,
+        )
+
+    def send(self, target: str, count: int = 1) -> None:
+        for _ in range(count):
+            self.beliefs.targets[target].on_send(0.0, 'read/7')
+
+    def occupancy(self, hub: Hub, target: str = 'desk-1') -> float:
+        return self.beliefs.targets[target].occupancy(hub.now_ms)
+
+
+def entry(vm: str) -> NodeRegistration:
+    return NodeRegistration(
+        vm=vm,
+        region='east',
+        failure_domain='east-1',
+        callers='10.0.0.1:1',
+        peers='10.0.0.1:2',
+    )
+
+
+def test_nodes_learn_what_others_have_in_flight() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    hub.nodes['vm-1'].send('desk-1', 2)
+    hub.nodes['vm-2'].send('desk-1')
+    hub.pass_ms(TICK_MS)
+    assert [n.occupancy(hub) for n in hub.nodes.values()] == [3, 3, 3]
+    hub.nodes['vm-1'].beliefs.targets['desk-1'].on_end()
+    hub.pass_ms(TICK_MS)
+    assert hub.nodes['vm-3'].occupancy(hub) == 2
+    assert hub.nodes['vm-3'].occupancy(hub, 'desk-2') == 0
+
+
+def test_node_that_joins_learns_what_runs_already() -> None:
+    hub = Hub('vm-1')
+    hub.nodes['vm-1'].send('desk-1', 2)
+    hub.pass_ms(1_000.0)
+    late = hub.nodes['vm-2'] = Node(hub, 'vm-2')
+    for node in hub.nodes.values():
+        node.beliefs.nodes |= {vm: entry(vm) for vm in hub.nodes}
+    hub.pass_ms(1_000.0)
+    assert late.occupancy(hub) == 2
+
+
+def test_slowdown_of_a_report_is_told_once_and_fades() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    target = hub.nodes['vm-1'].beliefs.targets['desk-1']
+    target.on_send(hub.now_ms, 'read/7')
+    target.on_report(LoadReport(1, 0, 2, 2.5), hub.now_ms)
+    target.on_end()
+    hub.pass_ms(TICK_MS)
+    told = hub.nodes['vm-2'].beliefs.targets['desk-1']
+    assert round(told.slowdown(hub.now_ms), 1) == 2.5
+    hub.pass_ms(3_000.0)
+    assert told.slowdown(hub.now_ms) < 1.2
+
+
+def test_calm_nodes_send_little() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    hub.messages = 0
+    hub.pass_ms(10_000.0)
+    # A heartbeat each half second from either node.
+    assert hub.messages <= 42
+
+
+def test_silent_peer_is_forgotten_and_found_again(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    hub.nodes['vm-2'].send('desk-1', 4)
+    hub.pass_ms(TICK_MS)
+    assert hub.nodes['vm-1'].occupancy(hub) == 4
+    hub.cut = {'vm-2'}
+    hub.pass_ms(SILENCE_MS + 2_000.0)
+    assert hub.nodes['vm-1'].beliefs.peer_loads.heard == 1
+    assert hub.nodes['vm-1'].occupancy(hub) == 0
+    assert 'peer is silent' in caplog.text
+    hub.cut = set()
+    hub.pass_ms(2_000.0)
+    assert hub.nodes['vm-1'].occupancy(hub) == 4
+
+
+def test_loads_of_unknown_targets_do_no_harm() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    other = hub.nodes['vm-2'].beliefs
+    other.put_target(registration('desk-9'), 0.0, first=True)
+    hub.nodes['vm-2'].send('desk-9')
+    hub.pass_ms(TICK_MS)
+    assert 'desk-9' not in hub.nodes['vm-1'].beliefs.targets
+    other.drop_target('desk-9')
+    hub.pass_ms(TICK_MS)
+
+
+def test_load_of_a_target_that_is_gone_ends() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    first, second = hub.nodes.values()
+    first.send('desk-1')
+    hub.pass_ms(TICK_MS)
+    assert second.occupancy(hub) == 1
+    target = first.beliefs.targets['desk-1']
+    first.beliefs.drop_target('desk-1')
+    target.on_end()
+    hub.pass_ms(TICK_MS)
+    assert second.occupancy(hub) == 0
+
+
+def test_one_of_two_nodes_dials_the_other() -> None:
+    nodes = [entry('vm-1'), entry('vm-2')]
+    assert [n.vm for n in choose_peers('vm-1', nodes)] == ['vm-2']
+    assert choose_peers('vm-2', nodes) == []
+
+
+def test_connections_of_many_nodes_are_bounded() -> None:
+    nodes = [entry(f'vm-{number}') for number in range(300)]
+    assert len(choose_peers('vm-7', nodes)) == MAX_PEERS
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -372,6 +372,10 @@
             self._world.bytes_by_node[self._vm] += size
         self._world.deliver(me, other, Received(self._vm, message))
 
+    def send_to_all(self, message: Message) -> None:
+        for vm in self.connected:
+            self.send(vm, message)
+
     def drop(self, vm: str) -> None:
         """Break the connection to a peer."""
         other = self._world.nodes[vm]
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -369,6 +369,9 @@
     def send(self, vm: str, message: Message) -> None:
         pass
 
+    def send_to_all(self, message: Message) -> None:
+        pass
+
     async def request(
         self, vm: str, address: str, message: Numbered, timeout_ms: float
     ) -> Result[Numbered, PeerUnreachable]:
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -38,6 +38,7 @@
     def __init__(self, vm: str, address: str, key: bytes = KEY) -> None:
         self.address = address
         self.book: dict[str, str] = {}
+        self.keys: dict[str, bytes] = {}
         self.events: asyncio.Queue[PeerEvent] = asyncio.Queue()
         self.peers = WebsocketPeers(
             Credentials(vm, key),
@@ -45,6 +46,7 @@
             self.events.put_nowait,
             self._answer,
             self.book.get,
+            lambda vm: self.keys.get(vm, key),
         )
 
     async def next(self) -> PeerEvent:
@@ -150,3 +152,24 @@
 def test_encoded_message_decodes_to_itself() -> None:
     message = Heartbeat(revision=3, members_digest=5)
     assert decode_message(encode_message(message)).ok == message
+
+
+def test_each_node_may_have_a_key_of_its_own() -> None:
+    async def test(first: Node, second: Node) -> None:
+        first.keys['vm-2'] = b'key-of-vm-2'
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Connected('vm-2')
+
+    run(test, b'key-of-vm-2')
+
+
+def test_message_to_all_reaches_every_peer() -> None:
+    async def test(first: Node, second: Node) -> None:
+        first.peers.dial('vm-2', second.address)
+        assert await first.next() == Connected('vm-2')
+        assert await second.next() == Connected('vm-1')
+        heartbeat = Heartbeat(revision=7, members_digest=1)
+        first.peers.send_to_all(heartbeat)
+        assert await second.next() == Received('vm-1', heartbeat)
+
+    run(test)
