Explain a request from the log lines of nodes, and heed the connections of a service

gentianbank explain REQUEST-ID LOG... reads lines of several nodes and tells the story in order with what its nodes had learned before. A node holds at most its part of the connections that the operator allows to a target.

--- /dev/null
+++ b/src/gentianbank/cli/explain.py
@@ -0,0 +1,190 @@
+"""The story of one request, from the log lines of the nodes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Changes that a node learned of so long before the request are shown.
+CONTEXT_MS = 10_000
+_MS_PER_S = 1_000
+# What explains a request besides its own lines; those of targets only if
+# the request was sent there.
+NODE_MESSAGES = frozenset(
+    (
+        'node runs',
+        'node leaves',
+        'store lost',
+        'store answers again',
+        'configuration in force',
+        'failure domain evacuated',
+        'failure domain is back',
+        'settings read again',
+        'settings not taken; the old ones stay in force',
+        'log lines dropped',
+    )
+)
+TARGET_MESSAGES = frozenset(('target registered', 'target gone'))
+_HEAD = frozenset(('time_ms', 'level', 'node', 'message', 'request'))
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """A line of a node's log.
+
+    Parameters
+    ----------
+    fields
+        What the message tells, by name.
+    """
+
+    time_ms: int
+    node: str
+    message: str
+    request: str
+    fields: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """What happened to a request.
+
+    Parameters
+    ----------
+    events
+        Its own lines, in order.
+    context
+        What its nodes learned shortly before, in order.
+    verdict
+        The cause in one sentence.
+    """
+
+    request: str
+    events: tuple[LogLine, ...]
+    context: tuple[LogLine, ...]
+    verdict: str
+
+
+def read_lines(texts: Iterable[str]) -> tuple[list[LogLine], int]:
+    """Return the log lines among texts, and how many could not be read.
+
+    What stands before the first brace of a text is skipped, as collectors
+    often put a time or a name there.
+    """
+    lines = []
+    unread = 0
+    for text in texts:
+        _, brace, rest = text.partition('{')
+        line = _read_line(brace + rest)
+        if line is not None:
+            lines.append(line)
+        elif brace:
+            unread += 1
+    return lines, unread
+
+
+def explain(lines: Iterable[LogLine], request: str) -> Story:
+    """Return the story of a request."""
+    held = sorted(lines, key=lambda line: line.time_ms)
+    events = tuple(line for line in held if line.request == request)
+    if not events:
+        verdict = (
+            'no line tells of the request: it reached no node, was answered '
+            'but not sampled, or its lines were dropped'
+        )
+        return Story(request, (), (), verdict)
+    context = tuple(line for line in held if _concerns(line, events))
+    return Story(request, events, context, _judge(events))
+
+
+def render(story: Story) -> str:
+    """Return a story as text for people."""
+    rows = [f'request {story.request}: {story.verdict}']
+    if not story.events:
+        return rows[0]
+    begin_ms = story.events[0].time_ms
+    for title, lines in (
+        ('what its nodes had learned', story.context),
+        ('what happened to it', story.events),
+    ):
+        if lines:
+            rows.append(f'{title}:')
+        for line in lines:
+            after_s = (line.time_ms - begin_ms) / _MS_PER_S
+            rows.append(
+                f'  {after_s:+8.3f} s  {line.node}  {line.message}'
+                f'{_render_fields(line)}'
+            )
+    return '\n'.join(rows)
+
+
+def _read_line(text: str) -> LogLine | None:
+    try:
+        raw = json.loads(text)
+        return LogLine(
+            time_ms=int(raw['time_ms']),
+            node=str(raw['node']),
+            message=str(raw['message']),
+            request=str(raw.get('request', '')),
+            fields={k: v for k, v in raw.items() if k not in _HEAD},
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def _concerns(line: LogLine, events: tuple[LogLine, ...]) -> bool:
+    begin_ms = events[0].time_ms
+    end_ms = events[-1].time_ms
+    if not begin_ms - CONTEXT_MS <= line.time_ms <= end_ms:
+        return False
+    if line.node not in {event.node for event in events}:
+        return False
+    if line.message in NODE_MESSAGES:
+        return True
+    targets = {event.fields.get('target') for event in events}
+    return line.message in TARGET_MESSAGES and (
+        line.fields.get('target') in targets
+    )
+
+
+def _judge(events: tuple[LogLine, ...]) -> str:
+    """Return the cause that the last lines give."""
+    last = events[-1]
+    fields = last.fields
+    attempts = [e for e in events if e.message == 'attempt failed']
+    tried = ', then '.join(
+        f'{e.fields.get("target")}: {e.fields.get("cause")}' for e in attempts
+    )
+    match last.message:
+        case 'request answered':
+            return (
+                f'answered by {fields.get("target")} in '
+                f'{fields.get("took_ms")} ms after it was held for '
+                f'{fields.get("held_ms")} ms'
+                + (f'; before that {tried}' if tried else '')
+            )
+        case 'request refused':
+            reason = f'{fields.get("status")}: {fields.get("cause")}'
+            if fields.get('busy'):
+                reason += f' ({fields["busy"]})'
+            return reason + (f'; tried {tried}' if tried else '')
+        case 'caller left':
+            return f'the caller left after {fields.get("held_ms")} ms'
+        case 'answer ended early':
+            return f'the answer broke off: {fields.get("cause")}'
+        case _:
+            return tried or last.message
+
+
+def _render_fields(line: LogLine) -> str:
+    shown = [
+        f'{name}={value}'
+        for name, value in line.fields.items()
+        if value not in ('', None) and name != 'settings'
+    ]
+    return '  ' + ' '.join(shown) if shown else ''
--- a/src/gentianbank/cli/main.py
+++ b/src/gentianbank/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import getpass
 import os
@@ -16,6 +17,7 @@
 import fire
 import yaml
 
+from gentianbank.cli import explain as explanation
 from gentianbank.cli.client import OperatorsClient
 from gentianbank.cli.exit_codes import ExitCode
 from gentianbank.cli.tables import render_json
@@ -128,8 +130,18 @@
         print(_member_table(reply), end='\n\n')
         print(_target_table(reply))
 
-    def explain(self, request_id: str) -> None:
-        """Tell what a node did with a request, by its X-Request-Id."""
+    def explain(self, request_id: str, *logs: str) -> None:
+        """Tell what became of a request, by the id that its caller gave it.
+
+        Parameters
+        ----------
+        logs
+            Log files of nodes, or ``-`` for standard input; without any, a
+            node of the product's own interface is asked.
+        """
+        if logs:
+            self._explain_from_logs(str(request_id), logs)
+            return
         request = pb.ExplainRequest(request_id=str(request_id))
         reply = self._read('Explain', request)
         rows = [
@@ -148,6 +160,19 @@
         titles = ('vm', 'address', 'region', 'weight percent')
         self._print(reply, titles, rows)
 
+    def _explain_from_logs(self, request_id: str, logs: Sequence[str]) -> None:
+        texts = [text for name in logs for text in _read_log(name)]
+        lines, unread = explanation.read_lines(texts)
+        if unread:
+            print(f'{unread} lines could not be read', file=sys.stderr)
+        story = explanation.explain(lines, request_id)
+        if self._json:
+            print(render_json(dataclasses.asdict(story)))
+        else:
+            print(explanation.render(story))
+        if not story.events:
+            raise SystemExit(ExitCode.NOT_FOUND)
+
     def _set_draining(self, target: str, draining: bool, author: str) -> None:
         request = pb.SetDrainingRequest(
             target=str(target),
@@ -228,6 +253,16 @@
     return conversion.to_message(schema.dump(_unwrap_input(result)))
 
 
+def _read_log(name: str) -> list[str]:
+    if str(name) == '-':
+        return sys.stdin.readlines()
+    try:
+        text = Path(str(name)).read_text(encoding='utf-8', errors='replace')
+    except OSError as error:
+        _fail(ExitCode.BAD_INPUT, f'{name}: {error.strerror}')
+    return text.splitlines()
+
+
 def _unwrap_input(result: Result[Any, Any]) -> Any:
     match result:
         case Result(tag='ok', ok=value):
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -32,6 +32,8 @@
 COPIES = 2
 # Orders of objects that are held; more are computed anew.
 MAX_ORDERS = 20_000
+# Connections to a target that a node may hold however many nodes there are.
+MIN_CONNECTIONS = 4
 # Part of the allowed shift between two windows that is used.
 SHIFT_FRACTION = 0.4
 SHIFT_WINDOW_S = 2.0
@@ -118,6 +120,14 @@
         known = len({*self._beliefs.nodes, self._vm})
         return max(known, len(self._beliefs.regions) + 1)
 
+    def connections_of(self, service: str) -> int:
+        """Return the connections that this node may hold to a target."""
+        table = self._beliefs.table
+        policy = table.services.get(service) if table else None
+        if policy is None:
+            return MIN_CONNECTIONS
+        return max(MIN_CONNECTIONS, policy.max_connections // self.nodes)
+
     def choose(self, wanted: Wanted) -> Placement:
         """Return the target of a request, or why there is none."""
         self._refresh()
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -28,7 +28,6 @@
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
 
-MAX_CONNECTIONS = 64
 # Answers up to this size are read whole before the caller gets them.
 HELD_ANSWER_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_MS = 300.0
@@ -156,7 +155,7 @@
                 body=body.framing,
             ),
             body=body.content(),
-            max_connections=MAX_CONNECTIONS,
+            max_connections=self._placer.connections_of(request.service),
             connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
             headers_timeout_ms=left_ms,
             owns_answer=owns_answer,
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,100 @@
+"""Tests of the story of a request."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gentianbank.cli.explain import explain
+from gentianbank.cli.explain import LogLine
+from gentianbank.cli.explain import read_lines
+from gentianbank.cli.explain import render
+from gentianbank.cli.main import Commands
+from gentianbank.telemetry.logs import JsonFormatter
+from tests.support.steering import LOST
+from tests.support.steering import Path
+from tests.support.steering import SHED
+from tests.support.steering import SILENT
+
+if TYPE_CHECKING:
+    from tests.support.steering import Script
+
+ORDER: dict[str, Any] = {
+    'path': '/order/1',
+    'method': 'POST',
+    'body': b'post',
+}
+
+
+def texts_of(caplog: pytest.LogCaptureFixture) -> list[str]:
+    formatter = JsonFormatter('vm-1')
+    return [f'12.5 vm-1 {formatter.format(r)}' for r in caplog.records]
+
+
+def line(time_ms: int, message: str, request: str = '', **f: Any) -> LogLine:
+    return LogLine(time_ms, 'vm-1', message, request, f)
+
+
+@pytest.mark.parametrize(
+    ('script', 'verdict'),
+    [
+        (LOST, '502: reset; tried desk-1: reset'),
+        (SILENT, '504: no answer in time; tried desk-1: no answer in time'),
+        (SHED, '503: every target is busy; tried desk-1: the target answered'),
+    ],
+)
+def test_story_names_the_cause_of_what_the_node_itself_logged(
+    caplog: pytest.LogCaptureFixture, script: Script, verdict: str
+) -> None:
+    path = Path(targets=1)
+    path.transport.default = script
+    with caplog.at_level(logging.INFO):
+        path.ask(**ORDER)
+    lines, unread = read_lines(texts_of(caplog))
+    assert unread == 0
+    story = explain(lines, 'r-1')
+    assert story.verdict.startswith(verdict)
+    assert 'desk-1' in render(story)
+
+
+def test_story_holds_what_the_node_learned_before() -> None:
+    lines = [
+        line(500, 'configuration in force', version=3),
+        line(20_000, 'store lost'),
+        line(21_000, 'target gone', target='desk-1'),
+        line(21_500, 'target gone', target='desk-2'),
+        line(22_000, 'attempt failed', 'r-1', target='desk-1', cause='reset'),
+        line(22_100, 'request refused', 'r-1', status=502, cause='reset'),
+        line(22_200, 'store answers again'),
+    ]
+    story = explain(reversed(lines), 'r-1')
+    assert [item.time_ms for item in story.context] == [20_000, 21_000]
+    assert [item.time_ms for item in story.events] == [22_000, 22_100]
+
+
+def test_text_that_is_no_line_is_counted() -> None:
+    lines, unread = read_lines(['', 'Traceback', '{"time_ms": ', '{}'])
+    assert (lines, unread) == ([], 2)
+
+
+def test_command_reads_standard_input(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    document = {
+        'time_ms': 7,
+        'node': 'vm-1',
+        'message': 'caller left',
+        'request': 'r-1',
+        'held_ms': 30,
+    }
+    monkeypatch.setattr('sys.stdin', io.StringIO(json.dumps(document)))
+    Commands().explain('r-1', '-')
+    assert 'the caller left after 30 ms' in capsys.readouterr().out
+    with pytest.raises(SystemExit) as stopped:
+        Commands().explain('r-2', '/does/not/exist')
+    assert stopped.value.code == 2
