--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -28,7 +28,7 @@
 
 TICK_MS = 100.0
 # More peers are told more rarely, so that the cost stays bounded.
-TICK_MS_PER_PEER = 3.0
+TICK_MS_PER_PEER = 8.0
 # Connections that one node opens; the loads of these stand for all.
 MAX_PEERS = 40
 DIAL_PERIOD_MS = 1_000.0
