Soak real nodes of the platform under faults from outside, and test them as processes

The process tests found log messages with values inside (store lost: ...), which explain could not match; the values are fields now.

--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -90,7 +90,7 @@
             case Result(tag='ok', ok=lease):
                 pass
             case Result(error=error):
-                logging.warning('node not registered: %s', error)
+                _warn('node not registered', error)
                 return False
         put = keyspace.encode_node(self._me, lease)
         match await self._store.put(put):
@@ -99,7 +99,7 @@
                 logging.info('node registered')
                 return True
             case Result(error=refused):
-                logging.warning('node not registered: %s', refused)
+                _warn('node not registered', refused)
                 return False
 
     async def _renew(self) -> bool:
@@ -110,5 +110,9 @@
                 self._lease = 0
                 return await self._register()
             case Result(error=error):
-                logging.warning('lease not renewed: %s', error)
+                _warn('lease not renewed', error)
                 return False
+
+
+def _warn(message: str, error: object) -> None:
+    logging.warning(message, extra={'cause': str(error)})
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -141,7 +141,7 @@
     async def _on_failure(self, error: StoreUnavailable) -> None:
         if self._down_since_ms is None:
             self._down_since_ms = self._clock()
-            logging.warning('store lost: %s', error.cause)
+            logging.warning('store lost', extra={'cause': error.cause})
         self._poked.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.retry_ms / _MS_PER_S):
@@ -210,7 +210,7 @@
     def _refuse_value(
         self, stored: StoredValue, error: InvalidDocument
     ) -> None:
-        logging.warning('entry not used: %s', error)
+        logging.warning('entry not used', extra={'cause': str(error)})
         subject = keyspace.subject_of(stored.key)
         if isinstance(subject, TargetId):
             self._beliefs.drop_target(subject.target_id)
--- a/src/gentianbank/telemetry/deferred.py
+++ b/src/gentianbank/telemetry/deferred.py
@@ -67,7 +67,9 @@
         while self._held:
             self._held.popleft()(metrics)
         if self._lost:
-            logging.warning('%d measurements were not counted', self._lost)
+            logging.warning(
+                'measurements not counted', extra={'count': self._lost}
+            )
         self._metrics = metrics
 
     def render(self) -> bytes | None:
--- a/src/gentianbank_standins/serving.py
+++ b/src/gentianbank_standins/serving.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 
+from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain.addresses import parse_address
 
 
@@ -16,6 +17,12 @@
     uvicorn.Server(config).run()
 
 
+def build_quiet_server(app: Any, address: str) -> HttpServer:
+    """Return a server that leaves the signals of the process alone."""
+    parsed = parse_address(address)
+    return HttpServer(_config(app, parsed.host, parsed.port))
+
+
 def build_server(app: Any, address: str) -> uvicorn.Server:
     """Return a server for an application, to be run in a loop of others."""
     parsed = parse_address(address)
--- /dev/null
+++ b/src/gentianbank_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/src/gentianbank_standins/users_targets.py
@@ -0,0 +1,196 @@
+"""Stand-in for targets on the users' platform, with their faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+QUEUE_PER_SLOT = 3
+HEALTH_PATH = '/health'
+_MS_PER_S = 1_000
+
+
+@dataclass
+class TargetFaults:
+    """Faults of one target, each off by default.
+
+    Parameters
+    ----------
+    slow_factor
+        Times by which work takes longer.
+    lose_next
+        Requests that run, but whose connection then breaks.
+    refuse_next
+        Requests that are rejected as not run.
+    """
+
+    slow_factor: float = 1.0
+    lose_next: int = 0
+    refuse_next: int = 0
+
+
+@dataclass
+class Journal:
+    """What all targets have run.
+
+    Parameters
+    ----------
+    runs
+        How often each request ran, by its id.
+    running
+        Requests that run now, by the target's id.
+    late
+        Requests that came after their target was to get none.
+    """
+
+    runs: Counter[str] = field(default_factory=Counter)
+    running: Counter[str] = field(default_factory=Counter)
+    late: list[str] = field(default_factory=list)
+
+
+@dataclass
+class UsersTarget:
+    """An ASGI application that behaves like a target.
+
+    Parameters
+    ----------
+    closed_s
+        Time of the loop after which no request may come; 0 for never.
+    """
+
+    target_id: str
+    service: str
+    slots: int
+    work_ms: float
+    journal: Journal
+    faults: TargetFaults = field(default_factory=TargetFaults)
+    closed_s: float = 0.0
+    _waiting: int = 0
+    _running: int = 0
+    _free: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+        headers = {k.decode(): v.decode() for k, v in scope['headers']}
+        body = await _read(receive)
+        if body is None:
+            return
+        if scope['path'] == HEALTH_PATH:
+            await self._answer(send, 200, {'instance-id': self.target_id})
+            return
+        request_id = headers.get('request-id', '')
+        if headers.get('expect-instance') != self.target_id:
+            await self._reject(send, 421, request_id)
+            return
+        now_s = asyncio.get_running_loop().time()
+        if self.closed_s and now_s > self.closed_s:
+            self.journal.late.append(request_id)
+        full = self._waiting >= self.slots * QUEUE_PER_SLOT
+        if self.faults.refuse_next or full:
+            self.faults.refuse_next = max(0, self.faults.refuse_next - 1)
+            await self._reject(send, 503, request_id)
+            return
+        left_s = float(headers.get('deadline-ms', 1e9)) / _MS_PER_S
+        await self._serve(receive, send, request_id, body, left_s)
+
+    async def _serve(
+        self,
+        receive: Any,
+        send: Any,
+        request_id: str,
+        body: bytes,
+        left_s: float,
+    ) -> None:
+        gone = asyncio.create_task(_wait_gone(receive))
+        work = asyncio.create_task(self._work(request_id, left_s))
+        try:
+            await asyncio.wait(
+                (gone, work), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                return
+            if not work.result():
+                await self._reject(send, 503, request_id)
+                return
+            cut = self.faults.lose_next > 0
+            self.faults.lose_next -= cut
+            stamp = f'{self.target_id}.{request_id}'
+            await self._answer(
+                send,
+                200,
+                {'request-id': request_id, 'server-stamp': stamp},
+                stamp.encode() + b'/' + body,
+                cut=cut,
+            )
+        finally:
+            gone.cancel()
+            work.cancel()
+            await asyncio.gather(gone, work, return_exceptions=True)
+
+    async def _work(self, request_id: str, left_s: float) -> bool:
+        """Wait for a slot and run; tell whether the request ran."""
+        self._waiting += 1
+        try:
+            async with asyncio.timeout(left_s), self._free:
+                await self._free.wait_for(lambda: self._running < self.slots)
+                self._running += 1
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting -= 1
+        self.journal.runs[request_id] += 1
+        self.journal.running[self.target_id] += 1
+        try:
+            work_ms = self.work_ms * self.faults.slow_factor
+            await asyncio.sleep(work_ms / _MS_PER_S)
+        finally:
+            self.journal.running[self.target_id] -= 1
+            self._running -= 1
+            async with self._free:
+                self._free.notify()
+        return True
+
+    async def _reject(self, send: Any, status: int, request_id: str) -> None:
+        headers = {'request-id': request_id, 'not-executed': '1'}
+        await self._answer(send, status, headers)
+
+    async def _answer(
+        self,
+        send: Any,
+        status: int,
+        headers: dict[str, str],
+        body: bytes = b'',
+        *,
+        cut: bool = False,
+    ) -> None:
+        load = f'{self._running},{self._waiting},{self.slots},100'
+        pairs = headers | {
+            'server-load': load,
+            'content-length': str(len(body)),
+        }
+        head = [(k.encode(), v.encode()) for k, v in pairs.items()]
+        await send(
+            {'type': 'http.response.start', 'status': status, 'headers': head}
+        )
+        if cut:
+            raise ConnectionError('the answer is cut')
+        await send({'type': 'http.response.body', 'body': body})
+
+
+async def _read(receive: Any) -> bytes | None:
+    data: bytes = b''
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return None
+        data += message.get('body', b'')
+        if not message.get('more_body', False):
+            return data
+
+
+async def _wait_gone(receive: Any) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        continue
--- a/tests/nodes/test_steering.py
+++ b/tests/nodes/test_steering.py
@@ -119,3 +119,14 @@
     )
     assert done.returncode == 2
     assert cause in done.stderr
+
+
+def test_log_messages_are_constant_so_that_they_can_be_searched() -> None:
+    call = re.compile(r"logging\.(?:info|warning|error)\(\s*(f'|'[^']*%)")
+    found = [
+        f'{path.relative_to(SOURCES)}: {match[0]}'
+        for folder in ('steering', 'telemetry')
+        for path in (SOURCES / folder).rglob('*.py')
+        for match in call.finditer(path.read_text())
+    ]
+    assert found == []
