Let a node that the store turns away learn of changes from its peers

Cause: while the store serves some machines and turns others away, those others sent requests to targets that had left and kept old configurations. A change that is not newer than the copy is never taken, as the store may tell it again later.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -188,7 +188,7 @@
         module = await asyncio.to_thread(
             importlib.import_module, 'gentianbank.nodes.steering_mesh'
         )
-        await module.run_mesh(self._me, self._beliefs, now_ms)
+        await module.run_mesh(self._me, self._beliefs, self._sync, now_ms)
 
     async def _measure(self) -> None:
         """Load the metrics if they are served, and add the gauges."""
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.steering.mesh import Mesh
+from gentianbank.steering.news import NewsExchange
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import WebsocketPeers
 
@@ -18,17 +19,23 @@
     from gentianbank.control.peers import PeerEvent
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.beliefs import Beliefs
+    from gentianbank.steering.store_sync import StoreSync
 
 
 async def run_mesh(
-    me: NodeRegistration, beliefs: Beliefs, clock: Callable[[], float]
+    me: NodeRegistration,
+    beliefs: Beliefs,
+    sync: StoreSync,
+    clock: Callable[[], float],
 ) -> None:
-    """Exchange loads with other nodes until cancelled.
+    """Exchange loads and news with other nodes until cancelled.
 
     Parameters
     ----------
     me
         This node's own entry.
+    sync
+        This node's copy of the store.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -55,7 +62,13 @@
         address_of,
         key_of,
     )
-    mesh = Mesh(vm=me.vm, beliefs=beliefs, peers=peers, clock=clock)
+    mesh = Mesh(
+        vm=me.vm,
+        beliefs=beliefs,
+        peers=peers,
+        news=NewsExchange(sync, peers, clock),
+        clock=clock,
+    )
     await peers.start()
     try:
         await mesh.run()
--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -25,6 +25,7 @@
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.beliefs import Beliefs
+    from gentianbank.steering.news import NewsExchange
 
 TICK_MS = 100.0
 # More peers are told more rarely, so that the cost stays bounded.
@@ -68,6 +69,8 @@
     ----------
     peers
         Connections to other nodes.
+    news
+        Takes what is not about loads.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -78,9 +81,11 @@
         vm: str,
         beliefs: Beliefs,
         peers: Peers,
+        news: NewsExchange,
         clock: Callable[[], float],
     ) -> None:
         self._vm = vm
+        self._news = news
         self._beliefs = beliefs
         self._loads = beliefs.peer_loads
         self._peers = peers
@@ -104,6 +109,7 @@
             self._dialled_ms = now_ms
             self._keep_connections(now_ms)
         self._tell_changes(now_ms)
+        self._news.tick(self._connected)
 
     def on_event(self, event: PeerEvent) -> None:
         """Take an event of a connection."""
@@ -119,6 +125,8 @@
                 logging.info('peer lost', extra={'peer': vm})
             case Received(vm, Loads() as loads):
                 self._take(vm, loads)
+            case Received(vm, message):
+                self._news.on_message(vm, message)
 
     def _keep_connections(self, now_ms: float) -> None:
         nodes = self._beliefs.nodes
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 import contextlib
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 from gentianbank.platform.keyspace import EvacuatedDomain
 from gentianbank.platform.keyspace import NodeName
 from gentianbank.platform.keyspace import TargetId
+from gentianbank.storage.replicated import Changes
 from gentianbank.storage.replicated import HistoryGone
 from gentianbank.storage.replicated import Removal
 
@@ -26,13 +28,14 @@
 
     from gentianbank.domain.steering_settings import SteeringStore
     from gentianbank.steering.beliefs import Beliefs
-    from gentianbank.storage.replicated import Changes
     from gentianbank.storage.replicated import Listing
     from gentianbank.storage.replicated import PrefixStore
     from gentianbank.storage.store import StoredValue
 
 # Far below the time in which a change is to be in force.
 SETTLE_S = 0.25
+# Changes that are held for nodes which the store turns away.
+RECENT_CHANGES = 1_000
 _MS_PER_S = 1_000
 
 
@@ -73,6 +76,16 @@
         self._listed = False
         self._lapsed: dict[str, float] = {}
         self._poked = asyncio.Event()
+        self._recent: deque[StoredValue | Removal] = deque(
+            maxlen=RECENT_CHANGES
+        )
+        # Every change after this revision is among the recent ones.
+        self._recent_from = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision of the copy; 0 before the first."""
+        return self._revision
 
     @property
     def is_reachable(self) -> bool:
@@ -113,6 +126,17 @@
             case Result(error=StoreUnavailable() as error):
                 await self._on_failure(error)
 
+    def changes_after(self, revision: int) -> Changes | None:
+        """Return what changed after a revision, if all of it is known."""
+        if revision < self._recent_from:
+            return None
+        events = tuple(e for e in self._recent if e.mod_revision > revision)
+        return Changes(events, self._revision)
+
+    def take_news(self, changes: Changes) -> None:
+        """Take changes that another node has from the store."""
+        self._take_changes(changes)
+
     def poke(self) -> None:
         """Try again at once, as another call has just been answered."""
         self._poked.set()
@@ -166,10 +190,17 @@
             if keyspace.node_key(vm) not in keys:
                 self._lose_node(vm)
         self._revision = listing.revision
+        self._recent.clear()
+        self._recent_from = listing.revision
         self._drop_lapsed()
 
     def _take_changes(self, changes: Changes) -> None:
+        held = self._revision
         for event in changes.events:
+            if event.mod_revision <= held:
+                # A peer has told of it before the store did.
+                continue
+            self._remember(event)
             if isinstance(event, Removal):
                 self._take_removal(event)
             else:
@@ -177,6 +208,11 @@
         self._revision = max(self._revision, changes.revision)
         self._drop_lapsed()
 
+    def _remember(self, event: StoredValue | Removal) -> None:
+        if len(self._recent) == RECENT_CHANGES:
+            self._recent_from = self._recent[0].mod_revision
+        self._recent.append(event)
+
     def _take_value(self, stored: StoredValue, *, first: bool) -> None:
         match keyspace.decode(stored):
             case Result(tag='ok', ok=RouteTable() as table):
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -14,7 +14,7 @@
 from gentianbank.domain.steering_settings import SteeringStore
 from gentianbank.steering.membership import Membership
 from gentianbank.storage.replicated import LeaseGone
-from tests.steering.test_store_sync import FakeStore
+from tests.support.store_copy import FakeStore
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
--- a/tests/steering/test_mesh.py
+++ b/tests/steering/test_mesh.py
@@ -23,10 +23,13 @@
 from gentianbank.steering.mesh import choose_peers
 from gentianbank.steering.mesh import MAX_PEERS
 from gentianbank.steering.mesh import Mesh
+from gentianbank.steering.news import NewsExchange
 from tests.support.steering import REGIONS
 from tests.support.steering import registration
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     import pytest
 
 TICK_MS = 100.0
@@ -94,6 +97,16 @@
         raise NotImplementedError
 
 
+class NoNews(NewsExchange):
+    """Nobody lacks the store here."""
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+
+    def tick(self, connected: Iterable[str]) -> None:
+        """Do nothing."""
+
+
 class Node:
     """One node's mesh, with two targets."""
 
@@ -106,6 +119,7 @@
             vm=vm,
             beliefs=self.beliefs,
             peers=self.peers,
+            news=NoNews(),
             clock=lambda: hub.now_ms,
         )
 
--- /dev/null
+++ b/tests/steering/test_news.py
@@ -0,0 +1,181 @@
+"""Tests of what a node without the store learns from peers."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from expression import Result
+import pytest
+
+from gentianbank.control.messages import decode_message
+from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import Numbered
+from gentianbank.control.peers import Peers
+from gentianbank.control.peers import PeerUnreachable
+from gentianbank.steering.news import MAX_CHANGES
+from gentianbank.steering.news import NewsExchange
+from gentianbank.steering.store_sync import RECENT_CHANGES
+from gentianbank.storage.replicated import Changes
+from gentianbank.storage.store import StoredValue
+from tests.platform.test_documents import CONFIGURATION
+from tests.platform.test_documents import ENTRY
+from tests.support.store_copy import Copy
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+DRAINING = ENTRY | {'state': 'draining', 'sequence': 9}
+
+
+class PairPeers(Peers):
+    """The connection of one node of a pair to the other."""
+
+    def __init__(self, pair: Pair, to: str) -> None:
+        self._pair = pair
+        self._to = to
+
+    def dial(self, vm: str, address: str) -> None:
+        raise NotImplementedError
+
+    def hang_up(self, vm: str) -> None:
+        raise NotImplementedError
+
+    def send(self, vm: str, message: Message) -> None:
+        match decode_message(encode_message(message)):
+            case Result(tag='ok', ok=decoded):
+                self._pair.sent.append(decoded)
+                self._pair.news[self._to].on_message('other', decoded)
+
+    def send_to_all(self, message: Message) -> None:
+        raise NotImplementedError
+
+    async def request(
+        self, vm: str, address: str, message: Numbered, timeout_ms: float
+    ) -> Result[Numbered, PeerUnreachable]:
+        raise NotImplementedError
+
+
+class Pair:
+    """Two nodes with copies of stores that hold the same."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+        self.copies = {'served': Copy()}
+        loop = self.copies['served'].loop
+        self.copies['refused'] = Copy(loop)
+        self.news = {
+            name: NewsExchange(
+                copy.sync,
+                PairPeers(self, 'served' if name == 'refused' else 'refused'),
+                loop.now_ms,
+            )
+            for name, copy in self.copies.items()
+        }
+
+    @property
+    def refused(self) -> Copy:
+        """Return the node that its store turns away."""
+        return self.copies['refused']
+
+    def turn_away(self) -> None:
+        """Let the store refuse one of the nodes."""
+        self.refused.store.set_fault('refuse')
+        self.wait(1.0)
+        assert not self.refused.sync.is_reachable
+
+    def write(self, key: str, document: object) -> None:
+        """Write to both stores, as they are one."""
+        for copy in self.copies.values():
+            copy.store.write(key, document)
+
+    def remove(self, key: str) -> None:
+        """Remove a key from both stores."""
+        for copy in self.copies.values():
+            copy.store.remove(key)
+
+    def wait(self, seconds: float) -> None:
+        """Let virtual time pass, with ticks of both meshes."""
+        for _ in range(round(seconds * 10)):
+            self.refused.wait(0.1)
+            for exchange in self.news.values():
+                exchange.tick(['other'])
+
+
+@pytest.fixture
+def pair() -> Iterator[Pair]:
+    made = Pair()
+    yield made
+    made.refused.loop.end()
+
+
+def test_node_that_is_turned_away_learns_of_changes(pair: Pair) -> None:
+    pair.turn_away()
+    pair.write('servers/i-1', DRAINING)
+    pair.write('op/config', CONFIGURATION | {'version': 8})
+    pair.remove('servers/i-2')
+    pair.write('op/evacuate/east-1', {})
+    pair.wait(1.0)
+    beliefs = pair.refused.beliefs
+    assert beliefs.targets['i-1'].registration.draining
+    assert beliefs.table is not None
+    assert beliefs.table.version == 8
+    assert 'i-2' not in beliefs.targets
+    assert beliefs.evacuated == {'east-1'}
+    assert not pair.refused.sync.is_reachable
+
+
+def test_nodes_with_the_store_ask_nobody(pair: Pair) -> None:
+    pair.write('servers/i-1', DRAINING)
+    pair.wait(5.0)
+    assert pair.sent == []
+
+
+def test_late_answer_of_the_store_takes_nothing_back(pair: Pair) -> None:
+    pair.turn_away()
+    pair.write('servers/i-1', ENTRY | {'sequence': 8})
+    pair.write('servers/i-1', DRAINING)
+    pair.wait(1.0)
+    held = pair.refused.beliefs.targets['i-1']
+    assert held.registration.draining
+    revision = pair.refused.sync.revision
+    pair.refused.store.set_fault('')
+    pair.wait(2.0)
+    assert pair.refused.sync.is_reachable
+    assert pair.refused.sync.revision == revision
+    assert held.registration.draining
+
+
+def test_many_changes_come_in_several_answers(pair: Pair) -> None:
+    pair.turn_away()
+    for number in range(MAX_CHANGES * 2 + 7):
+        pair.write(f'servers/x-{number}', ENTRY)
+    pair.wait(3.0)
+    assert len(pair.refused.targets) == MAX_CHANGES * 2 + 9
+
+
+def test_peer_that_does_not_hold_all_changes_says_nothing(
+    pair: Pair,
+) -> None:
+    pair.turn_away()
+    for number in range(RECENT_CHANGES + 1):
+        pair.write(f'servers/x-{number}', ENTRY)
+    pair.wait(2.0)
+    assert pair.refused.targets == {'i-1', 'i-2'}
+    pair.refused.store.set_fault('')
+    pair.wait(2.0)
+    assert len(pair.refused.targets) == RECENT_CHANGES + 3
+
+
+def test_older_change_never_replaces_a_newer_one(pair: Pair) -> None:
+    copy = pair.refused
+    first = copy.sync.revision + 1
+    draining = json.dumps(DRAINING).encode()
+    ready = json.dumps(ENTRY | {'sequence': 8}).encode()
+    newer = StoredValue('servers/i-1', draining, first + 1)
+    older = StoredValue('servers/i-1', ready, first)
+    copy.sync.take_news(Changes((newer,), first + 1))
+    copy.sync.take_news(Changes((older,), first))
+    assert copy.beliefs.targets['i-1'].registration.draining
+    assert copy.sync.revision == first + 1
--- a/tests/steering/test_store_sync.py
+++ b/tests/steering/test_store_sync.py
@@ -2,176 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections import deque
-import json
 from typing import Any
 from typing import TYPE_CHECKING
 
-from expression import Error
-from expression import Ok
-from expression import Result
 import pytest
 
-from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.domain.steering_settings import SteeringStore
-from gentianbank.steering.beliefs import Beliefs
-from gentianbank.steering.store_sync import StoreSync
-from gentianbank.storage.replicated import Changes
-from gentianbank.storage.replicated import HistoryGone
-from gentianbank.storage.replicated import LeaseGone
-from gentianbank.storage.replicated import Listing
-from gentianbank.storage.replicated import PrefixStore
-from gentianbank.storage.replicated import Removal
-from gentianbank.storage.store import StoredValue
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
-from tests.support.virtual_loop import VirtualLoop
+from tests.support.store_copy import Copy
+from tests.support.store_copy import GRACE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from gentianbank.storage.store import Put
-
-CALL_S = 0.004
-GRACE_MS = 2_000.0
-
-
-class FakeStore(PrefixStore):
-    """The store, with faults that a test switches on.
-
-    Parameters
-    ----------
-    fault
-        ``''``, ``refuse`` or ``silent``.
-    """
-
-    def __init__(self) -> None:
-        self.values: dict[str, StoredValue] = {}
-        self.history: deque[StoredValue | Removal] = deque()
-        self.revision = 1
-        self.oldest = 0
-        self.fault = ''
-        self.calls = 0
-        self._changed = asyncio.Event()
-
-    def write(self, key: str, value: Any) -> None:
-        """Write a document, or bytes as they are."""
-        self.revision += 1
-        data = value if isinstance(value, bytes) else _encode(value)
-        self.values[key] = StoredValue(key, data, self.revision)
-        self.history.append(self.values[key])
-        self._changed.set()
-
-    def remove(self, key: str) -> None:
-        """Remove a key."""
-        self.revision += 1
-        del self.values[key]
-        self.history.append(Removal(key, self.revision))
-        self._changed.set()
-
-    def forget_history(self) -> None:
-        """Drop every change, and cut the watches."""
-        self.history.clear()
-        self.oldest = self.revision
-        self._changed.set()
-
-    def set_fault(self, fault: str) -> None:
-        """Begin or end a fault; watches that wait notice a refusal."""
-        self.fault = fault
-        if fault != 'silent':
-            self._changed.set()
-
-    async def list_prefix(
-        self, prefix: str
-    ) -> Result[Listing, StoreUnavailable]:
-        if error := await self._call():
-            return Error(error)
-        return Ok(Listing(tuple(self.values.values()), self.revision))
-
-    async def wait_for_changes(
-        self, prefix: str, after_revision: int, wait_ms: int
-    ) -> Result[Changes, StoreUnavailable | HistoryGone]:
-        if error := await self._call():
-            return Error(error)
-        if after_revision >= self.revision:
-            self._changed.clear()
-            try:
-                async with asyncio.timeout(wait_ms / 1_000):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
-        if self.fault:
-            return Error(StoreUnavailable(self.fault))
-        if after_revision < self.oldest:
-            return Error(HistoryGone())
-        events = tuple(
-            event
-            for event in self.history
-            if event.mod_revision > after_revision
-        )
-        return Ok(Changes(events, self.revision))
-
-    async def put(self, put: Put) -> Result[int, StoreUnavailable | LeaseGone]:
-        raise AssertionError('not used')
-
-    async def grant_lease_ms(
-        self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
-        raise AssertionError('not used')
-
-    async def renew_lease(
-        self, lease: int
-    ) -> Result[None, StoreUnavailable | LeaseGone]:
-        raise AssertionError('not used')
-
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
-        raise AssertionError('not used')
-
-    async def _call(self) -> StoreUnavailable | None:
-        self.calls += 1
-        if self.fault == 'silent':
-            await asyncio.sleep(0.9)
-            return StoreUnavailable('silent')
-        await asyncio.sleep(CALL_S)
-        return StoreUnavailable(self.fault) if self.fault else None
-
-
-class Copy:
-    """A node's copy of a fake store with two targets."""
-
-    def __init__(self) -> None:
-        self.loop = VirtualLoop()
-        self.store = FakeStore()
-        self.beliefs = Beliefs({'east-1': 'east'})
-        self.own_entry_lost = 0
-        self.sync = StoreSync(
-            vm='vm-1',
-            store=self.store,
-            settings=SteeringStore(address='10.0.0.1:1'),
-            beliefs=self.beliefs,
-            grace_ms=GRACE_MS,
-            on_own_entry_gone=self._lose_entry,
-            clock=self.loop.now_ms,
-        )
-        self.store.write('op/config', CONFIGURATION)
-        self.store.write('servers/i-1', ENTRY)
-        self.store.write('servers/i-2', ENTRY)
-        self.task = self.loop.create_task(self.sync.run())
-        self.wait(0.1)
-
-    def wait(self, seconds: float) -> None:
-        """Let virtual time pass."""
-        self.loop.run_until_complete(asyncio.sleep(seconds))
-
-    @property
-    def targets(self) -> set[str]:
-        """Return the ids of the targets that are believed in."""
-        return set(self.beliefs.targets)
-
-    def _lose_entry(self) -> None:
-        self.own_entry_lost += 1
-
 
 @pytest.fixture
 def copy() -> Iterator[Copy]:
@@ -349,7 +192,3 @@
     copy.wait(0.6)
     assert copy.own_entry_lost == 1
     assert 'vm-2' not in copy.beliefs.nodes
-
-
-def _encode(value: Any) -> bytes:
-    return json.dumps(value).encode()
