Move kinds with few requests to other regions faster

Its speed now follows what it makes of all requests, so that all kinds together stay within the allowed move.

--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -20,6 +20,9 @@
 CALM_FRACTION = 0.4
 MAX_REMOTE_SHARE = 0.9
 STEP_MS = 200.0
+# A kind of request below this part of all may move faster, as its moves
+# change the region of few requests.
+SMALL_PART = 0.3
 WINDOW_MS = 2_000.0
 # Requests beyond the planned part that may leave a full region.
 OVERFLOW_SHARE = 0.05
@@ -83,13 +86,22 @@
         """Tell whether the parts are to be moved."""
         return now_ms - self._stepped_ms >= STEP_MS
 
-    def step(self, loads: dict[str, RegionLoad], now_ms: float) -> None:
-        """Move the parts towards where there is room."""
+    def step(
+        self, loads: dict[str, RegionLoad], now_ms: float, part: float = 1.0
+    ) -> None:
+        """Move the parts towards where there is room.
+
+        Parameters
+        ----------
+        part
+            What these requests make of all requests of the node.
+        """
         elapsed_ms = now_ms - self._stepped_ms
         self._stepped_ms = now_ms
         step = self.rate_per_s * min(elapsed_ms, 2 * STEP_MS) / _MS_PER_S
         home = loads.get(self.home, RegionLoad(0.0, 0))
         others = [region for region in loads if region != self.home]
+        step *= max(1.0, SMALL_PART / part) if part > 0 else 1.0
         if not home.slots:
             self._leave_home(loads, others)
             return
@@ -111,6 +123,10 @@
         """Count a request."""
         self._all.add(now_ms)
 
+    def count(self, now_ms: float) -> int:
+        """Return the requests of late."""
+        return self._all.count(now_ms)
+
     def may_overflow(self, now_ms: float) -> bool:
         """Tell whether a request of a full region may go elsewhere."""
         allowed = OVERFLOW_SHARE * self._all.count(now_ms)
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -254,7 +254,9 @@
         shares.on_request(now_ms)
         if shares.is_due(now_ms):
             loads = self._region_loads(wanted.service, now_ms)
-            shares.step(loads, now_ms)
+            total = sum(s.count(now_ms) for s in self._shares.values())
+            part = shares.count(now_ms) / max(1, total)
+            shares.step(loads, now_ms, part)
         return shares
 
     def _region_loads(
--- a/tests/policy/test_region_shares.py
+++ b/tests/policy/test_region_shares.py
@@ -99,3 +99,18 @@
             shares.on_overflow(number * 5.0)
             overflowed += 1
     assert 0 < overflowed <= 10
+
+
+def test_few_requests_move_faster_within_the_bound_for_all() -> None:
+    busy = SMALL | {'west': RegionLoad(12, 12)}
+    moved = {}
+    for part in (0.05, 0.5, 1.0):
+        shares = build()
+        shares.step(busy, 0.0, part)
+        shares.step(busy, STEP_MS, part)
+        moved[part] = sum(shares.shares.values()) / 2
+    usual = RATE_PER_S * STEP_MS / 1_000
+    assert moved[0.5] <= 2 * usual
+    assert moved[0.05] > 3 * usual
+    # What changes region among all requests stays within the usual move.
+    assert moved[0.05] * 0.05 <= usual
