--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
 import math
 from typing import TYPE_CHECKING
+import zlib
 
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.shared_allowance import ColdAllowance
@@ -22,6 +24,8 @@
 # What a report says of the load fades, as the requests it counted end.
 REPORT_MEMORY_MS = 800.0
 USUAL_SLOWDOWN = 1.15
+# Objects of one target that are told at a time.
+MAX_UNTOLD = 50
 FAILURE_SMOOTHING = 0.15
 SUSPECT_MIN_MS = 400.0
 SUSPECT_MAX_MS = 4_000.0
@@ -74,7 +78,11 @@
     _speed: float = USUAL_SLOWDOWN
     _speed_ms: float = float('-inf')
     _untold: LoadReport | None = None
-    _objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    # By a hash of their names, as nodes tell each other.
+    _objects: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _untold_objects: deque[int] = field(
+        default_factory=lambda: deque(maxlen=MAX_UNTOLD)
+    )
 
     def is_cold(self, now_ms: float) -> bool:
         """Tell whether the target is cold."""
@@ -100,8 +108,8 @@
         return max(known, reported + self.sent_since_report)
 
     def knows(self, topic: str) -> bool:
-        """Tell whether this node had the target handle an object lately."""
-        return topic in self._objects
+        """Tell whether the target was given an object lately."""
+        return hash_object(topic) in self._objects
 
     def on_send(self, now_ms: float, topic: str) -> None:
         """Count a request in."""
@@ -111,10 +119,22 @@
         if self.is_cold(now_ms):
             self.cold.on_send(now_ms)
         if topic:
-            self._objects[topic] = None
-            self._objects.move_to_end(topic)
-            if len(self._objects) > REMEMBERED_OBJECTS:
-                self._objects.popitem(last=False)
+            number = hash_object(topic)
+            self.on_object(number)
+            self._untold_objects.append(number)
+
+    def on_object(self, number: int) -> None:
+        """Note that the target was given an object, by its hash."""
+        self._objects[number] = None
+        self._objects.move_to_end(number)
+        if len(self._objects) > REMEMBERED_OBJECTS:
+            self._objects.popitem(last=False)
+
+    def take_untold_objects(self) -> list[int]:
+        """Return the objects that were given since the last call."""
+        untold = list(self._untold_objects)
+        self._untold_objects.clear()
+        return untold
 
     def on_end(self) -> None:
         """Count a request out, whatever became of it."""
@@ -169,3 +189,8 @@
     def forget_objects(self) -> None:
         """Forget which objects are warm, as the target started anew."""
         self._objects.clear()
+
+
+def hash_object(topic: str) -> int:
+    """Return a number of 32 bits for an object, the same on all nodes."""
+    return zlib.crc32(topic.encode())
--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+import struct
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -39,6 +40,7 @@
 # Slowdowns are told in steps of this size.
 SLOWDOWN_STEP = 0.05
 MAX_STEPS = 255
+_OBJECT = struct.Struct('>HI')
 _MS_PER_S = 1_000
 
 
@@ -55,11 +57,15 @@
         Requests of the sending node, at most ``MAX_IN_FLIGHT``.
     slowdowns
         Newest report in steps of ``SLOWDOWN_STEP``; 0 without a new one.
+    objects
+        Objects that targets were given, each as the index of the target
+        and the object's hash.
     """
 
     targets: tuple[str, ...] = schema.sequence(str)
     in_flight: bytes = schema.binary()
     slowdowns: bytes = schema.binary()
+    objects: bytes = schema.binary()
 
 
 class Mesh:
@@ -172,6 +178,12 @@
             target = self._beliefs.targets.get(target_id)
             if steps and target is not None:
                 target.on_speed(steps * SLOWDOWN_STEP, now_ms)
+        whole = len(loads.objects) - len(loads.objects) % _OBJECT.size
+        for index, number in _OBJECT.iter_unpack(loads.objects[:whole]):
+            if index < len(loads.targets):
+                target = self._beliefs.targets.get(loads.targets[index])
+                if target is not None:
+                    target.on_object(number)
 
 
 def choose_peers(
@@ -193,6 +205,7 @@
     target_id: str
     in_flight: int
     slowdown_steps: int
+    objects: tuple[int, ...] = ()
 
 
 def _row(target: TargetLoad | None, target_id: str) -> _Row:
@@ -204,7 +217,9 @@
     if report is not None:
         steps = round(report.slowdown / SLOWDOWN_STEP)
         steps = max(1, min(MAX_STEPS, steps))
-    return _Row(target_id, min(MAX_IN_FLIGHT, target.in_flight), steps)
+    in_flight = min(MAX_IN_FLIGHT, target.in_flight)
+    objects = tuple(target.take_untold_objects())
+    return _Row(target_id, in_flight, steps, objects)
 
 
 def _encode(rows: list[_Row]) -> Loads:
@@ -212,4 +227,9 @@
         targets=tuple(row.target_id for row in rows),
         in_flight=bytes(row.in_flight for row in rows),
         slowdowns=bytes(row.slowdown_steps for row in rows),
+        objects=b''.join(
+            _OBJECT.pack(index, number)
+            for index, row in enumerate(rows)
+            for number in row.objects
+        ),
     )
--- a/tests/steering/test_mesh.py
+++ b/tests/steering/test_mesh.py
@@ -21,6 +21,7 @@
 from gentianbank.policy.peer_loads import SILENCE_MS
 from gentianbank.steering.beliefs import Beliefs
 from gentianbank.steering.mesh import choose_peers
+from gentianbank.steering.mesh import Loads
 from gentianbank.steering.mesh import MAX_PEERS
 from gentianbank.steering.mesh import Mesh
 from gentianbank.steering.news import NewsExchange
@@ -177,6 +178,30 @@
     assert told.slowdown(hub.now_ms) < 1.2
 
 
+def test_objects_that_a_target_was_given_are_known_to_all() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    first, second = hub.nodes.values()
+    first.send('desk-1')
+    target = second.beliefs.targets['desk-1']
+    assert not target.knows('read/7')
+    hub.pass_ms(TICK_MS)
+    assert target.knows('read/7')
+    assert not target.knows('read/8')
+    assert not second.beliefs.targets['desk-2'].knows('read/7')
+
+
+def test_malformed_objects_of_a_peer_do_no_harm() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    loads = Loads(
+        targets=('desk-1', 'desk-9'),
+        in_flight=b'\x01',
+        slowdowns=b'',
+        objects=b'\x00\x07\x00\x00\x00\x01\x00\x01',
+    )
+    hub.nodes['vm-1'].mesh.on_event(Received('vm-2', loads))
+    assert 'desk-9' not in hub.nodes['vm-1'].beliefs.targets
+
+
 def test_calm_nodes_send_little() -> None:
     hub = Hub('vm-1', 'vm-2')
     hub.messages = 0
