Let callers that return wait longer, and keep retries for them

A caller comes back once; turned away again it is lost. Who states clearly less patience than the route's callers usually do has waited before: it may queue as an urgent request does, also when the objective is missed, and 0.2 of the retry budget is kept for such callers.

--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -93,6 +93,9 @@
         Object that the request concerns; empty for none.
     urgent
         Whether the service also has less urgent routes.
+    returning
+        Whether the caller was turned away before: it may wait longer, and
+        a late answer is better than none.
     goal_left_ms
         Time until the latency objective is missed.
     time_left_ms
@@ -104,6 +107,7 @@
     failure_domain: str
     times: RouteTimes
     urgent: bool
+    returning: bool
     goal_left_ms: float
     time_left_ms: float
 
@@ -176,7 +180,7 @@
     best_cost_ms = float('inf')
     times = demand.times
     queue_per_slot = MAX_QUEUE_PER_SLOT
-    if demand.urgent:
+    if demand.urgent or demand.returning:
         queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
     for rank, target in enumerate(ordered):
         slots = target.registration.slots
@@ -225,7 +229,7 @@
 
 
 def _is_in_time(demand: Demand, expected_ms: float) -> bool:
-    if expected_ms > demand.goal_left_ms:
+    if expected_ms > demand.goal_left_ms and not demand.returning:
         return False
     return expected_ms * TIME_LEFT_FACTOR <= demand.time_left_ms
 
--- a/src/gentianbank/policy/shared_allowance.py
+++ b/src/gentianbank/policy/shared_allowance.py
@@ -10,6 +10,8 @@
 
 # Part of an allowance that is used, since nodes differ on who is alive.
 USED_FRACTION = 0.75
+# Callers that come for the first time leave the rest to those that return.
+FIRST_COME_FRACTION = 0.55
 COLD_USED_FRACTION = 0.9
 # A little over a second, since requests take a while to arrive.
 COLD_WINDOW_MS = 1_150.0
@@ -40,11 +42,21 @@
         """Count a request of a caller."""
         self._requests.add(now_ms)
 
-    def try_spend(self, now_ms: float, nodes: int) -> bool:
-        """Spend one retry if this node's part has one left."""
+    def try_spend(
+        self, now_ms: float, nodes: int, *, returning: bool = False
+    ) -> bool:
+        """Spend one retry if this node's part has one left.
+
+        Parameters
+        ----------
+        returning
+            Whether the caller was turned away before; a part is kept for
+            such callers, since they do not come again.
+        """
         allowed = self.ratio * self._requests.count(now_ms)
         allowed += self.slack / max(1, nodes)
-        if self._retries.count(now_ms) + 1 > allowed * USED_FRACTION:
+        part = USED_FRACTION if returning else FIRST_COME_FRACTION
+        if self._retries.count(now_ms) + 1 > allowed * part:
             return False
         self._retries.add(now_ms)
         return True
--- a/src/gentianbank/steering/caller_request.py
+++ b/src/gentianbank/steering/caller_request.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.route_table import Route
+    from gentianbank.policy.patience import PatienceMemory
 
 MAX_WAIT_MS = 600_000.0
 
@@ -28,6 +29,8 @@
         Time when the caller gets a final answer at the latest.
     caller_end_ms
         Time when the caller stops waiting.
+    returning
+        Whether the caller seems to have been turned away before.
     """
 
     request_id: bytes
@@ -37,12 +40,23 @@
     came_ms: float
     end_ms: float
     caller_end_ms: float
+    returning: bool
 
 
 def read_request(
-    exchange: Exchange, route: Route, service: str, now_ms: float
+    exchange: Exchange,
+    route: Route,
+    service: str,
+    patience: PatienceMemory,
+    now_ms: float,
 ) -> CallerRequest:
-    """Return a request by its headers."""
+    """Return a request by its headers.
+
+    Parameters
+    ----------
+    patience
+        What the route's callers have stated before.
+    """
     patience_ms = _whole_ms(exchange.header(wire.TIME_LEFT))
     key = exchange.header(wire.OBJECT) if route.sticky else None
     return CallerRequest(
@@ -54,6 +68,9 @@
         came_ms=now_ms,
         end_ms=now_ms + min(patience_ms, route.timeout_ms),
         caller_end_ms=now_ms + patience_ms,
+        returning=(
+            patience_ms < MAX_WAIT_MS and patience.is_return(patience_ms)
+        ),
     )
 
 
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -55,6 +55,8 @@
         Ids of targets that were tried before.
     spread
         Spreads requests that concern no object.
+    returning
+        Whether the caller was turned away before.
     """
 
     route: Route
@@ -64,6 +66,7 @@
     goal_left_ms: float
     tried: frozenset[str]
     spread: bytes
+    returning: bool = False
 
 
 class Placer:
@@ -177,6 +180,7 @@
             failure_domain=self._failure_domain,
             times=self.times_of(wanted.route),
             urgent=self._is_urgent(wanted.route, wanted.service),
+            returning=wanted.returning,
             goal_left_ms=wanted.goal_left_ms,
             time_left_ms=wanted.left_ms,
         )
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -8,6 +8,7 @@
 from gentianbank.dataplane.exchange import CallerGoneError
 from gentianbank.dataplane.exchange import cancel_when_gone
 from gentianbank.platform import headers as wire
+from gentianbank.policy.patience import PatienceMemory
 from gentianbank.policy.placement import Full
 from gentianbank.policy.placement import Placed
 from gentianbank.policy.shared_allowance import SharedRetryBudget
@@ -97,6 +98,7 @@
         self._replies = Replies(reporter, is_stopping, clock)
         self._sending = Sending(placer, transport, clock)
         self._turns: dict[str, WeightedTurns] = {}
+        self._patience: dict[str, PatienceMemory] = {}
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._refuses_new = False
         self.in_flight = 0
@@ -140,7 +142,8 @@
             return
         turns = self._turns.setdefault(route.name, WeightedTurns())
         service = turns.choose(route.parts)
-        request = read_request(exchange, route, service, now_ms)
+        patience = self._patience.setdefault(route.name, PatienceMemory())
+        request = read_request(exchange, route, service, patience, now_ms)
         if _declared_bytes(exchange) > table.limits.max_body_bytes:
             refusal = Refusal(413, 'body too large')
             await self._replies.refuse(exchange, request, refusal)
@@ -199,7 +202,9 @@
         if not tries.sent:
             return True
         budget = self._budget(request.service)
-        if not budget.try_spend(self._clock(), self._placer.nodes):
+        if not budget.try_spend(
+            self._clock(), self._placer.nodes, returning=request.returning
+        ):
             return False
         self._reporter.on_retry(request.service)
         return True
@@ -214,6 +219,7 @@
             goal_left_ms=request.route.goal_ms - (now_ms - request.came_ms),
             tried=frozenset(tries.targets),
             spread=request.request_id,
+            returning=request.returning,
         )
 
     def _budget(self, service: str) -> SharedRetryBudget:
--- /dev/null
+++ b/tests/policy/test_patience.py
@@ -0,0 +1,31 @@
+"""Tests of telling callers that come back from new ones."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianbank.policy.patience import PatienceMemory
+
+
+@pytest.mark.parametrize(
+    ('patience_ms', 'returning'),
+    [(3_000.0, False), (2_990.0, False), (2_700.0, True), (100.0, True)],
+)
+def test_caller_with_less_patience_than_others_has_waited(
+    patience_ms: float, returning: bool
+) -> None:
+    memory = PatienceMemory()
+    assert not memory.is_return(3_000.0)
+    assert memory.is_return(patience_ms) is returning
+
+
+def test_first_caller_is_new_whatever_it_states() -> None:
+    assert not PatienceMemory().is_return(10.0)
+
+
+def test_shorter_patience_of_all_is_learned() -> None:
+    memory = PatienceMemory()
+    memory.is_return(3_000.0)
+    for _ in range(2_000):
+        memory.is_return(2_000.0)
+    assert not memory.is_return(2_000.0)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -25,6 +25,7 @@
     failure_domain='east-1',
     times=TIMES,
     urgent=False,
+    returning=False,
     goal_left_ms=400,
     time_left_ms=1_500,
 )
@@ -133,3 +134,12 @@
     times = RouteTimes(160, 540, 200)
     times.on_answer(8_000, 5_000, warm=True)
     assert times.warm_ms < 170
+
+
+def test_place_lets_callers_that_return_wait_longer_and_be_late() -> None:
+    target = build('a-1', 'read/7')
+    occupy(target, 7)
+    late = replace(DEMAND, goal_left_ms=10, returning=True)
+    assert chosen(late, target) == 'a-1'
+    hopeless = replace(late, time_left_ms=100)
+    assert isinstance(place(hopeless, [target], NOW_MS), Full)
--- a/tests/policy/test_shared_allowance.py
+++ b/tests/policy/test_shared_allowance.py
@@ -43,3 +43,14 @@
         window = [t for t in spent if start_ms <= t < start_ms + 10_000]
         assert len(window) <= 0.2 * 500 + 56 / nodes
     assert spent
+
+
+def test_retry_budget_keeps_a_part_for_callers_that_return() -> None:
+    budget = SharedRetryBudget(ratio=0.0, slack=20, window_ms=10_000)
+    first_come = sum(budget.try_spend(0.0, 1) for _ in range(20))
+    returning = sum(
+        budget.try_spend(0.0, 1, returning=True) for _ in range(20)
+    )
+    assert 0 < first_come < 15
+    assert returning > 0
+    assert first_come + returning <= 20
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -366,3 +366,15 @@
     """Return the address that the object's requests go to first."""
     path.ask(**head)
     return path.transport.requests[-1].address
+
+
+def test_overload_caller_that_returns_is_served_before_new_ones() -> None:
+    path = Path(targets=1)
+    path.ask(deadline_ms=3_000)
+    path.transport.default = replace(Script(), after_s=0.3)
+    # Two run, one waits; then new callers are turned away.
+    first = [{'request_id': f'a-{n}'} for n in range(5)]
+    back = {'request_id': 'b-1', 'deadline_ms': 2_500}
+    replies = path.ask_many([*first, back])
+    assert [r.status for r in replies[:5]].count(503) >= 1
+    assert replies[5].status == 200
