--- a/src/gentianbank/steering/apps.py
+++ b/src/gentianbank/steering/apps.py
@@ -98,6 +98,9 @@
         addresses = choose_entry_points(
             self._living(), query.region, query.failure_domain
         )
+        addresses = addresses or choose_entry_points(
+            self._registered(), query.region, query.failure_domain
+        )
         if not addresses:
             await exchange.answer(503, _JSON, b'{}')
             return
@@ -105,6 +108,11 @@
         await exchange.answer(200, _JSON, body)
 
     def _living(self) -> list[NodeRegistration]:
+        """Return the registered nodes that this one has not lost."""
+        lost = self._beliefs.lost_peers
+        return [node for node in self._registered() if node.vm not in lost]
+
+    def _registered(self) -> list[NodeRegistration]:
         nodes = {**self._beliefs.nodes, self._me.vm: self._me}
         if self._is_stopping() or self._beliefs.table is None:
             del nodes[self._me.vm]
--- a/src/gentianbank/steering/beliefs.py
+++ b/src/gentianbank/steering/beliefs.py
@@ -43,6 +43,9 @@
         Requests in flight of other nodes.
     changed_loads
         Ids of the targets whose load changed since peers were told.
+    lost_peers
+        Nodes whose connections to this one have ended, though their
+        entries may still be there.
     """
 
     regions: dict[str, str]
@@ -54,6 +57,7 @@
     confirmed_ms: float | None = None
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
+    lost_peers: set[str] = field(default_factory=set)
 
     def age_ms(self, now_ms: float) -> int | None:
         """Return the time since the store last answered, if it ever did."""
@@ -72,6 +76,12 @@
         )
         return True
 
+    def put_node(self, node: NodeRegistration) -> None:
+        """Take the entry of a node; a new one means that it runs again."""
+        if self.nodes.get(node.vm) != node:
+            self.lost_peers.discard(node.vm)
+        self.nodes[node.vm] = node
+
     def put_target(
         self, entry: TargetRegistration, now_ms: float, *, first: bool
     ) -> None:
--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -122,11 +122,13 @@
         match event:
             case Connected(vm):
                 self._connected.add(vm)
+                self._beliefs.lost_peers.discard(vm)
                 self._loads.on_heard(vm, self._clock())
                 self._peers.send(vm, _encode(self._busy_targets()))
                 logging.info('peer connected', extra={'peer': vm})
             case Disconnected(vm):
                 self._connected.discard(vm)
+                self._beliefs.lost_peers.add(vm)
                 self._loads.forget(vm)
                 logging.info('peer lost', extra={'peer': vm})
             case Received(vm, Loads() as loads):
@@ -137,6 +139,7 @@
     def _keep_connections(self, now_ms: float) -> None:
         nodes = self._beliefs.nodes
         self._loads.peers = len(nodes.keys() - {self._vm})
+        self._beliefs.lost_peers &= nodes.keys()
         for vm in self._loads.silent(now_ms):
             logging.warning('peer is silent', extra={'peer': vm})
             self._loads.forget(vm)
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -33,7 +33,7 @@
     from gentianbank.storage.store import StoredValue
 
 # Far below the time in which a change is to be in force.
-SETTLE_S = 0.25
+SETTLE_S = 0.4
 # Changes that are held for nodes which the store turns away.
 RECENT_CHANGES = 1_000
 _MS_PER_S = 1_000
@@ -220,7 +220,7 @@
             case Result(tag='ok', ok=TargetRegistration() as entry):
                 self._take_target(entry, first=first)
             case Result(tag='ok', ok=NodeRegistration() as node):
-                self._beliefs.nodes[node.vm] = node
+                self._beliefs.put_node(node)
             case Result(tag='ok', ok=EvacuatedDomain(name)):
                 domains = self._beliefs.evacuated | {name}
                 self._beliefs.evacuate(domains, self._clock())
--- a/tests/steering/test_apps.py
+++ b/tests/steering/test_apps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 import json
 from typing import Any
 
@@ -95,3 +96,28 @@
     asked.stopping = False
     asked.path.beliefs.table = None
     assert asked.ask(asked.readiness).status == 503
+
+
+def test_lookup_leaves_out_a_peer_whose_connection_ended() -> None:
+    asked = Node()
+    beliefs = asked.path.beliefs
+    beliefs.put_node(node('vm-2', 'east-1'))
+    beliefs.put_node(node('vm-3', 'east-2'))
+    beliefs.lost_peers.add('vm-2')
+    assert asked.addresses() == ['10.0.0.1:80']
+    asked.stopping = True
+    assert asked.addresses() == ['10.0.0.3:80']
+    beliefs.lost_peers.add('vm-3')
+    # A node that only this one has lost is better than none.
+    assert asked.addresses() == ['10.0.0.2:80']
+
+
+def test_lookup_names_a_node_again_that_has_registered_anew() -> None:
+    asked = Node()
+    beliefs = asked.path.beliefs
+    beliefs.put_node(node('vm-2', 'east-1'))
+    beliefs.lost_peers.add('vm-2')
+    beliefs.put_node(node('vm-2', 'east-1'))
+    assert asked.addresses() == ['10.0.0.1:80']
+    beliefs.put_node(replace(node('vm-2', 'east-1'), peer_key='0' * 32))
+    assert asked.addresses() == ['10.0.0.1:80', '10.0.0.2:80']
--- a/tests/steering/test_mesh.py
+++ b/tests/steering/test_mesh.py
@@ -260,3 +260,12 @@
 def test_connections_of_many_nodes_are_bounded() -> None:
     nodes = [entry(f'vm-{number}') for number in range(300)]
     assert len(choose_peers('vm-7', nodes)) == MAX_PEERS
+
+
+def test_peer_that_ends_is_lost_until_it_is_met_again() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    first = hub.nodes['vm-1']
+    first.peers.hang_up('vm-2')
+    assert first.beliefs.lost_peers == {'vm-2'}
+    hub.pass_ms(1_500.0)
+    assert first.beliefs.lost_peers == set()
