Keep large answers in their region until it is nearly full

A download moved at 0.6 of the slots pays more bytes than it gains. Large kinds now move from 0.85 on. Of the retry budget 0.85 is used (0.75), as nodes know each other.

--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -34,6 +34,8 @@
 # who waits longer is late, and shorter for what is less urgent.
 MAX_QUEUE_PER_SLOT = 0.5
 MAX_URGENT_QUEUE_PER_SLOT = 1.0
+# Callers that return wait in that much more, but never before urgent ones.
+RETURNING_QUEUE_PER_SLOT = 0.25
 # A request waits only where even a longer time than expected would do.
 TIME_LEFT_FACTOR = 1.2
 
@@ -180,8 +182,10 @@
     best_cost_ms = float('inf')
     times = demand.times
     queue_per_slot = MAX_QUEUE_PER_SLOT
-    if demand.urgent or demand.returning:
+    if demand.urgent:
         queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
+    if demand.returning:
+        queue_per_slot += RETURNING_QUEUE_PER_SLOT
     for rank, target in enumerate(ordered):
         slots = target.registration.slots
         occupancy = target.occupancy(now_ms)
--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -12,12 +12,14 @@
 
 from gentianbank.policy.windows import SlidingCount
 
-# A region over this part of its slots sends more requests elsewhere.
+# A region over this part of its slots sends more requests elsewhere. Large
+# answers wait for more, as their bytes between regions are dear.
 BUSY_FRACTION = 0.6
+BUSY_FRACTION_OF_LARGE = 0.85
 # The other region must have so much more room.
 ROOM_MARGIN = 0.1
-# A region below this part of its slots takes requests back.
-CALM_FRACTION = 0.4
+# A region that is so much less busy takes requests back.
+CALM_MARGIN = 0.2
 MAX_REMOTE_SHARE = 0.9
 STEP_MS = 200.0
 # A kind of request below this part of all may move faster, as its moves
@@ -53,10 +55,13 @@
         Region of the node.
     rate_per_s
         Speed at which the parts may change.
+    busy_fraction
+        Part of its slots over which the region sends more elsewhere.
     """
 
     home: str
     rate_per_s: float
+    busy_fraction: float = BUSY_FRACTION
     shares: dict[str, float] = field(default_factory=dict)
     _stepped_ms: float = float('-inf')
     _started: bool = False
@@ -105,9 +110,9 @@
         if not home.slots:
             self._leave_home(loads, others)
             return
-        if home.fraction > BUSY_FRACTION:
+        if home.fraction > self.busy_fraction:
             self._grow(loads, others, home, step)
-        elif home.fraction < CALM_FRACTION:
+        elif home.fraction < self.busy_fraction - CALM_MARGIN:
             self._shrink(step)
 
     def region_of(self, topic: str) -> str:
--- a/src/gentianbank/policy/shared_allowance.py
+++ b/src/gentianbank/policy/shared_allowance.py
@@ -9,9 +9,9 @@
 from gentianbank.policy.windows import SlidingCount
 
 # Part of an allowance that is used, since nodes differ on who is alive.
-USED_FRACTION = 0.75
+USED_FRACTION = 0.85
 # Callers that come for the first time leave the rest to those that return.
-FIRST_COME_FRACTION = 0.55
+FIRST_COME_FRACTION = 0.65
 COLD_USED_FRACTION = 0.9
 # A little over a second, since requests take a while to arrive.
 COLD_WINDOW_MS = 1_150.0
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -14,6 +14,8 @@
 from gentianbank.policy.placement import place
 from gentianbank.policy.placement import Placed
 from gentianbank.policy.placement import RouteTimes
+from gentianbank.policy.region_shares import BUSY_FRACTION
+from gentianbank.policy.region_shares import BUSY_FRACTION_OF_LARGE
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
 from gentianbank.policy.shared_allowance import cold_share
@@ -251,7 +253,12 @@
         key = (wanted.service, wanted.route.large)
         shares = self._shares.get(key)
         if shares is None:
-            shares = RegionShares(self._region, _shift_per_s(self._bounds))
+            large = wanted.route.large
+            shares = RegionShares(
+                self._region,
+                _shift_per_s(self._bounds),
+                BUSY_FRACTION_OF_LARGE if large else BUSY_FRACTION,
+            )
             self._shares[key] = shares
             if not wanted.route.large:
                 shares.start(self._region_loads(wanted.service, now_ms))
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -138,8 +138,11 @@
 
 def test_place_lets_callers_that_return_wait_longer_and_be_late() -> None:
     target = build('a-1', 'read/7')
-    occupy(target, 7)
+    occupy(target, 6)
     late = replace(DEMAND, goal_left_ms=10, returning=True)
     assert chosen(late, target) == 'a-1'
+    occupy(target, 1)
+    assert isinstance(place(late, [target], NOW_MS), Full)
+    assert chosen(replace(late, urgent=True), target) == 'a-1'
     hopeless = replace(late, time_left_ms=100)
     assert isinstance(place(hopeless, [target], NOW_MS), Full)
--- a/tests/policy/test_region_shares.py
+++ b/tests/policy/test_region_shares.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+from gentianbank.policy.region_shares import BUSY_FRACTION_OF_LARGE
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
 from gentianbank.policy.region_shares import STEP_MS
@@ -114,3 +115,11 @@
     assert moved[0.05] > 3 * usual
     # What changes region among all requests stays within the usual move.
     assert moved[0.05] * 0.05 <= usual
+
+
+def test_large_answers_stay_until_the_region_is_nearly_full() -> None:
+    half = SMALL | {'west': RegionLoad(9, 12)}
+    full = SMALL | {'west': RegionLoad(12, 12)}
+    shares = RegionShares('west', RATE_PER_S, BUSY_FRACTION_OF_LARGE)
+    assert max(run(shares, half, 5)) == 0
+    assert max(run(shares, full, 5, 5_000.0)) > 0.1
