--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import importlib
-import resource
 import secrets
 import signal
 import time
@@ -24,6 +23,7 @@
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.nodes.settings_file import SettingsFile
+from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.platform.store import KvStore
 from gentianbank.policy.graceful_stop import StopPlan
 from gentianbank.steering.apps import LookupApp
@@ -39,7 +39,6 @@
 from gentianbank.steering.store_sync import StoreSync
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
-from gentianbank.telemetry.deferred import Gauge
 from gentianbank.telemetry.logs import open_logs
 from gentianbank.telemetry.logs import set_level
 from gentianbank.telemetry.loop_delay import LoopDelay
@@ -57,7 +56,6 @@
 # The settings file may change without a signal.
 SETTINGS_POLL_S = 1.0
 PEER_KEY_BYTES = 16
-_BYTES_PER_KB = 1_024
 _MS_PER_S = 1_000
 
 
@@ -188,48 +186,28 @@
         module = await asyncio.to_thread(
             importlib.import_module, 'gentianbank.nodes.steering_mesh'
         )
-        await module.run_mesh(self._me, self._beliefs, self._sync, now_ms)
+        try:
+            await module.run_mesh(self._me, self._beliefs, self._sync, now_ms)
+        except OSError as error:
+            # Callers are served without peers, if less well.
+            logging.error('no peers', extra={'cause': str(error)})
+            await self._stop.wait()
 
     async def _measure(self) -> None:
         """Load the metrics if they are served, and add the gauges."""
         if not self._settings.addresses.metrics:
             await self._stop.wait()
             return
-        await self._metrics.load(self._gauges())
+        gauges = list_gauges(
+            self._beliefs,
+            self._placer,
+            lambda: self._proxy.in_flight,
+            self._loop_delay,
+            now_ms,
+        )
+        await self._metrics.load(gauges)
         await self._stop.wait()
 
-    def _gauges(self) -> list[Gauge]:
-        beliefs = self._beliefs
-        return [
-            Gauge(
-                'store.age',
-                'Milliseconds since the store answered.',
-                lambda: float(beliefs.age_ms(now_ms()) or 0),
-            ),
-            Gauge(
-                'configuration.version',
-                'Version in force.',
-                lambda: float(beliefs.table.version if beliefs.table else 0),
-            ),
-            Gauge('nodes', 'Known nodes.', lambda: float(self._placer.nodes)),
-            Gauge(
-                'targets',
-                'Known targets.',
-                lambda: float(len(beliefs.targets)),
-            ),
-            Gauge(
-                'requests.in_flight',
-                'Requests that are being served.',
-                lambda: float(self._proxy.in_flight),
-            ),
-            Gauge('memory.peak', 'Bytes.', _peak_bytes),
-            Gauge(
-                'loop.delay',
-                'Longest delay of a timer since the last scrape, in ms.',
-                self._loop_delay.take_ms,
-            ),
-        ]
-
     async def _watch_settings(self) -> None:
         while not self._stop.is_set():
             with contextlib.suppress(TimeoutError):
@@ -285,11 +263,6 @@
     await SteeringNode(path, settings).run()
 
 
-def _peak_bytes() -> float:
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return float(usage.ru_maxrss * _BYTES_PER_KB)
-
-
 def _server(address: str, app: App) -> HttpServer:
     listen = parse_address(address)
     config = uvicorn.Config(
--- a/tests/processes/test_steering_node.py
+++ b/tests/processes/test_steering_node.py
@@ -187,3 +187,22 @@
                 await asyncio.sleep(0.05)
 
     run(test)
+
+
+def test_node_without_its_port_for_peers_serves_all_the_same(
+    run: Any,
+) -> None:
+    async def test(world: SoakWorld) -> None:
+        node = world.nodes[0]
+        await world.kill(node)
+        document = yaml.safe_load(node.settings.read_text())
+        host, _, port = document['addresses']['peers'].rpartition(':')
+        holder = await asyncio.start_server(
+            lambda reader, writer: writer.close(), host, int(port)
+        )
+        async with holder:
+            await world.launch(node)
+            await wait_until(lambda: bool(messages(world, node, 'no peers')))
+            assert (await ask(node, 'r-1')).status_code == 200
+
+    run(test)
