--- a/src/gentianbank_standins/soak/main.py
+++ b/src/gentianbank_standins/soak/main.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import logging
 from pathlib import Path
+import signal
 import sys
 import tempfile
 from typing import TYPE_CHECKING
@@ -88,6 +89,8 @@
         Folder that keeps settings and logs; by default they are kept only
         of seeds that failed.
     """
+    # A soak that is asked to stop ends its processes first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     # Targets that cut an answer do so by an error in their application.
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL + 1)
     failed = False
--- a/src/gentianbank_standins/soak/promises.py
+++ b/src/gentianbank_standins/soak/promises.py
@@ -54,7 +54,8 @@
     def note(self, attempt: Attempt) -> None:
         """Take an attempt that has ended."""
         self.attempts.append(attempt)
-        self.seen[str(attempt.status or 'no answer')] += 1
+        without = 'no answer' if attempt.reached else 'no listener'
+        self.seen[str(attempt.status or without)] += 1
 
     def broken(self, journal: Journal, calm_s: float) -> list[str]:
         """Return a line for each broken promise.
