--- a/src/gentianbank/control/peers.py
+++ b/src/gentianbank/control/peers.py
@@ -13,6 +13,8 @@
 from gentianbank.control.messages import Numbered
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from expression import Result
 
 
@@ -76,8 +78,8 @@
         """Queue a message to a connected peer."""
 
     @abstractmethod
-    def send_to_all(self, message: Message) -> None:
-        """Queue a message to every connected peer."""
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
+        """Queue a message to several peers, those that are connected."""
 
     @abstractmethod
     async def request(
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -64,6 +64,7 @@
     )
     mesh = Mesh(
         vm=me.vm,
+        region=me.region,
         beliefs=beliefs,
         peers=peers,
         news=NewsExchange(sync, peers, clock),
--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -16,6 +16,7 @@
 from gentianbank.control.peers import Received
 from gentianbank.domain import schema
 from gentianbank.policy import rendezvous
+from gentianbank.policy.target_load import MAX_UNTOLD
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +31,10 @@
 
 TICK_MS = 100.0
 # More peers are told more rarely, so that the cost stays bounded.
-TICK_MS_PER_PEER = 8.0
+MESSAGES_PER_S = 50.0
+# Peers of other regions are told each so many ticks: they share fewer
+# targets, and bytes between regions are dear.
+TICKS_OF_OTHER_REGIONS = 3
 # Connections that one node opens; the loads of these stand for all.
 MAX_PEERS = 40
 DIAL_PERIOD_MS = 1_000.0
@@ -40,6 +44,7 @@
 # Slowdowns are told in steps of this size.
 SLOWDOWN_STEP = 0.05
 MAX_STEPS = 255
+NAME_SEPARATOR = b'\n'
 _OBJECT = struct.Struct('>HI')
 _MS_PER_S = 1_000
 
@@ -52,7 +57,8 @@
     Parameters
     ----------
     targets
-        Ids of the targets; the other fields have one byte for each.
+        Ids of the targets, with line feeds between them; the other fields
+        have one byte for each.
     in_flight
         Requests of the sending node, at most ``MAX_IN_FLIGHT``.
     slowdowns
@@ -62,7 +68,7 @@
         and the object's hash.
     """
 
-    targets: tuple[str, ...] = schema.sequence(str)
+    targets: bytes = schema.binary()
     in_flight: bytes = schema.binary()
     slowdowns: bytes = schema.binary()
     objects: bytes = schema.binary()
@@ -85,12 +91,14 @@
         self,
         *,
         vm: str,
+        region: str,
         beliefs: Beliefs,
         peers: Peers,
         news: NewsExchange,
         clock: Callable[[], float],
     ) -> None:
         self._vm = vm
+        self._region = region
         self._news = news
         self._beliefs = beliefs
         self._loads = beliefs.peer_loads
@@ -99,14 +107,17 @@
         self._connected: set[str] = set()
         self._dialled_ms = float('-inf')
         self._told_ms = float('-inf')
+        self._ticks = 0
+        self._untold_far: dict[str, _Row] = {}
 
     async def run(self) -> None:
         """Exchange loads until cancelled."""
         while True:
             self.tick()
-            peers = len(self._connected)
-            pause_ms = max(TICK_MS, TICK_MS_PER_PEER * peers)
-            await asyncio.sleep(pause_ms / _MS_PER_S)
+            near, far = self._groups()
+            messages = len(near) + len(far) / TICKS_OF_OTHER_REGIONS
+            pause_ms = messages / MESSAGES_PER_S * _MS_PER_S
+            await asyncio.sleep(max(TICK_MS, pause_ms) / _MS_PER_S)
 
     def tick(self) -> None:
         """Do what is due now."""
@@ -149,14 +160,46 @@
                 self._peers.dial(node.vm, node.peers)
 
     def _tell_changes(self, now_ms: float) -> None:
-        if not self._connected:
-            self._beliefs.changed_loads.clear()
-            return
+        self._ticks += 1
         changed = self._take_changed()
-        if not changed and now_ms - self._told_ms < HEARTBEAT_MS:
+        near, far = self._groups()
+        if far:
+            self._keep_for_far(changed)
+        beats = now_ms - self._told_ms >= HEARTBEAT_MS
+        if changed or beats:
+            self._told_ms = now_ms
+            self._peers.send_to_each(near, _encode(changed))
+        if not far or self._ticks % TICKS_OF_OTHER_REGIONS:
             return
-        self._told_ms = now_ms
-        self._peers.send_to_all(_encode(changed))
+        rows = list(self._untold_far.values())
+        self._untold_far.clear()
+        self._peers.send_to_each(far, _encode(rows))
+
+    def _groups(self) -> tuple[list[str], list[str]]:
+        """Return the connected peers of this region, and the others."""
+        nodes = self._beliefs.nodes
+        near: list[str] = []
+        far: list[str] = []
+        for vm in self._connected:
+            node = nodes.get(vm)
+            is_near = node is not None and node.region == self._region
+            (near if is_near else far).append(vm)
+        return near, far
+
+    def _keep_for_far(self, changed: list[_Row]) -> None:
+        """Gather changes until peers of other regions are told."""
+        for row in changed:
+            held = self._untold_far.get(row.target_id)
+            objects = (held.objects if held else ()) + row.objects
+            steps = row.slowdown_steps
+            if held is not None and not steps:
+                steps = held.slowdown_steps
+            self._untold_far[row.target_id] = _Row(
+                row.target_id,
+                row.in_flight,
+                steps,
+                objects[-MAX_UNTOLD:],
+            )
 
     def _take_changed(self) -> list[_Row]:
         names = self._beliefs.changed_loads
@@ -173,9 +216,8 @@
     def _take(self, vm: str, loads: Loads) -> None:
         now_ms = self._clock()
         self._loads.on_heard(vm, now_ms)
-        rows = zip(
-            loads.targets, loads.in_flight, loads.slowdowns, strict=False
-        )
+        names = _split_names(loads.targets)
+        rows = zip(names, loads.in_flight, loads.slowdowns, strict=False)
         for target_id, in_flight, steps in rows:
             self._loads.put(vm, target_id, in_flight)
             target = self._beliefs.targets.get(target_id)
@@ -183,8 +225,8 @@
                 target.on_speed(steps * SLOWDOWN_STEP, now_ms)
         whole = len(loads.objects) - len(loads.objects) % _OBJECT.size
         for index, number in _OBJECT.iter_unpack(loads.objects[:whole]):
-            if index < len(loads.targets):
-                target = self._beliefs.targets.get(loads.targets[index])
+            if index < len(names):
+                target = self._beliefs.targets.get(names[index])
                 if target is not None:
                     target.on_object(number)
 
@@ -225,9 +267,15 @@
     return _Row(target_id, in_flight, steps, objects)
 
 
+def _split_names(joined: bytes) -> list[str]:
+    if not joined:
+        return []
+    return joined.decode(errors='replace').split(NAME_SEPARATOR.decode())
+
+
 def _encode(rows: list[_Row]) -> Loads:
     return Loads(
-        targets=tuple(row.target_id for row in rows),
+        targets=NAME_SEPARATOR.join(row.target_id.encode() for row in rows),
         in_flight=bytes(row.in_flight for row in rows),
         slowdowns=bytes(row.slowdown_steps for row in rows),
         objects=b''.join(
--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from websockets.asyncio.client import ClientConnection
     from websockets.asyncio.server import Server
@@ -195,10 +196,10 @@
             connection.put(message)
             return
 
-    def send_to_all(self, message: Message) -> None:
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
         data = encode_message(message)
-        for connections in self._connections.values():
-            for connection in connections:
+        for vm in vms:
+            for connection in self._connections.get(vm, ()):
                 connection.put_encoded(data)
                 break
 
--- a/tests/steering/test_mesh.py
+++ b/tests/steering/test_mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Result
@@ -24,6 +25,7 @@
 from gentianbank.steering.mesh import Loads
 from gentianbank.steering.mesh import MAX_PEERS
 from gentianbank.steering.mesh import Mesh
+from gentianbank.steering.mesh import TICKS_OF_OTHER_REGIONS
 from gentianbank.steering.news import NewsExchange
 from tests.support.steering import REGIONS
 from tests.support.steering import registration
@@ -88,8 +90,8 @@
             case Result(tag='ok', ok=decoded):
                 self._hub.deliver(self._vm, vm, Received(self._vm, decoded))
 
-    def send_to_all(self, message: Message) -> None:
-        for vm in self.connected:
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
+        for vm in self.connected & set(vms):
             self.send(vm, message)
 
     async def request(
@@ -118,6 +120,7 @@
         self.peers = HubPeers(hub, vm)
         self.mesh = Mesh(
             vm=vm,
+            region='east',
             beliefs=self.beliefs,
             peers=self.peers,
             news=NoNews(),
@@ -193,7 +196,7 @@
 def test_malformed_objects_of_a_peer_do_no_harm() -> None:
     hub = Hub('vm-1', 'vm-2')
     loads = Loads(
-        targets=('desk-1', 'desk-9'),
+        targets=b'desk-1\ndesk-9\n\xff',
         in_flight=b'\x01',
         slowdowns=b'',
         objects=b'\x00\x07\x00\x00\x00\x01\x00\x01',
@@ -269,3 +272,23 @@
     assert first.beliefs.lost_peers == {'vm-2'}
     hub.pass_ms(1_500.0)
     assert first.beliefs.lost_peers == set()
+
+
+def test_peers_of_other_regions_are_told_more_rarely_but_everything() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    first, second = hub.nodes.values()
+    for node in hub.nodes.values():
+        far = replace(entry('vm-2'), region='west')
+        node.beliefs.nodes['vm-2'] = far
+    hub.pass_ms(TICK_MS * TICKS_OF_OTHER_REGIONS)
+    hub.messages = 0
+    for number in range(TICKS_OF_OTHER_REGIONS):
+        target = first.beliefs.targets['desk-1']
+        target.on_send(hub.now_ms, f'read/{number}')
+        hub.pass_ms(TICK_MS)
+    hub.pass_ms(TICK_MS * TICKS_OF_OTHER_REGIONS)
+    assert second.occupancy(hub) == TICKS_OF_OTHER_REGIONS
+    known = second.beliefs.targets['desk-1']
+    assert all(known.knows(f'read/{n}') for n in range(3))
+    # Each third tick of the first node, and heartbeats of the second.
+    assert hub.messages <= 4
--- a/tests/steering/test_news.py
+++ b/tests/steering/test_news.py
@@ -24,6 +24,7 @@
 from tests.support.store_copy import Copy
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
 DRAINING = ENTRY | {'state': 'draining', 'sequence': 9}
@@ -48,7 +49,7 @@
                 self._pair.sent.append(decoded)
                 self._pair.news[self._to].on_message('other', decoded)
 
-    def send_to_all(self, message: Message) -> None:
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
         raise NotImplementedError
 
     async def request(
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -47,6 +47,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from gentianbank.domain.revision import Snapshot
 
@@ -372,8 +373,8 @@
             self._world.bytes_by_node[self._vm] += size
         self._world.deliver(me, other, Received(self._vm, message))
 
-    def send_to_all(self, message: Message) -> None:
-        for vm in self.connected:
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
+        for vm in vms:
             self.send(vm, message)
 
     def drop(self, vm: str) -> None:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -10,6 +10,7 @@
 import itertools
 from random import Random
 from typing import Any
+from typing import TYPE_CHECKING
 
 from expression import Error
 from expression import Ok
@@ -46,6 +47,9 @@
 from tests.support.fakes import SilentMetrics
 from tests.support.virtual_loop import VirtualLoop
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 LINK_S = 0.005
 REGION = 'kingston'
 SERVICE = 'ordering'
@@ -369,7 +373,7 @@
     def send(self, vm: str, message: Message) -> None:
         pass
 
-    def send_to_all(self, message: Message) -> None:
+    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
         pass
 
     async def request(
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -163,13 +163,13 @@
     run(test, b'key-of-vm-2')
 
 
-def test_message_to_all_reaches_every_peer() -> None:
+def test_message_to_several_reaches_those_that_are_connected() -> None:
     async def test(first: Node, second: Node) -> None:
         first.peers.dial('vm-2', second.address)
         assert await first.next() == Connected('vm-2')
         assert await second.next() == Connected('vm-1')
         heartbeat = Heartbeat(revision=7, members_digest=1)
-        first.peers.send_to_all(heartbeat)
+        first.peers.send_to_each(['vm-2', 'vm-9'], heartbeat)
         assert await second.next() == Received('vm-1', heartbeat)
 
     run(test)
