--- a/src/gentianbank/cli/explain.py
+++ b/src/gentianbank/cli/explain.py
@@ -174,7 +174,8 @@
                 reason += f' ({fields["busy"]})'
             return reason + (f'; tried {tried}' if tried else '')
         case 'caller left':
-            return f'the caller left after {fields.get("held_ms")} ms'
+            reason = f'the caller left after {fields.get("held_ms")} ms'
+            return reason + (f'; tried {tried}' if tried else '')
         case 'answer ended early':
             return f'the answer broke off: {fields.get("cause")}'
         case _:
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
+import functools
 from typing import TYPE_CHECKING
 
 from gentianbank.dataplane.exchange import CallerGoneError
@@ -20,6 +22,7 @@
 from gentianbank.steering.replies import Replies
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
+from gentianbank.steering.sending import Cancelled
 from gentianbank.steering.sending import Delivered
 from gentianbank.steering.sending import NotReached
 from gentianbank.steering.sending import Rejected
@@ -173,19 +176,10 @@
                 return
             target = placement.target
             tries.targets.append(target.registration.target_id)
-            outcome = await self._sending.send(
-                exchange, request, body, placement
+            outcome = await self._attempt(
+                exchange, request, body, placement, len(tries.targets)
             )
-            final = _is_final(outcome)
-            self._reporter.on_attempt(
-                request,
-                len(tries.targets),
-                placement,
-                now_ms,
-                outcome,
-                final=final,
-            )
-            if final:
+            if _is_final(outcome):
                 assert isinstance(outcome, Delivered)
                 await self._replies.deliver(exchange, request, outcome)
                 return
@@ -196,6 +190,26 @@
                 await self._give_up(exchange, request, tries, outcome.cause)
                 return
 
+    async def _attempt(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        body: RequestBody,
+        placed: Placed,
+        attempt: int,
+    ) -> Outcome:
+        """Send a request to a target and report how that ended."""
+        report = functools.partial(
+            self._reporter.on_attempt, request, attempt, placed, self._clock()
+        )
+        try:
+            outcome = await self._sending.send(exchange, request, body, placed)
+        except asyncio.CancelledError:
+            report(Cancelled(), final=False)
+            raise
+        report(outcome, final=_is_final(outcome))
+        return outcome
+
     def _may_send_again(self, request: CallerRequest, tries: _Tries) -> bool:
         if tries.sent >= request.route.max_attempts:
             return False
--- a/src/gentianbank/steering/reporter.py
+++ b/src/gentianbank/steering/reporter.py
@@ -20,6 +20,7 @@
     from gentianbank.policy.placement import Placement
     from gentianbank.steering.beliefs import Beliefs
     from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.sending import Cancelled
     from gentianbank.steering.sending import Outcome
     from gentianbank.telemetry.deferred import DeferredMetrics
 
@@ -59,7 +60,7 @@
         attempt: int,
         placed: Placed,
         sent_ms: float,
-        outcome: Outcome,
+        outcome: Outcome | Cancelled,
         *,
         final: bool,
     ) -> None:
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -80,6 +80,13 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The caller left while the target had the request."""
+
+    cause: str = 'the caller left'
+
+
 Outcome = Delivered | Rejected | NotReached | Broken
 
 
--- a/tests/steering/test_reporter.py
+++ b/tests/steering/test_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 import logging
 from typing import Any
@@ -9,6 +10,7 @@
 
 import pytest
 
+from tests.support.steering import Caller
 from tests.support.steering import FAILED
 from tests.support.steering import LOST
 from tests.support.steering import Path
@@ -75,6 +77,26 @@
         assert refused['attempts'] == 1
 
 
+def test_caller_that_leaves_is_reported_with_the_target_it_waited_for(
+    log: pytest.LogCaptureFixture,
+) -> None:
+    path = Path(targets=1)
+    path.transport.default = SILENT
+    caller = Caller(path.loop)
+
+    async def leave() -> None:
+        serving = asyncio.create_task(path.proxy.serve(caller.exchange()))
+        await asyncio.sleep(0.2)
+        caller.gone.set()
+        await serving
+
+    path.run(leave())
+    attempt = lines(log, 'attempt failed')[0]
+    assert (attempt['target'], attempt['outcome']) == ('desk-1', 'cancelled')
+    assert attempt['took_ms'] == 200
+    assert lines(log, 'caller left')[0]['held_ms'] == 200
+
+
 def test_refusal_names_the_busy_targets_and_the_age_of_the_copy(
     log: pytest.LogCaptureFixture,
 ) -> None:
