--- a/src/gentianbank/steering/mesh.py
+++ b/src/gentianbank/steering/mesh.py
@@ -31,7 +31,7 @@
 
 TICK_MS = 100.0
 # More peers are told more rarely, so that the cost stays bounded.
-MESSAGES_PER_S = 50.0
+MESSAGES_PER_S = 35.0
 # Peers of other regions are told each so many ticks: they share fewer
 # targets, and bytes between regions are dear.
 TICKS_OF_OTHER_REGIONS = 3
--- a/src/gentianbank/steering/request_log.py
+++ b/src/gentianbank/steering/request_log.py
@@ -5,11 +5,10 @@
 import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
+import logging as std_logging
 from typing import ClassVar
 from typing import TYPE_CHECKING
 
-from absl import logging
-
 from gentianbank.policy.windows import SlidingCount
 from gentianbank.telemetry.line_writer import LineClass
 from gentianbank.telemetry.logs import CLASS_FIELD
@@ -20,6 +19,8 @@
 WINDOW_MS = 1_000.0
 # Samples leave the other half to what went wrong.
 SAMPLE_PART = 0.5
+_FIELDS: dict[type[RequestEvent], tuple[str, ...]] = {}
+_LOGGER = std_logging.getLogger('gentianbank.requests')
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,19 +166,36 @@
 
     def write(self, event: RequestEvent) -> None:
         """Write an event unless there were too many of late."""
+        if not _LOGGER.isEnabledFor(std_logging.INFO):
+            return
         now_ms = self.clock()
         if self._written.count(now_ms) >= self._limit(event.line_class):
             self.suppressed += 1
             return
         self._written.add(now_ms)
-        fields = dataclasses.asdict(event)
+        # Made by hand, since finding the caller of a line costs more than
+        # all else here.
+        record = std_logging.LogRecord(
+            _LOGGER.name, std_logging.INFO, '', 0, event.message, (), None
+        )
+        values = record.__dict__
+        for name in _list_fields(type(event)):
+            values[name] = getattr(event, name)
         if self.suppressed:
-            fields['lines_suppressed'] = self.suppressed
+            values['lines_suppressed'] = self.suppressed
             self.suppressed = 0
-        fields[CLASS_FIELD] = event.line_class
-        logging.info(event.message, extra=fields)
+        values[CLASS_FIELD] = event.line_class
+        _LOGGER.handle(record)
 
     def _limit(self, line_class: LineClass) -> float:
         if line_class is LineClass.SAMPLE:
             return self.lines_per_s * SAMPLE_PART
         return self.lines_per_s
+
+
+def _list_fields(kind: type[RequestEvent]) -> tuple[str, ...]:
+    names = _FIELDS.get(kind)
+    if names is None:
+        names = tuple(item.name for item in dataclasses.fields(kind))
+        _FIELDS[kind] = names
+    return names
--- a/src/gentianbank/telemetry/logs.py
+++ b/src/gentianbank/telemetry/logs.py
@@ -30,6 +30,7 @@
 _STANDARD = frozenset(
     {*vars(std_logging.makeLogRecord({})), 'message', CLASS_FIELD}
 )
+_PLAIN = (str, int, float, list, tuple, type(None))
 _LEVELS = {
     'debug': (logging.DEBUG, std_logging.DEBUG),
     'info': (logging.INFO, std_logging.INFO),
@@ -135,10 +136,10 @@
 
 
 def _plain(value: object) -> object:
+    if isinstance(value, _PLAIN):
+        return value
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return dataclasses.asdict(value)
-    if value is None or isinstance(value, str | int | float | list | tuple):
-        return value
     return str(value)
 
 
--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -58,7 +58,7 @@
     if node.stopping or node.process is None:
         return
     node.stopping = True
-    world.signal(node, signal.SIGTERM)
+    world.send_signal(node, signal.SIGTERM)
     try:
         async with asyncio.timeout(STOP_S + 1.0):
             await node.process.wait()
@@ -89,9 +89,9 @@
     if node.stopping:
         return
     world.disturb(node, world.now_s() + fault.for_s + SETTLE_S)
-    world.signal(node, signal.SIGSTOP)
+    world.send_signal(node, signal.SIGSTOP)
     await asyncio.sleep(fault.for_s)
-    world.signal(node, signal.SIGCONT)
+    world.send_signal(node, signal.SIGCONT)
 
 
 @register_fault('settings read again', 0.5)
@@ -101,7 +101,7 @@
     if node.stopping:
         return
     for _ in range(2):
-        world.signal(node, signal.SIGHUP)
+        world.send_signal(node, signal.SIGHUP)
         await asyncio.sleep(0.05)
 
 
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -188,7 +188,7 @@
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
         )
 
-    def signal(self, node: SoakNode, number: signal.Signals) -> None:
+    def send_signal(self, node: SoakNode, number: signal.Signals) -> None:
         """Send a signal to the process of a node if it runs."""
         if node.process is not None and node.process.returncode is None:
             node.process.send_signal(number)
--- a/tests/processes/test_steering_node.py
+++ b/tests/processes/test_steering_node.py
@@ -125,7 +125,7 @@
         node = world.nodes[0]
         text = node.settings.read_text()
         node.settings.write_text('interface: platform\nvm: 7\n')
-        world.signal(node, signal.SIGHUP)
+        world.send_signal(node, signal.SIGHUP)
         refused = 'settings not taken; the old ones stay in force'
         await wait_until(lambda: bool(messages(world, node, refused)))
         assert 'vm: expected' in messages(world, node, refused)[0]['cause']
@@ -146,7 +146,7 @@
             target.app.faults.slow_factor = 20.0
         asking = asyncio.create_task(ask(node, 'r-1'))
         await wait_until(lambda: world.journal.runs['r-1'] == 1)
-        world.signal(node, signal.SIGTERM)
+        world.send_signal(node, signal.SIGTERM)
         assert (await asking).status_code == 200
         assert node.process is not None
         async with asyncio.timeout(PATIENCE_S):
