Read a configuration in part, and unknown words in their strictest sense

Cause: on both Tamsui sites one word ('upload') in one route made the whole configuration invalid; every node answered 503 'no configuration yet' and no request was served. What may run twice was 'anything but non_idempotent', so merely adding the word let uploads run twice.

Ruled out: refusing the whole document (an older one in force lets requests run that the new one forbids); dropping an invalid route (its requests would match a shorter prefix and another service).

Change: what may run twice is a list of known kinds; an unknown kind runs at most once; an invalid route, service or host costs itself, and requests of an invalid route are refused as not run; a useless document leaves the one in force, with a gauge and a log line. Infinite and huge numbers, half surrogates, unusable addresses and ids no longer raise later on. Entries of nodes and messages of newer versions may have further fields: the mutated documents found that a node with an unknown field in its entry was unknown to all others.

--- a/src/gentianbank/control/messages.py
+++ b/src/gentianbank/control/messages.py
@@ -23,6 +23,14 @@
 _BODY_NAME_PATTERN = r'[a-z0-9/-]{1,100}'
 _DIGEST_PATTERN = r'[0-9a-f]{32}'
 _MAX_COUNT = 2**53
+_UNDECODABLE = (
+    cbor2.CBORDecodeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 T = TypeVar('T')
 MESSAGE_TYPE_BY_KIND: dict[str, type[Message]] = {}
@@ -296,13 +304,16 @@
 
 
 def decode_message(data: bytes) -> Result[Message, InvalidDocument]:
-    """Decode and validate a message received from a peer."""
+    """Decode and validate a message received from a peer.
+
+    Values and fields that a newer version has added are ignored.
+    """
     try:
         kind, values = cbor2.loads(data)
         message = MESSAGE_TYPE_BY_KIND[kind]
         names = schema.field_names(message)
-        raw: dict[str, Any] = dict(zip(names, values, strict=True))
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+        raw: dict[str, Any] = dict(zip(names, values, strict=False))
+    except _UNDECODABLE as error:
         cause = FieldError('(message)', f'{type(error).__name__}: {error}')
         return Error(InvalidDocument('peer', (cause,)))
-    return schema.read(message, raw, f'message {kind}')
+    return schema.read(message, raw, f'message {kind}', ignore_unknown=True)
--- a/src/gentianbank/domain/addresses.py
+++ b/src/gentianbank/domain/addresses.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import ipaddress
+
+MAX_PORT = 65_535
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +24,16 @@
     """Parse an address that matches ``schema.ADDRESS_PATTERN``."""
     host, _, port = text.rpartition(':')
     return Address(host.strip('[]'), int(port))
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an address with a port that can be used."""
+    host, separator, port = text.rpartition(':')
+    if not (separator and port.isascii() and port.isdecimal()):
+        return False
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    # A longer text may be too long to convert.
+    return len(port) <= len(str(MAX_PORT)) and 0 < int(port) <= MAX_PORT
--- a/src/gentianbank/domain/errors.py
+++ b/src/gentianbank/domain/errors.py
@@ -24,6 +24,11 @@
         return f'{self.path}: {self.cause}'
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownField(FieldError):
+    """A field that this version does not know."""
+
+
 @dataclass(frozen=True, slots=True)
 class InvalidDocument:
     """A document that was rejected, with all of its invalid fields."""
--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gentianbank.domain.errors import FieldError
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +27,8 @@
     idempotent
         Whether a request may run more than once.
     large
-        Whether answers are large downloads.
+        Whether bodies are large: those of the answers if the route is
+        idempotent (downloads), else those of the requests (uploads).
     timeout_ms
         Time within which a caller gets a final answer.
     latency_objective_ms
@@ -56,10 +61,21 @@
     def kind(self) -> str:
         """Return the label of the route's requests in metrics."""
         if self.large:
-            return 'large'
+            return 'large' if self.idempotent else 'upload'
         return 'idempotent' if self.idempotent else 'once'
 
 
+@dataclass(frozen=True, slots=True)
+class UnusableRoute:
+    """A route of which only the prefix could be read.
+
+    Its requests are refused. They must not match a shorter prefix, whose
+    service may not be the one that the operators meant.
+    """
+
+    prefix: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServicePolicy:
     """What operators declare about a service.
@@ -97,12 +113,16 @@
     ----------
     hosts
         Routes of each host in lower case, the longest prefix first.
+    problems
+        Parts of the document that are left out, or that are read in their
+        strictest sense because a word is not known.
     """
 
     version: int
-    hosts: dict[str, tuple[Route, ...]]
+    hosts: dict[str, tuple[Route | UnusableRoute, ...]]
     services: dict[str, ServicePolicy]
     limits: CallerLimits
+    problems: tuple[FieldError, ...] = ()
     _lowest_priority_by_service: dict[str, int] = field(
         init=False, compare=False
     )
@@ -111,6 +131,8 @@
         lowest_by_service: dict[str, int] = {}
         for routes in self.hosts.values():
             for route in routes:
+                if isinstance(route, UnusableRoute):
+                    continue
                 for part in route.parts:
                     rank = lowest_by_service.get(part.service, route.priority)
                     lowest_by_service[part.service] = max(rank, route.priority)
@@ -122,7 +144,7 @@
         """Return the largest priority number among a service's routes."""
         return self._lowest_priority_by_service.get(service, 0)
 
-    def find(self, host: str, path: str) -> Route | None:
+    def find(self, host: str, path: str) -> Route | UnusableRoute | None:
         """Return the route whose prefix matches a path and is the longest."""
         for route in self.hosts.get(host, ()):
             if path.startswith(route.prefix):
--- a/src/gentianbank/domain/schema.py
+++ b/src/gentianbank/domain/schema.py
@@ -24,11 +24,20 @@
 
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import UnknownField
 
 T = TypeVar('T')
 
 NAME_PATTERN = r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
-ADDRESS_PATTERN = r'(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}'
+_OCTET_PATTERN = r'(25[0-5]|2[0-4][0-9]|[01]?[0-9]?[0-9])'
+_PORT_PATTERN = (
+    r'([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}'
+    r'|655[0-2][0-9]|6553[0-5])'
+)
+ADDRESS_PATTERN = (
+    rf'({_OCTET_PATTERN}(\.{_OCTET_PATTERN}){{3}}|\[[0-9a-fA-F:]+\])'
+    rf':{_PORT_PATTERN}'
+)
 URL_PATTERN = r'https?://[^\s/]+'
 MAX_BINARY_BYTES = 1_000_000
 _RULE_KEY = 'gentianbank.rule'
@@ -218,7 +227,9 @@
     return _rule_field(_BinaryRule(maximum_bytes), options)
 
 
-def read(kind: type[T], raw: Any, source: str) -> Result[T, InvalidDocument]:
+def read(
+    kind: type[T], raw: Any, source: str, *, ignore_unknown: bool = False
+) -> Result[T, InvalidDocument]:
     """Validate a plain document and build its data class.
 
     Parameters
@@ -229,6 +240,10 @@
         Document of mappings, lists and scalars.
     source
         File or call that the document came from, named in errors.
+    ignore_unknown
+        Whether unknown fields are ignored, as in what a node of a newer
+        version writes. What people write is checked for them, since they
+        may be misspelled.
 
     Returns
     -------
@@ -237,6 +252,8 @@
     """
     errors: list[FieldError] = []
     value = _read_object(kind, raw, '', errors)
+    if ignore_unknown:
+        errors = [e for e in errors if not isinstance(e, UnknownField)]
     if errors:
         return Error(InvalidDocument(source, tuple(errors)))
     return Ok(value)
@@ -280,14 +297,18 @@
         if key not in fields:
             errors.append(_unknown_key(f'{prefix}{key}', str(key), fields))
     values: dict[str, Any] = {}
-    before = len(errors)
+    before = _count_invalid(errors)
     for key, item in fields.items():
         if key in raw:
             rule: Rule = item.metadata[_RULE_KEY]
             values[key] = rule.read(raw[key], f'{prefix}{key}', errors)
         elif _is_required(item):
             errors.append(FieldError(f'{prefix}{key}', 'missing'))
-    return None if len(errors) > before else kind(**values)
+    return None if _count_invalid(errors) > before else kind(**values)
+
+
+def _count_invalid(errors: list[FieldError]) -> int:
+    return sum(not isinstance(error, UnknownField) for error in errors)
 
 
 def _is_required(item: dataclasses.Field[Any]) -> bool:
@@ -299,10 +320,10 @@
 
 def _unknown_key(
     path: str, key: str, fields: dict[str, dataclasses.Field[Any]]
-) -> FieldError:
+) -> UnknownField:
     close_matches = difflib.get_close_matches(key, fields, 1, 0.6)
     hint = f'; did you mean {close_matches[0]}?' if close_matches else ''
-    return FieldError(path, f'unknown key{hint}')
+    return UnknownField(path, f'unknown key{hint}')
 
 
 def _unit_phrase(path: str) -> str:
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -37,6 +37,10 @@
     def version() -> float:
         return float(cluster_view.table.version if cluster_view.table else 0)
 
+    def problems() -> float:
+        table = cluster_view.table
+        return float(len(table.problems)) if table else 0.0
+
     return [
         Gauge(
             'store.age',
@@ -48,6 +52,16 @@
             'Version in force.',
             version,
         ),
+        Gauge(
+            'configuration.rejected',
+            '1 while the newest configuration cannot be used.',
+            lambda: float(bool(cluster_view.rejected_table)),
+        ),
+        Gauge(
+            'configuration.problems',
+            'Invalid or unknown parts of the configuration in force.',
+            problems,
+        ),
         Gauge(
             'nodes',
             'Known nodes.',
--- a/src/gentianbank/platform/documents.py
+++ b/src/gentianbank/platform/documents.py
@@ -8,7 +8,7 @@
 from expression import Ok
 from expression import Result
 
-from gentianbank.domain.errors import FieldError
+from gentianbank.domain.addresses import is_address
 from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import CallerLimits
@@ -16,58 +16,71 @@
 from gentianbank.domain.route_table import RouteTable
 from gentianbank.domain.route_table import ServicePolicy
 from gentianbank.domain.route_table import SplitPart
+from gentianbank.domain.route_table import UnusableRoute
 from gentianbank.platform import fields
 
 if TYPE_CHECKING:
+    from gentianbank.domain.errors import FieldError
     from gentianbank.platform.fields import Fields
 
 CONFIGURATION_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 TARGET_PREFIX = 'servers/'
-_ROUTE_KINDS = frozenset(('idempotent', 'non_idempotent', 'download'))
+# Kinds of routes whose requests may run more than once; any other kind, also
+# one that is not known, forbids that.
+_IDEMPOTENT_KINDS = frozenset(('idempotent', 'download'))
+_LARGE_KINDS = frozenset(('download', 'upload'))
+_ROUTE_KINDS = _IDEMPOTENT_KINDS | _LARGE_KINDS | {'non_idempotent'}
 _TARGET_STATES = frozenset(('ready', 'draining'))
+# Limits on callers that hold if the document has none that can be read.
+_DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+_DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 _MS_PER_S = 1_000
 
 
 def decode_configuration(data: bytes) -> Result[RouteTable, InvalidDocument]:
-    """Decode the operator's configuration."""
-    errors: list[FieldError] = []
-    match fields.parse(data, CONFIGURATION_KEY, errors):
+    """Decode the operator's configuration.
+
+    A route, service or host that is invalid costs only itself; the table
+    names it among its problems.
+
+    Returns
+    -------
+    Result
+        An error if the document as a whole cannot be used: no JSON object,
+        no version, or no lists of services and hosts.
+    """
+    match fields.parse(data, CONFIGURATION_KEY):
         case Result(tag='ok', ok=document):
             pass
         case Result(error=error):
             return Error(error)
-    services = {
-        service.name: service
-        for service in map(_decode_service, document.objects('services'))
-    }
-    hosts: dict[str, tuple[Route, ...]] = {}
-    for host in document.objects('virtualHosts'):
-        routes = [_decode_route(item) for item in host.objects('paths')]
-        routes.sort(key=lambda route: len(route.prefix), reverse=True)
-        hosts[host.text('host').lower()] = tuple(routes)
-    limits = document.nested('limits')
-    table = RouteTable(
-        version=document.whole('version'),
-        hosts=hosts,
-        services=services,
-        limits=CallerLimits(
-            max_body_bytes=int(limits.number('maxBodyBytes')),
-            idle_timeout_ms=limits.number('idleTimeoutMs'),
-        ),
+    version = document.whole('version')
+    raw_services = document.required_objects('services')
+    raw_hosts = document.required_objects('virtualHosts')
+    if document.errors:
+        errors = tuple(document.errors)
+        return Error(InvalidDocument(CONFIGURATION_KEY, errors))
+    problems: list[FieldError] = []
+    services = _decode_services(raw_services, problems)
+    hosts = _decode_hosts(raw_hosts, services, problems)
+    limits = _decode_limits(document, problems)
+    return Ok(
+        RouteTable(
+            version=version,
+            hosts=hosts,
+            services=services,
+            limits=limits,
+            problems=tuple(problems),
+        )
     )
-    _check_traffic_splits(table, errors)
-    if errors:
-        return Error(InvalidDocument(CONFIGURATION_KEY, tuple(errors)))
-    return Ok(table)
 
 
 def decode_target(
     key: str, data: bytes
 ) -> Result[TargetRegistration, InvalidDocument]:
     """Decode the entry that a target keeps under a key of the store."""
-    errors: list[FieldError] = []
-    match fields.parse(data, key, errors):
+    match fields.parse(data, key):
         case Result(tag='ok', ok=entry):
             pass
         case Result(error=error):
@@ -86,17 +99,32 @@
     # invalid.
     entry.text('version')
     entry.whole('sequence')
-    host, separator, port = registration.address.rpartition(':')
-    if not errors and not (host and separator and port.isdecimal()):
+    if not entry.errors and not is_address(registration.address):
         cause = f'expected IP:port, got {registration.address!r:.60}'
-        errors.append(FieldError('address', cause))
-    if not errors and not registration.slots:
-        errors.append(FieldError('slots', 'expected at least 1'))
-    if errors:
-        return Error(InvalidDocument(key, tuple(errors)))
+        entry.reject('address', cause)
+    if not entry.errors and not registration.slots:
+        entry.reject('slots', 'expected at least 1')
+    # The id is sent to the target in a header.
+    target_id = registration.target_id
+    if not (target_id.isascii() and target_id.isprintable()):
+        entry.reject('', 'expected an id of printable ASCII characters')
+    if entry.errors:
+        return Error(InvalidDocument(key, tuple(entry.errors)))
     return Ok(registration)
 
 
+def _decode_services(
+    raw: list[Fields], problems: list[FieldError]
+) -> dict[str, ServicePolicy]:
+    services = {}
+    for item in raw:
+        service = _decode_service(item)
+        if not item.errors:
+            services[service.name] = service
+        problems += item.errors
+    return services
+
+
 def _decode_service(raw: Fields) -> ServicePolicy:
     return ServicePolicy(
         name=raw.text('name'),
@@ -107,20 +135,44 @@
     )
 
 
-def _decode_route(raw: Fields) -> Route:
-    kind = raw.choice('kind', _ROUTE_KINDS)
-    if raw.has('trafficSplit'):
-        parts = tuple(
-            SplitPart(part.text('service'), part.number('weight'))
-            for part in raw.objects('trafficSplit')
-        )
-    else:
-        parts = (SplitPart(raw.text('service'), 1.0),)
-    return Route(
+def _decode_hosts(
+    raw: list[Fields],
+    services: dict[str, ServicePolicy],
+    problems: list[FieldError],
+) -> dict[str, tuple[Route | UnusableRoute, ...]]:
+    routes_by_host: dict[str, list[Route | UnusableRoute]] = {}
+    for item in raw:
+        host = item.text('host').lower()
+        paths = item.objects('paths')
+        problems += item.errors
+        if not host:
+            continue
+        routes = routes_by_host.setdefault(host, [])
+        for path in paths:
+            route = _decode_route(path, services)
+            problems += path.errors
+            if route is not None:
+                routes.append(route)
+    return {
+        host: tuple(sorted(routes, key=lambda r: len(r.prefix), reverse=True))
+        for host, routes in routes_by_host.items()
+    }
+
+
+def _decode_route(
+    raw: Fields, services: dict[str, ServicePolicy]
+) -> Route | UnusableRoute | None:
+    """Decode a route; ``None`` if not even its prefix can be read."""
+    prefix = raw.text('prefix')
+    if not prefix:
+        return None
+    parts = _decode_parts(raw, services)
+    kind = raw.text('kind')
+    route = Route(
         name=raw.text('name', '-'),
-        prefix=raw.text('prefix'),
-        idempotent=kind != 'non_idempotent',
-        large=kind == 'download',
+        prefix=prefix,
+        idempotent=kind in _IDEMPOTENT_KINDS,
+        large=kind in _LARGE_KINDS,
         timeout_ms=raw.number('timeoutMs', 60_000),
         latency_objective_ms=raw.number('targetLatencyMs', 1_000),
         priority=int(raw.number('priority', 0)),
@@ -129,15 +181,52 @@
         sticky=raw.flag('sticky', default=False),
         home_regions=frozenset(raw.texts('homeRegions')),
     )
-
-
-def _check_traffic_splits(table: RouteTable, errors: list[FieldError]) -> None:
-    for host, routes in table.hosts.items():
-        for route in routes:
-            path = f'{host}{route.prefix}'
-            if not any(part.weight > 0 for part in route.parts):
-                errors.append(FieldError(path, 'no service has a weight'))
-            for part in route.parts:
-                if part.service not in table.services:
-                    cause = f'unknown service {part.service!r:.60}'
-                    errors.append(FieldError(path, cause))
+    if raw.errors:
+        return UnusableRoute(prefix)
+    if kind not in _ROUTE_KINDS:
+        raw.reject(
+            'kind', f'unknown kind {kind!r:.60}; requests run at most once'
+        )
+    return route
+
+
+def _decode_parts(
+    raw: Fields, services: dict[str, ServicePolicy]
+) -> tuple[SplitPart, ...]:
+    """Decode the services of a route and their weights.
+
+    A split with an invalid part is invalid as a whole, since the share of
+    that part must not go to the others.
+    """
+    if not raw.has('trafficSplit'):
+        service = raw.text('service')
+        if service and service not in services:
+            raw.reject('service', f'unknown service {service!r:.60}')
+        return (SplitPart(service, 1.0),)
+    parts = []
+    for item in raw.objects('trafficSplit'):
+        part = SplitPart(item.text('service'), item.number('weight'))
+        if part.service and part.service not in services:
+            item.reject('service', f'unknown service {part.service!r:.60}')
+        raw.errors += item.errors
+        parts.append(part)
+    if not any(part.weight > 0 for part in parts):
+        raw.reject('trafficSplit', 'no service has a weight')
+    return tuple(parts)
+
+
+def _decode_limits(
+    document: Fields, problems: list[FieldError]
+) -> CallerLimits:
+    raw = document.nested('limits')
+    max_body_bytes = raw.whole('maxBodyBytes', _DEFAULT_MAX_BODY_BYTES)
+    idle_timeout_ms = raw.number('idleTimeoutMs', _DEFAULT_IDLE_TIMEOUT_MS)
+    problems += raw.errors
+    if raw.errors:
+        return CallerLimits(
+            max_body_bytes=_DEFAULT_MAX_BODY_BYTES,
+            idle_timeout_ms=_DEFAULT_IDLE_TIMEOUT_MS,
+        )
+    return CallerLimits(
+        max_body_bytes=max_body_bytes, idle_timeout_ms=idle_timeout_ms
+    )
--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -15,27 +15,38 @@
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
 
+# Larger numbers are errors: no field needs them, and not all of them can be
+# converted to a float.
+MAX_NUMBER = 2**53
+SHOWN_CHARACTERS = 60
+
 
 class Fields:
     """Reads the fields of one JSON object.
 
-    For a missing or invalid field it adds an error to a list and returns a
-    neutral value, so that one pass finds all errors of a document.
+    For a missing or invalid field it adds an error to ``errors`` and returns
+    a neutral value, so that one pass finds all errors of the object. Nested
+    objects of a list have errors of their own, since an invalid one may be
+    left out without the others.
     """
 
-    def __init__(self, raw: Any, path: str, errors: list[FieldError]) -> None:
+    def __init__(self, raw: Any, path: str = '') -> None:
+        self.errors: list[FieldError] = []
         self._path = path
-        self._errors = errors
         self._raw: dict[str, Any] = raw if isinstance(raw, dict) else {}
         if not isinstance(raw, dict):
             self._add_error('', 'expected an object')
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Return a non-empty text; an empty one after an error."""
+        """Return a non-empty text; an empty one after an error.
+
+        Text that cannot be encoded, such as half of a surrogate pair, is an
+        error.
+        """
         value = self._raw.get(name, default)
-        if isinstance(value, str) and value:
+        if isinstance(value, str) and value and _is_encodable(value):
             return value
-        self._add_error(name, f'expected text, got {value!r:.60}')
+        self._add_error(name, f'expected text, got {_show(value)}')
         return ''
 
     def number(self, name: str, default: float | None = None) -> float:
@@ -44,18 +55,18 @@
         is_number = isinstance(value, int | float) and not isinstance(
             value, bool
         )
-        if is_number and value is not None and value >= 0:
+        if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return float(value)
-        self._add_error(name, f'expected a number from 0, got {value!r:.60}')
+        self._add_error(name, f'expected a number from 0, got {_show(value)}')
         return 0.0
 
     def whole(self, name: str, default: int | None = None) -> int:
         """Return a whole number of at least 0; 0 after an error."""
         value = self._raw.get(name, default)
         is_number = isinstance(value, int) and not isinstance(value, bool)
-        if is_number and value is not None and value >= 0:
+        if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return int(value)
-        self._add_error(name, f'expected a whole number, got {value!r:.60}')
+        self._add_error(name, f'expected a whole number, got {_show(value)}')
         return 0
 
     def flag(self, name: str, *, default: bool) -> bool:
@@ -63,7 +74,7 @@
         value = self._raw.get(name, default)
         if isinstance(value, bool):
             return value
-        self._add_error(name, f'expected true or false, got {value!r:.60}')
+        self._add_error(name, f'expected true or false, got {_show(value)}')
         return default
 
     def choice(self, name: str, choices: frozenset[str]) -> str:
@@ -72,24 +83,35 @@
         if isinstance(value, str) and value in choices:
             return value
         expected = ', '.join(sorted(choices))
-        self._add_error(name, f'expected one of {expected}, got {value!r:.60}')
+        self._add_error(
+            name, f'expected one of {expected}, got {_show(value)}'
+        )
         return ''
 
     def objects(self, name: str) -> list[Fields]:
         """Return a list of objects; empty if the field is missing."""
         return [
-            Fields(item, f'{self._path}{name}[{index}].', self._errors)
+            Fields(item, f'{self._path}{name}[{index}].')
             for index, item in enumerate(self._read_list(name))
         ]
 
+    def required_objects(self, name: str) -> list[Fields]:
+        """Return a list of objects, whose absence is an error."""
+        if not self.has(name):
+            self._add_error(name, 'expected a list, got none')
+        return self.objects(name)
+
     def texts(self, name: str) -> tuple[str, ...]:
         """Return a list of texts; empty if the field is missing."""
-        return tuple(str(item) for item in self._read_list(name))
+        values = self._read_list(name)
+        if all(isinstance(v, str) and _is_encodable(v) for v in values):
+            return tuple(values)
+        self._add_error(name, f'expected texts, got {_show(values)}')
+        return ()
 
     def nested(self, name: str) -> Fields:
         """Return a reader for the fields of a nested object."""
-        raw = self._raw.get(name)
-        return Fields(raw, f'{self._path}{name}.', self._errors)
+        return Fields(self._raw.get(name), f'{self._path}{name}.')
 
     def has(self, name: str) -> bool:
         """Tell whether a field is present and not null."""
@@ -101,23 +123,39 @@
             return []
         if isinstance(value, list):
             return value
-        self._add_error(name, f'expected a list, got {value!r:.60}')
+        self._add_error(name, f'expected a list, got {_show(value)}')
         return []
 
+    def reject(self, name: str, cause: str) -> None:
+        """Add an error about a field."""
+        self._add_error(name, cause)
+
     def _add_error(self, name: str, cause: str) -> None:
         path = f'{self._path}{name}'.rstrip('.') or '(document)'
-        self._errors.append(FieldError(path, cause))
-
+        self.errors.append(FieldError(path, cause))
 
-def parse(
-    data: bytes, source: str, errors: list[FieldError]
-) -> Result[Fields, InvalidDocument]:
-    """Parse a JSON document.
 
-    Later errors of its fields are added to ``errors``.
-    """
+def parse(data: bytes, source: str) -> Result[Fields, InvalidDocument]:
+    """Parse a JSON document."""
     try:
-        return Ok(Fields(json.loads(data), '', errors))
+        return Ok(Fields(json.loads(data)))
     except (ValueError, RecursionError) as error:
         cause = FieldError('(document)', f'not JSON: {error}')
         return Error(InvalidDocument(source, (cause,)))
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _show(value: Any) -> str:
+    """Return the start of a value for an error message."""
+    try:
+        return f'{value!r:.{SHOWN_CHARACTERS}}'
+    except (ValueError, RecursionError):
+        # Numbers of very many digits and deep values cannot be printed.
+        return f'a {type(value).__name__} that is too large'
--- a/src/gentianbank/platform/keyspace.py
+++ b/src/gentianbank/platform/keyspace.py
@@ -118,9 +118,9 @@
 ) -> Result[NodeRegistration, InvalidDocument]:
     try:
         raw = json.loads(stored.value)
-    except ValueError:
+    except (ValueError, RecursionError):
         raw = None
-    return schema.read(NodeRegistration, raw, stored.key)
+    return schema.read(NodeRegistration, raw, stored.key, ignore_unknown=True)
 
 
 def _as_optional(value: DecodedValue) -> DecodedValue | None:
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -39,6 +39,14 @@
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
 _MS_PER_S = 1_000
+# Raised by the conversion of a malformed answer.
+_MALFORMED = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 class PlatformStore(PrefixStore):
@@ -88,7 +96,7 @@
                 page = [_decode_value(item) for item in raw['items']]
                 has_more = bool(raw.get('hasMore', False))
                 revision = revision or int(raw['currentRev'])
-            except (KeyError, TypeError, ValueError) as error:
+            except _MALFORMED as error:
                 return Error(StoreUnavailable(f'malformed page: {error!r}'))
             values += page
             if not has_more or not page:
@@ -117,7 +125,7 @@
         try:
             events = tuple(_decode_event(item) for item in raw['events'])
             return Ok(Changes(events, int(raw['currentRev'])))
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             return Error(StoreUnavailable(f'malformed changes: {error!r}'))
 
     async def put(
@@ -130,8 +138,11 @@
         }
         body = {'expectedRev': [], 'writes': [write], 'deletes': []}
         match await self._call('POST', '/kv-txn', body=body):
-            case Result(tag='ok', ok=raw):
-                return Ok(int(raw.get('revision', 0)))
+            case Result(tag='ok', ok={'revision': int() as revision}):
+                return Ok(revision)
+            case Result(tag='ok'):
+                # The write was accepted, whatever the answer says of it.
+                return Ok(0)
             case Result(error=error) if error == _HTTP_NOT_FOUND:
                 return Error(LeaseExpired())
             case Result(error=error):
@@ -232,7 +243,7 @@
             return Error(answer.status)
         try:
             raw = json.loads(data or b'{}')
-        except ValueError:
+        except (ValueError, RecursionError):
             return Error(StoreUnavailable('the answer is not JSON'))
         if not isinstance(raw, dict):
             return Error(StoreUnavailable('the answer is not an object'))
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -23,6 +23,8 @@
 # Time for which a target counts as cold after its failure domain came back
 # or after it registered, if the configuration has no policy for its service.
 DEFAULT_COLD_START_MS = 3_000.0
+# Limit on the length of one log line.
+MAX_LOGGED_PROBLEMS = 10
 
 
 @dataclass(slots=True)
@@ -35,6 +37,9 @@
         Region of each failure domain.
     table
         Configuration in force; ``None`` before the first one.
+    rejected_table
+        Why a newer configuration than the one in force cannot be used;
+        empty if there is none.
     targets
         Registered targets, by id.
     evacuated
@@ -60,6 +65,7 @@
 
     regions: dict[str, str]
     table: RouteTable | None = None
+    rejected_table: str = ''
     targets: dict[str, TargetLoad] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
     nodes: dict[str, NodeRegistration] = field(default_factory=dict)
@@ -92,12 +98,26 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.rejected_table = ''
         self.generation += 1
         logging.info(
             'configuration in force', extra={'version': table.version}
         )
+        if table.problems:
+            _log_problems(table)
         return True
 
+    def reject_table(self, cause: str) -> None:
+        """Keep the configuration in force, as the newest cannot be used."""
+        self.rejected_table = cause
+        logging.error(
+            'configuration cannot be used; an older one stays in force',
+            extra={
+                'version': self.table.version if self.table else None,
+                'cause': cause,
+            },
+        )
+
     def put_node(self, node: NodeRegistration) -> None:
         """Store the entry of a node.
 
@@ -207,3 +227,15 @@
     known: TargetRegistration, entry: TargetRegistration
 ) -> bool:
     return known.born_ms != entry.born_ms or known.address != entry.address
+
+
+def _log_problems(table: RouteTable) -> None:
+    shown = table.problems[:MAX_LOGGED_PROBLEMS]
+    logging.warning(
+        'configuration used in part',
+        extra={
+            'version': table.version,
+            'problems': len(table.problems),
+            'cause': '; '.join(map(str, shown)),
+        },
+    )
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -9,6 +9,7 @@
 
 from gentianbank.dataplane.exchange import CallerDisconnectedError
 from gentianbank.dataplane.exchange import run_until_disconnect
+from gentianbank.domain.route_table import UnusableRoute
 from gentianbank.platform import headers as wire
 from gentianbank.policy.fleet_limits import SharedRetryBudget
 from gentianbank.policy.placement import NoCapacity
@@ -165,6 +166,10 @@
                 exchange, None, Refusal(404, 'no such route')
             )
             return
+        if isinstance(route, UnusableRoute):
+            refusal = Refusal(503, 'the route cannot be read')
+            await self._replies.send_refusal(exchange, None, refusal)
+            return
         service_turns = self._service_turns.setdefault(
             route.name, WeightedRoundRobin()
         )
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -16,6 +16,7 @@
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
 from gentianbank.platform import keyspace
+from gentianbank.platform.keyspace import ConfigurationKey
 from gentianbank.platform.keyspace import EvacuationKey
 from gentianbank.platform.keyspace import NodeKey
 from gentianbank.platform.keyspace import TargetKey
@@ -270,8 +271,11 @@
     def _reject_value(
         self, stored: StoredValue, error: InvalidDocument
     ) -> None:
-        logging.warning('invalid entry ignored', extra={'cause': str(error)})
         subject = keyspace.kind_of_key(stored.key)
+        if isinstance(subject, ConfigurationKey):
+            self._cluster_view.reject_table(str(error))
+            return
+        logging.warning('invalid entry ignored', extra={'cause': str(error)})
         if isinstance(subject, TargetKey):
             self._cluster_view.remove_target(subject.target_id)
 
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gentianbank.domain.route_table import SplitPart
+from gentianbank.domain.route_table import UnusableRoute
 from tests.support.steering import Caller
 from tests.support.steering import FAILED
 from tests.support.steering import header
@@ -142,6 +143,14 @@
     assert Path().ask(path='/none/1').status == 404
 
 
+def test_unusable_route_is_refused_as_not_run() -> None:
+    path = Path()
+    path.put_table(2, UnusableRoute('/read/hidden/'), READ)
+    assert path.ask(path='/read/hidden/1').status == 503
+    assert path.ask(path='/read/1').status == 200
+    assert len(path.sent_to()) == 1
+
+
 def test_budget_limits_attempts_of_a_request() -> None:
     path = Path(targets=5)
     path.transport.default = SHED
