Read the answer of a target while the body is still being sent

Cause (found by tests that fail on the code before): the head of an answer was read only after the whole body had been written, so a target that answers early or stops reading held up a ready answer until the deadline. A body that ended before its announced length raised a local protocol error after bytes had gone out, which counted as 'never sent': an order could have been sent twice. Reading a body had no time limit, a chunked body no size limit, and nobody watched for the caller between the end of a streamed body and the answer. Interim answers without end were read without end.

Change: sending and reading run side by side; a connection whose body was not sent whole is not used again; errors of the body after the head count as maybe sent; 408 when the body is late (nothing was sent), 413 by size; at most 16 interim answers.

A check that changed: the pool test of an early answer expected the connection to be reused after the rest of the body; now the rest is not sent, a second connection is opened and must begin with the next request.

--- a/src/gentianbank/dataplane/exchange.py
+++ b/src/gentianbank/dataplane/exchange.py
@@ -114,12 +114,17 @@
 
 
 async def run_until_disconnect(
-    exchange: Exchange, work: Awaitable[None]
+    exchange: Exchange,
+    work: Awaitable[None],
+    wait_body_read: Callable[[], Awaitable[None]] | None = None,
 ) -> bool:
     """Run work, and cancel it if the caller disconnects first.
 
-    The body of the request must be empty or already read: what the caller
-    sends meanwhile is discarded.
+    Parameters
+    ----------
+    wait_body_read
+        Waits until the body of the request has been read; ``None`` if there
+        is none. What the caller sends after that is discarded.
 
     Returns
     -------
@@ -127,7 +132,13 @@
         Whether the work finished.
     """
     worker = asyncio.ensure_future(work)
-    watcher = asyncio.ensure_future(exchange.wait_disconnect())
+
+    async def watch() -> None:
+        if wait_body_read is not None:
+            await wait_body_read()
+        await exchange.wait_disconnect()
+
+    watcher = asyncio.ensure_future(watch())
     try:
         await asyncio.wait(
             (worker, watcher), return_when=asyncio.FIRST_COMPLETED
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -41,6 +41,9 @@
         Number of targets that were tried.
     placement
         Result of the latest choice of a target.
+    closes_connection
+        Whether the connection ends, since the rest of the request's body is
+        not read.
     """
 
     status: int
@@ -48,6 +51,7 @@
     may_retry_later: bool = False
     attempts: int = 0
     placement: PlacementResult | None = None
+    closes_connection: bool = False
 
 
 class AnswerWriter:
@@ -106,7 +110,7 @@
             headers.append(
                 (wire.RETRY_AFTER, self._retry_after_value(request))
             )
-        if self._is_stopping():
+        if self._is_stopping() or refusal.closes_connection:
             headers.append((b'connection', b'close'))
         self._reporter.on_refusal(
             request_id,
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -21,6 +21,7 @@
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
 from gentianbank.steering.placer import PlacementRequest
+from gentianbank.steering.request_body import BodyTooLargeError
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
 from gentianbank.steering.sending import AttemptSender
@@ -33,6 +34,7 @@
     from collections.abc import Callable
 
     from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.domain.route_table import CallerLimits
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.policy.placement import PlacementResult
     from gentianbank.steering.cluster_view import ClusterView
@@ -182,12 +184,30 @@
             refusal = Refusal(413, 'body too large')
             await self._replies.send_refusal(exchange, request, refusal)
             return
-        body = await read_body(exchange)
+        try:
+            await self._serve_with_body(exchange, request, table.limits)
+        except BodyTooLargeError:
+            refusal = Refusal(413, 'body too large', closes_connection=True)
+            await self._replies.send_refusal(exchange, request, refusal)
+
+    async def _serve_with_body(
+        self, exchange: Exchange, request: CallerRequest, limits: CallerLimits
+    ) -> None:
+        """Read the body, at least in part, and send the request."""
+        left_ms = request.deadline_ms - self._clock()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
+                body = await read_body(exchange, limits.max_body_bytes)
+        except TimeoutError:
+            cause = 'the body did not arrive in time'
+            refusal = Refusal(408, cause, closes_connection=True)
+            await self._replies.send_refusal(exchange, request, refusal)
+            return
         work = self._send_until_answered(exchange, request, body)
-        if not body.is_buffered:
-            # Reading the rest of the body detects that the caller left.
-            await work
-        elif not await run_until_disconnect(exchange, work):
+        # While the body is streamed, reading it detects that the caller left.
+        if not await run_until_disconnect(
+            exchange, work, body.wait_read_to_end
+        ):
             raise CallerDisconnectedError
 
     async def _send_until_answered(
--- a/src/gentianbank/steering/request_body.py
+++ b/src/gentianbank/steering/request_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from gentianbank.dataplane.buffered import BufferedBody
@@ -16,6 +17,10 @@
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 
 
+class BodyTooLargeError(Exception):
+    """The body is longer than the operators allow."""
+
+
 class RequestBody:
     """A body that is buffered, or one that is streamed and sent only once.
 
@@ -33,6 +38,9 @@
         self._buffered = buffered
         self._declared_bytes = declared_bytes
         self._streaming_begun = False
+        self._read_to_end = asyncio.Event()
+        if self.is_buffered:
+            self._read_to_end.set()
 
     @property
     def is_buffered(self) -> bool:
@@ -63,24 +71,48 @@
             return self._buffered.data
         return self._stream(self._buffered)
 
+    async def wait_read_to_end(self) -> None:
+        """Wait until the caller has sent the whole body."""
+        await self._read_to_end.wait()
+
     async def _stream(self, buffered: BufferedBody) -> AsyncIterator[bytes]:
         self._streaming_begun = True
         async for chunk in buffered.chunks():
             yield chunk
+        self._read_to_end.set()
 
 
-async def read_body(exchange: Exchange) -> RequestBody:
+async def read_body(exchange: Exchange, max_bytes: int) -> RequestBody:
     """Read a body to its end or up to the size that is buffered.
 
+    Parameters
+    ----------
+    max_bytes
+        Longest body that the operators allow; a longer one raises
+        ``BodyTooLargeError`` here or while it is streamed.
+
     Raises
     ------
+    BodyTooLargeError
+        If the body is known to be too long.
     CallerDisconnectedError
         If the caller closes the connection before the end of the body.
     """
     if not exchange.has_body:
         return RequestBody(None, None)
     length = exchange.header(b'content-length')
-    buffered = BufferedBody(exchange.body())
+    buffered = BufferedBody(_limit(exchange.body(), max_bytes))
     await buffered.fill(MAX_BUFFERED_BODY_BYTES)
     declared = int(length) if length and length.isdecimal() else None
     return RequestBody(buffered, declared)
+
+
+async def _limit(
+    source: AsyncIterator[bytes], max_bytes: int
+) -> AsyncIterator[bytes]:
+    size = 0
+    async for chunk in source:
+        size += len(chunk)
+        if size > max_bytes:
+            raise BodyTooLargeError
+        yield chunk
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -33,6 +33,9 @@
 IDLE_MARGIN_S = 1.5
 # Answers to other requests that are skipped before a connection is aborted.
 MAX_SKIPPED_ANSWERS = 4
+# Interim answers (1xx) before an answer; a target in trouble may send them
+# without end.
+MAX_INTERIM_ANSWERS = 16
 MAX_HEAD_BYTES = 64 * 1024
 _MS_PER_S = 1_000
 _CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError)
@@ -178,19 +181,55 @@
         data = self._parser.send(head)
         assert data is not None
         if request.body is None or isinstance(request.body, bytes):
+            # The event loop buffers what the target does not read at once.
             self.stream.write(data + self._encode_body(request.body))
-        else:
-            self.stream.write(data)
-            async for chunk in request.body:
-                self.stream.write(self._encode_chunk(chunk))
-                await self.stream.drain()
-            self.stream.write(self._encode_body(None))
-        await self.stream.drain()
+            return await self._read_own_head(request, head)
+        self.stream.write(data)
+        return await self._read_while_sending(request, request.body, head)
+
+    async def _read_while_sending(
+        self,
+        request: TargetRequest,
+        body: AsyncIterator[bytes],
+        head: h11.Request,
+    ) -> h11.Response:
+        """Send a body and read the head of the answer at the same time.
+
+        A target may answer before it has read the body. The rest is then
+        not sent, and the connection is not used again.
+        """
+        sender = asyncio.ensure_future(self._send_chunks(body))
+        reader = asyncio.ensure_future(self._read_own_head(request, head))
+        try:
+            await asyncio.wait(
+                (sender, reader), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not reader.done():
+                _raise_body_error(sender.exception())
+            return await reader
+        finally:
+            for task in (sender, reader):
+                task.cancel()
+            await asyncio.gather(sender, reader, return_exceptions=True)
+
+    async def _send_chunks(self, body: AsyncIterator[bytes]) -> None:
+        async for chunk in body:
+            self.stream.write(self._encode_chunk(chunk))
+            await self.stream.drain()
+        self.stream.write(self._encode_body(None))
+
+    async def _read_own_head(
+        self, request: TargetRequest, head: h11.Request
+    ) -> h11.Response:
+        """Return the head of the answer to a request; skip other answers."""
         for _ in range(MAX_SKIPPED_ANSWERS):
             response = await self._read_head()
             owns = request.owns_answer
             if owns is None or owns(list(response.headers.raw_items())):
                 return response
+            if self._parser.our_state is not h11.DONE:
+                # A new parser would not know how much of the body was sent.
+                raise h11.RemoteProtocolError('foreign answer during a body')
             await self._skip_answer(head, request.body)
         raise h11.RemoteProtocolError('too many answers to other requests')
 
@@ -237,12 +276,13 @@
         return self._parser.send(h11.Data(data=chunk)) or b''
 
     async def _read_head(self) -> h11.Response:
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError('the target closed')
+        raise h11.RemoteProtocolError('too many interim answers')
 
     async def _skip_answer(
         self, head: h11.Request, body: AsyncIterator[bytes] | bytes | None
@@ -303,6 +343,20 @@
             self._connection.abort()
 
 
+def _raise_body_error(error: BaseException | None) -> None:
+    """Raise what ended the sending of a body, unless an answer may follow.
+
+    After a failed connection an answer that has arrived can still be read.
+    """
+    if error is None or isinstance(error, _CONNECTION_ERRORS):
+        return
+    if isinstance(error, h11.LocalProtocolError):
+        # Unlike such an error in the head, this one comes after the target
+        # may have begun to run the request.
+        raise ConnectionAbortedError(f'invalid body: {error}') from error
+    raise error
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -43,9 +43,16 @@
 
     @property
     def is_usable(self) -> bool:
-        """Return whether the connection is open with nothing unread."""
+        """Return whether the connection is open with no bytes under way.
+
+        Unsent bytes are the rest of a body that the target answered without
+        reading.
+        """
         return not (
-            self._ended or self._buffer or self._transport.is_closing()
+            self._ended
+            or self._buffer
+            or self._transport.is_closing()
+            or self._transport.get_write_buffer_size()
         )
 
     def write(self, data: bytes) -> None:
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -369,6 +369,57 @@
     assert not path.transport.requests
 
 
+def upload(path: Path, *parts: bytes, **changes: Any) -> Caller:
+    """Return a caller that sends a body without a declared length."""
+    path.put_table(2, replace(ORDER, large=True))
+    headers = {'transfer-encoding': 'chunked'}
+    caller = Caller(
+        path.loop, path='/order/1', method='POST', headers=headers, **changes
+    )
+    caller.send_parts(*parts)
+    return caller
+
+
+def test_body_that_stalls_is_given_up_in_time_as_not_run() -> None:
+    path = Path()
+    caller = upload(path, b'first', b'')
+    begin_ms = path.loop.now_ms()
+    path.run(path.proxy.serve(caller.exchange()))
+    assert caller.reply.status == 408
+    assert caller.reply.at_ms - begin_ms == ORDER.timeout_ms
+    assert header(caller.reply.headers, b'connection') == b'close'
+    assert not path.transport.requests
+
+
+@pytest.mark.parametrize('parts', [20, 5_000])
+def test_body_without_end_is_refused_by_its_size(parts: int) -> None:
+    path = Path()
+    path.transport.reads_bodies = True
+    caller = upload(path, *[b'x' * 60_000] * parts, b'')
+    path.run(path.proxy.serve(caller.exchange()))
+    assert caller.reply.status == 413
+    assert header(caller.reply.headers, b'connection') == b'close'
+    assert caller.unread_parts >= parts - 20
+
+
+def test_gone_caller_is_noticed_after_a_streamed_body() -> None:
+    path = Path()
+    path.transport.default = SILENT
+    caller = upload(path, *[b'x' * 100_000] * 3, b'end')
+    path.transport.reads_bodies = True
+
+    async def leave_later() -> None:
+        task = asyncio.create_task(path.proxy.serve(caller.exchange()))
+        await asyncio.sleep(0.3)
+        assert not task.done()
+        caller.gone.set()
+        await asyncio.sleep(0.01)
+        assert task.done()
+
+    path.run(leave_later())
+    assert len(path.transport.given_up) == 1
+
+
 def test_body_too_large_to_hold_is_sent_as_it_comes() -> None:
     path = Path()
     body = b'x' * 300_000
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -126,6 +126,7 @@
         self.default = Script()
         self.requests: list[TargetRequest] = []
         self.given_up: list[TargetRequest] = []
+        self.reads_bodies = False
 
     async def send(
         self, request: TargetRequest
@@ -136,6 +137,8 @@
             self.requests.append(request)
         try:
             async with asyncio.timeout(request.headers_timeout_ms / 1_000):
+                if self.reads_bodies:
+                    await _read(request.body)
                 await asyncio.sleep(script.after_s)
         except TimeoutError:
             self.given_up.append(request)
@@ -149,6 +152,12 @@
         return Ok(ScriptedAnswer(script, sent_id))
 
 
+async def _read(body: AsyncIterator[bytes] | bytes | None) -> None:
+    if body is not None and not isinstance(body, bytes):
+        async for _ in body:
+            pass
+
+
 @dataclass
 class Reply:
     """What a caller has got."""
@@ -166,6 +175,7 @@
     def __init__(self, loop: VirtualLoop, **head: Any) -> None:
         self._loop = loop
         self._parts = [head.pop('body', b'')]
+        self._is_unfinished = False
         self.gone = asyncio.Event()
         self.reply = Reply()
         headers = {
@@ -190,9 +200,23 @@
     def exchange(self) -> Exchange:
         return Exchange(self.scope, self._receive, self._send)
 
+    def send_parts(self, *parts: bytes) -> None:
+        """Send a body in parts; an empty last one leaves it unfinished."""
+        self._parts = list(parts)
+        self._is_unfinished = parts[-1] == b''
+
+    @property
+    def unread_parts(self) -> int:
+        """Return how many parts of the body have not been read."""
+        return len(self._parts)
+
     async def _receive(self) -> dict[str, Any]:
-        if self._parts:
-            return {'type': 'http.request', 'body': self._parts.pop(0)}
+        if self._parts and (self._parts[0] or len(self._parts) > 1):
+            part = self._parts.pop(0)
+            more = bool(self._parts)
+            return {'type': 'http.request', 'body': part, 'more_body': more}
+        if self._parts == [b''] and not self._is_unfinished:
+            return {'type': 'http.request', 'body': self._parts.pop()}
         await self.gone.wait()
         return {'type': 'http.disconnect'}
 
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -292,6 +292,116 @@
     run_with_server([[HANG]], test)
 
 
+async def endless_body() -> Any:
+    while True:
+        yield b'x' * 65_536
+
+
+def build_upload(address: str, body: Any, length: int) -> TargetRequest:
+    headers = [
+        (b'host', b'h'),
+        (b'request-id', b'r-1'),
+        (b'content-length', str(length).encode()),
+    ]
+    request = build_request(address, method='POST', headers=headers, body=body)
+    assert isinstance(request, TargetRequest)
+    return request
+
+
+def test_answer_of_a_target_that_stops_reading_is_delivered() -> None:
+    """The rest of the body must not hold up an answer that is ready."""
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        upload = build_upload(server.address, endless_body(), 10**12)
+        assert await read_body(await pool.send(upload)) == b'whole'
+        # The next request does not follow half a body.
+        sent = await pool.send(build_request(server.address, 'r-2'))
+        assert await read_body(sent) == b'whole'
+
+    server = run_with_server([[answer('r-1')], [answer('r-2')]], test)
+    assert server.connections == 2
+
+
+def test_answer_before_a_reset_during_the_body_is_delivered() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        upload = build_upload(server.address, endless_body(), 10**12)
+        assert await read_body(await pool.send(upload)) == b'whole'
+
+    run_with_server([[answer('r-1', more='Connection: close\r\n')]], test)
+
+
+def test_failure_of_the_callers_body_ends_the_connection() -> None:
+    async def body() -> Any:
+        yield b'first'
+        raise ValueError('the caller left')
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        with pytest.raises(ValueError, match='the caller left'):
+            await pool.send(build_upload(server.address, body(), 100))
+        await server.ended.wait()
+
+    run_with_server([[HANG]], test)
+
+
+def test_body_shorter_than_announced_may_have_been_sent() -> None:
+    async def body() -> Any:
+        yield b'first'
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_upload(server.address, body(), 100))
+        assert isinstance(sent.error, MaybeSent)
+
+    run_with_server([[HANG]], test)
+
+
+def test_foreign_answer_during_a_body_ends_the_connection() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        upload = build_upload(server.address, endless_body(), 10**12)
+        assert isinstance((await pool.send(upload)).error, MaybeSent)
+        await server.ended.wait()
+
+    run_with_server([[answer('r-0')]], test)
+
+
+@pytest.mark.parametrize(
+    'noise',
+    [
+        b'HTTP/1.1 103 Early Hints\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nrequest-id: r-0\r\ncontent-length: 0\r\n\r\n',
+        b'x',
+        b'HTTP/1.1 200 OK\r\n' + b'a: b\r\n' * 20_000,
+    ],
+    ids=['interim', 'foreign', 'noise', 'head'],
+)
+def test_bytes_without_end_instead_of_an_answer_are_cut(noise: bytes) -> None:
+    """The target sends until the connection closes."""
+    sent_bytes = 0
+
+    async def flood(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent_bytes
+        try:
+            while True:
+                writer.write(noise * 100)
+                sent_bytes += len(noise) * 100
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    async def run() -> None:
+        listener = await asyncio.start_server(flood, '127.0.0.1', 0)
+        host, port = listener.sockets[0].getsockname()
+        pool = ConnectionPool()
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            sent = await pool.send(build_request(f'{host}:{port}'))
+        assert isinstance(sent.error, MaybeSent)
+        assert 'in time' not in sent.error.cause
+        listener.close()
+
+    asyncio.run(run())
+
+
 def test_answer_before_the_whole_body_keeps_the_pool_usable() -> None:
     async def body() -> Any:
         yield b'first'
@@ -309,7 +419,7 @@
         sent = await pool.send(build_request(server.address, 'r-2'))
         assert await read_body(sent) == b'whole'
 
-    # The server reads up to the next blank line: what is left of the first
-    # body, then the second head.
-    server = run_with_server([[answer('r-1'), answer('r-2')]], test)
-    assert server.heads[-1].startswith((b'firstsecondGET', b'GET'))
+    # The rest of the first body is not sent, and nothing takes its place.
+    server = run_with_server([[answer('r-1')], [answer('r-2')]], test)
+    assert server.connections == 2
+    assert server.heads[-1].startswith(b'GET')
