Let the limit on a peer's silence follow the schedule of its messages

Cause: a node sends 35 messages a second in all, so with many peers each peer of another region hears from it more rarely than the fixed 1.5 s after which it counts as silent: every 1.57 s with 33 peers, every 3.6 s with 76. Nodes of the larger sites dropped each other and dialled again without end, lost the loads meanwhile and left live nodes out of look-ups.

Ruled out: more messages (their cost is what the limit bounds).

Change: schedule and limits are one pure decision; a peer is silent after three of its own messages, and never before 1.5 s.

Also: the backoff of a target overflowed at the 1,025th failure.

--- a/src/gentianbank/policy/peer_loads.py
+++ b/src/gentianbank/policy/peer_loads.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
-# A node without a message for this long has stopped or is cut off.
-HEARTBEAT_TIMEOUT_MS = 1_500.0
 # If messages arrive from at least this fraction of the other nodes, the load
 # of all is estimated from theirs alone.
 REPRESENTATIVE_FRACTION = 0.7
@@ -53,12 +55,15 @@
             self.set_in_flight(vm, target, 0)
         self._in_flight.pop(vm, None)
 
-    def silent_nodes(self, now_ms: float) -> list[str]:
-        """Return the nodes whose last message is too old."""
+    def silent_nodes(
+        self, vms: Iterable[str], now_ms: float, silence_ms: float
+    ) -> list[str]:
+        """Return which of some nodes have sent nothing for some time."""
         return [
             vm
-            for vm, heard_ms in self._heard_ms.items()
-            if now_ms - heard_ms > HEARTBEAT_TIMEOUT_MS
+            for vm in vms
+            if vm in self._heard_ms
+            and now_ms - self._heard_ms[vm] > silence_ms
         ]
 
     @property
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -33,6 +33,9 @@
 # Backoff after connection failures.
 MIN_BACKOFF_MS = 400.0
 MAX_BACKOFF_MS = 4_000.0
+# Enough doublings to reach the longest backoff; 2 to the power of a count
+# that grows without end is no float any more.
+MAX_BACKOFF_DOUBLINGS = 10
 # Backoff while another target has the address; an entry from the store with
 # the new address ends it sooner.
 MISDIRECTED_BACKOFF_MS = 15_000.0
@@ -218,7 +221,9 @@
             self._back_off(now_ms, self.consecutive_failures - 2)
 
     def _back_off(self, now_ms: float, doublings: int) -> None:
-        backoff_ms = MIN_BACKOFF_MS * 2**doublings
+        backoff_ms = MIN_BACKOFF_MS * 2 ** min(
+            doublings, MAX_BACKOFF_DOUBLINGS
+        )
         self.suspect_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
 
     def clear_warm_objects(self) -> None:
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -16,6 +16,9 @@
 from gentianbank.control.peers import Received
 from gentianbank.domain import schema
 from gentianbank.policy import rendezvous
+from gentianbank.policy.gossip_schedule import GossipSchedule
+from gentianbank.policy.gossip_schedule import HEARTBEAT_MS
+from gentianbank.policy.gossip_schedule import REMOTE_REGION_TICKS
 from gentianbank.policy.target_load import MAX_UNSENT_OBJECTS
 
 if TYPE_CHECKING:
@@ -29,20 +32,10 @@
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.store_catch_up import StoreCatchUp
 
-TICK_MS = 100.0
-# Limit for all messages of a node, which bounds their cost: with many peers
-# it sends to each of them less often.
-MAX_MESSAGES_PER_S = 35.0
-# Peers of other regions get a message only every third tick: they use fewer
-# of the same targets, and traffic between regions is expensive.
-REMOTE_REGION_TICKS = 3
 # Connections that one node opens. In a larger fleet the loads of all nodes
 # are estimated from those of the connected ones.
 MAX_PEERS = 40
 DIAL_PERIOD_MS = 1_000.0
-# Longest time between two messages to peers of the same region. A peer that
-# gets no message for ``peer_loads.SILENCE_MS`` drops this node.
-HEARTBEAT_MS = 500.0
 # Larger numbers do not fit into the one byte that is sent.
 MAX_IN_FLIGHT = 255
 # A slowdown is sent as a number of steps of this size.
@@ -122,10 +115,13 @@
         """Exchange loads until cancelled."""
         while True:
             self.tick()
-            near, far = self._peers_by_distance()
-            messages = len(near) + len(far) / REMOTE_REGION_TICKS
-            pause_ms = messages / MAX_MESSAGES_PER_S * _MS_PER_S
-            await asyncio.sleep(max(TICK_MS, pause_ms) / _MS_PER_S)
+            await asyncio.sleep(self.schedule.tick_ms / _MS_PER_S)
+
+    @property
+    def schedule(self) -> GossipSchedule:
+        """Return the schedule for the peers that are connected now."""
+        near, far = self._peers_by_distance()
+        return GossipSchedule(len(near), len(far))
 
     def tick(self) -> None:
         """Open missing connections and send messages, as far as due."""
@@ -162,7 +158,7 @@
         nodes = self._cluster_view.nodes
         self._peer_loads.peers = len(nodes.keys() - {self._vm})
         self._cluster_view.disconnected_peers &= nodes.keys()
-        for vm in self._peer_loads.silent_nodes(now_ms):
+        for vm in self._silent_peers(now_ms):
             logging.warning('peer is silent', extra={'peer': vm})
             self._peer_loads.remove_node(vm)
             self._peers.disconnect(vm)
@@ -170,6 +166,18 @@
             if node.vm not in self._connected:
                 self._peers.dial(node.vm, node.peers)
 
+    def _silent_peers(self, now_ms: float) -> list[str]:
+        near, far = self._peers_by_distance()
+        schedule = GossipSchedule(len(near), len(far))
+        return [
+            *self._peer_loads.silent_nodes(
+                near, now_ms, schedule.near_silence_ms
+            ),
+            *self._peer_loads.silent_nodes(
+                far, now_ms, schedule.far_silence_ms
+            ),
+        ]
+
     def _send_changes(self, now_ms: float) -> None:
         self._ticks += 1
         changed = self._pop_changed_rows()
--- a/tests/policy/test_target_load.py
+++ b/tests/policy/test_target_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.policy.target_load import MAX_BACKOFF_MS
 from gentianbank.policy.target_load import MAX_WARM_OBJECTS
 from gentianbank.policy.target_load import TargetLoad
 from tests.support.steering import registration
@@ -59,3 +60,11 @@
     target.on_unreachable(NOW_MS)
     target.on_answer(failed=False)
     assert not target.is_suspect(NOW_MS)
+
+
+def test_backoff_stays_bounded_after_thousands_of_failures() -> None:
+    target = build_target()
+    for _ in range(3_000):
+        target.on_unreachable(NOW_MS)
+        target.on_broken(NOW_MS)
+    assert target.suspect_until_ms == NOW_MS + MAX_BACKOFF_MS
