Keep a failed try: further targets for objects whose own are full

Cause that was tried: a request is refused with 'every target is busy' once the two targets of its object are full, whatever the others do. Trial: while less than half of the region's slots were in use, up to four further targets of the object's order were tried. The refusals fall when the whole region is busy. What stays is a test of the load that must be refused at once.

--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -452,3 +452,33 @@
     replies = path.ask_many([*first, back])
     assert [r.status for r in replies[:5]].count(503) >= 1
     assert replies[5].status == 200
+
+
+def test_busy_region_refuses_what_the_targets_of_an_object_cannot_take() -> (
+    None
+):
+    """Load: a burst on one object while other objects use most slots."""
+    path = Path(targets=10)
+    others = [{'request_id': f'o-{n}', 'key': str(n)} for n in range(60)]
+    burst = [{'request_id': f'r-{n}'} for n in range(8)]
+    path.transport.default = replace(Script(), after_s=0.39)
+
+    async def ask_in_turn() -> None:
+        callers = [Caller(path.loop, **head) for head in others]
+        tasks = [
+            asyncio.create_task(path.proxy.serve(caller.exchange()))
+            for caller in callers
+        ]
+        # Shares and loads of the regions are worked out from time to time.
+        await asyncio.sleep(0.3)
+        late = [Caller(path.loop, **head) for head in burst]
+        await asyncio.gather(
+            *(path.proxy.serve(caller.exchange()) for caller in late)
+        )
+        assert sum(caller.reply.status == 503 for caller in late) >= 2
+        assert all(
+            caller.reply.at_ms - path.loop.now_ms() < 1 for caller in late
+        )
+        await asyncio.gather(*tasks)
+
+    path.run(ask_in_turn())
