Play the rare faults of the spread machine by its rules, not by chance

Cause (known failure 2): the seed of the machine follows its source, and hypothesis draws constants from all sources, so each rewording explored anew and 'slow store' or 'old revision offered' sometimes never occurred; no invariant broke. Change: each example draws which of them, if any, it begins with.

--- a/tests/control/test_spread.py
+++ b/tests/control/test_spread.py
@@ -51,6 +51,9 @@
     'start in an outage',
     'old revision offered',
 )
+# Played at the start of some examples. Within a run of free rules they would
+# be left to chance.
+FIRST_FAULTS = ('', 'slow store', 'old revision offered')
 
 
 class Spread(RuleBasedStateMachine):
@@ -59,8 +62,8 @@
     Nodes, regions, links, the store and the VM list fail.
     """
 
-    @initialize()
-    def start(self) -> None:
+    @initialize(first_fault=st.sampled_from(FIRST_FAULTS))
+    def start(self, first_fault: str) -> None:
         self.world = ControlWorld(SIZES)
         self.configuration = build_fleet_configuration(SIZES)
         self.highest: dict[str, int] = {}
@@ -71,6 +74,15 @@
         snapshot = next(iter(self.world.nodes.values())).state.snapshot
         assert snapshot is not None
         self.first_revision = assembly.full_change_set(snapshot)
+        self._play(first_fault)
+
+    def _play(self, fault: str) -> None:
+        if fault == 'slow store':
+            self.disturb_platform(set(), False, 0.3, 0.0)
+            self.world.advance(3)
+        elif fault == 'old revision offered':
+            self.change(2_000, False, '', 2.0)
+            self.offer_old_revision(0, 1)
 
     @rule(
         cache_ms=st.integers(1000, 9000),
