--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -35,7 +35,7 @@
         self._path = path
         self._raw: dict[str, Any] = raw if isinstance(raw, dict) else {}
         if not isinstance(raw, dict):
-            self._add_error('', 'expected an object')
+            self.reject('', 'expected an object')
 
     def text(self, name: str, default: str | None = None) -> str:
         """Return a non-empty text; an empty one after an error.
@@ -46,7 +46,7 @@
         value = self._raw.get(name, default)
         if isinstance(value, str) and value and _is_encodable(value):
             return value
-        self._add_error(name, f'expected text, got {_show(value)}')
+        self.reject(name, f'expected text, got {_show(value)}')
         return ''
 
     def number(self, name: str, default: float | None = None) -> float:
@@ -57,7 +57,7 @@
         )
         if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return float(value)
-        self._add_error(name, f'expected a number from 0, got {_show(value)}')
+        self.reject(name, f'expected a number from 0, got {_show(value)}')
         return 0.0
 
     def whole(self, name: str, default: int | None = None) -> int:
@@ -66,7 +66,7 @@
         is_number = isinstance(value, int) and not isinstance(value, bool)
         if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return int(value)
-        self._add_error(name, f'expected a whole number, got {_show(value)}')
+        self.reject(name, f'expected a whole number, got {_show(value)}')
         return 0
 
     def flag(self, name: str, *, default: bool) -> bool:
@@ -74,7 +74,7 @@
         value = self._raw.get(name, default)
         if isinstance(value, bool):
             return value
-        self._add_error(name, f'expected true or false, got {_show(value)}')
+        self.reject(name, f'expected true or false, got {_show(value)}')
         return default
 
     def choice(self, name: str, choices: frozenset[str]) -> str:
@@ -83,9 +83,7 @@
         if isinstance(value, str) and value in choices:
             return value
         expected = ', '.join(sorted(choices))
-        self._add_error(
-            name, f'expected one of {expected}, got {_show(value)}'
-        )
+        self.reject(name, f'expected one of {expected}, got {_show(value)}')
         return ''
 
     def objects(self, name: str) -> list[Fields]:
@@ -98,7 +96,7 @@
     def required_objects(self, name: str) -> list[Fields]:
         """Return a list of objects, whose absence is an error."""
         if not self.has(name):
-            self._add_error(name, 'expected a list, got none')
+            self.reject(name, 'expected a list, got none')
         return self.objects(name)
 
     def texts(self, name: str) -> tuple[str, ...]:
@@ -106,7 +104,7 @@
         values = self._read_list(name)
         if all(isinstance(v, str) and _is_encodable(v) for v in values):
             return tuple(values)
-        self._add_error(name, f'expected texts, got {_show(values)}')
+        self.reject(name, f'expected texts, got {_show(values)}')
         return ()
 
     def nested(self, name: str) -> Fields:
@@ -123,14 +121,11 @@
             return []
         if isinstance(value, list):
             return value
-        self._add_error(name, f'expected a list, got {_show(value)}')
+        self.reject(name, f'expected a list, got {_show(value)}')
         return []
 
     def reject(self, name: str, cause: str) -> None:
-        """Add an error about a field."""
-        self._add_error(name, cause)
-
-    def _add_error(self, name: str, cause: str) -> None:
+        """Add an error about a field, or the object if the name is empty."""
         path = f'{self._path}{name}'.rstrip('.') or '(document)'
         self.errors.append(FieldError(path, cause))
 
