--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -73,6 +73,11 @@
             lambda: float(cluster_view.peer_loads.live_count),
         ),
         Gauge('targets', 'Known targets.', lambda: len(cluster_view.targets)),
+        Gauge(
+            'targets.limited',
+            'Targets that name a limit on their requests.',
+            lambda: float(cluster_view.limited_target_count),
+        ),
         Gauge(
             'requests.in_flight',
             'Requests that are being served.',
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import math
 from typing import TYPE_CHECKING
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.domain.request_limit import NamedLimit
+from gentianbank.domain.request_limit import NoLimit
+from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
+    from gentianbank.domain.request_limit import LimitStatement
     from gentianbank.targets.transport import RawHeaders
 
 REQUEST_ID = b'request-id'
@@ -20,6 +25,7 @@
 RETRY_AFTER = b'retry-after'
 CONTENT_ENCODING = b'content-encoding'
 _LOAD_REPORT = b'server-load'
+_REQUEST_LIMIT = b'server-limit'
 _NOT_RUN = b'not-executed'
 _MISDIRECTED_STATUS = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
@@ -116,6 +122,21 @@
     )
 
 
+def decode_request_limit(headers: RawHeaders) -> LimitStatement:
+    """Return what a target says of a limit on its requests."""
+    raw = find_header(headers, _REQUEST_LIMIT)
+    if raw is None:
+        return NoLimit()
+    text = raw.decode('latin-1')
+    try:
+        requests_per_s = float(text)
+    except ValueError:
+        return UnreadableLimit(text)
+    if not 0 <= requests_per_s < math.inf:
+        return UnreadableLimit(text)
+    return NamedLimit(requests_per_s)
+
+
 def _headers_named_by_connection(received: RawHeaders) -> frozenset[bytes]:
     value = find_header(received, b'connection')
     if not value:
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -12,6 +12,7 @@
 
 from gentianbank.policy.fleet_limits import ColdRateLimit
 from gentianbank.policy.peer_loads import PeerLoads
+from gentianbank.policy.target_limit import TargetLimit
 
 if TYPE_CHECKING:
     from gentianbank.domain.load_report import LoadReport
@@ -73,6 +74,8 @@
         nodes; shared by all targets.
     cold
         Rate limit that holds while the target is cold.
+    limit
+        Limit that the target itself names.
     """
 
     registration: TargetRegistration
@@ -90,6 +93,7 @@
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
     cold: ColdRateLimit = field(default_factory=ColdRateLimit)
+    limit: TargetLimit = field(default_factory=TargetLimit)
     _reported_slowdown: float = DEFAULT_SLOWDOWN
     _slowdown_reported_ms: float = float('-inf')
     _unsent_report: LoadReport | None = None
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -75,6 +75,14 @@
     changed_loads: set[str] = field(default_factory=set)
     disconnected_peers: set[str] = field(default_factory=set)
 
+    @property
+    def limited_target_count(self) -> int:
+        """Return the number of targets that name a limit."""
+        return sum(
+            target.limit.requests_per_s is not None
+            for target in self.targets.values()
+        )
+
     def age_ms(self, now_ms: float) -> int | None:
         """Return the time since the store last answered.
 
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from absl import logging
 from expression import Result
 
+from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
 from gentianbank.policy.placement import ROUND_TRIP_MS
 from gentianbank.targets.http_headers import find_header
@@ -189,6 +191,8 @@
         load = wire.decode_load_report(headers)
         if load is not None:
             target.on_report(load, self._clock())
+        if not wire.is_misdirected(status):
+            self._record_limit(target, headers, sent_ms)
         buffered = b''
         try:
             left_ms = request.deadline_ms - self._clock()
@@ -229,6 +233,26 @@
         unread = None if complete else answer
         return Delivered(status, headers, buffered, unread)
 
+    def _record_limit(
+        self, target: TargetLoad, headers: RawHeaders, sent_ms: float
+    ) -> None:
+        statement = wire.decode_request_limit(headers)
+        target_id = target.registration.target_id
+        if isinstance(statement, UnreadableLimit):
+            logging.warning(
+                'limit of a target cannot be read',
+                extra={'target': target_id, 'cause': statement.text},
+            )
+            return
+        if target.limit.on_answer(statement, sent_ms, self._clock()):
+            logging.info(
+                'limit of a target changed',
+                extra={
+                    'target': target_id,
+                    'limit_per_s': target.limit.requests_per_s,
+                },
+            )
+
 
 async def _read_buffered(answer: TargetAnswer) -> tuple[bytes, bool]:
     """Return the body of an answer, and whether it is complete.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,6 +5,10 @@
 import pytest
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.domain.request_limit import LimitStatement
+from gentianbank.domain.request_limit import NamedLimit
+from gentianbank.domain.request_limit import NoLimit
+from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
 from gentianbank.platform.headers import BodyFraming
 
@@ -23,6 +27,26 @@
     assert wire.decode_load_report([(b'Server-Load', text)]) == expected
 
 
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (b'2.5', NamedLimit(2.5)),
+        (b' 0 ', NamedLimit(0.0)),
+        (b'-1', UnreadableLimit('-1')),
+        (b'inf', UnreadableLimit('inf')),
+        (b'nan', UnreadableLimit('nan')),
+        (b'few', UnreadableLimit('few')),
+        (b'', UnreadableLimit('')),
+    ],
+)
+def test_limit_is_decoded(text: bytes, expected: LimitStatement) -> None:
+    assert wire.decode_request_limit([(b'Server-Limit', text)]) == expected
+
+
+def test_answer_without_the_header_names_no_limit() -> None:
+    assert wire.decode_request_limit([(b'server-load', b'1')]) == NoLimit()
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'expected'),
     [
--- /dev/null
+++ b/tests/policy/test_target_limit.py
@@ -0,0 +1,33 @@
+"""Tests of the limit that a target names."""
+
+from __future__ import annotations
+
+from gentianbank.domain.request_limit import NamedLimit
+from gentianbank.domain.request_limit import NoLimit
+from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.policy.target_limit import TargetLimit
+
+
+def test_limit_holds_from_the_answer_that_names_it() -> None:
+    limit = TargetLimit()
+    assert limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
+    assert limit.requests_per_s == 2.5
+    assert not limit.on_answer(NamedLimit(2.5), 100.0, 600.0)
+    assert limit.on_answer(NamedLimit(4.0), 200.0, 700.0)
+    assert limit.requests_per_s == 4.0
+
+
+def test_limit_ends_with_an_answer_to_a_later_request() -> None:
+    limit = TargetLimit()
+    limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
+    assert not limit.on_answer(NoLimit(), 400.0, 600.0)
+    assert limit.requests_per_s == 2.5
+    assert limit.on_answer(NoLimit(), 501.0, 900.0)
+    assert limit.requests_per_s is None
+
+
+def test_limit_that_cannot_be_read_changes_nothing() -> None:
+    limit = TargetLimit()
+    limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
+    assert not limit.on_answer(UnreadableLimit('few'), 600.0, 900.0)
+    assert limit.requests_per_s == 2.5
