--- /dev/null
+++ b/tests/steering/test_named_limits.py
@@ -0,0 +1,28 @@
+"""Tests of the limits that targets name to all nodes together."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support.fleet import allowed_requests
+from tests.support.fleet import Fleet
+
+SIX_DOMAINS = {
+    'east-1': 'east',
+    'east-2': 'east',
+    'west-1': 'west',
+    'west-2': 'west',
+    'hills-1': 'hills',
+    'hills-2': 'hills',
+}
+
+
+@pytest.mark.parametrize('limit_per_s', [2.5, 3.1, 4.0])
+def test_nodes_together_send_a_target_no_more_than_the_limit_it_names(
+    limit_per_s: float,
+) -> None:
+    fleet = Fleet(7, SIX_DOMAINS)
+    fleet.play(5.0, requests_per_s=40)
+    fleet.targets.limit_per_s = limit_per_s
+    fleet.play(15.0, requests_per_s=40)
+    assert fleet.targets.worst_window() <= allowed_requests(limit_per_s)
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,171 @@
+"""Several nodes' request paths before the same targets."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+import random
+from typing import TYPE_CHECKING
+
+from expression import Ok
+
+from gentianbank.domain.registration import NodeRegistration
+from tests.support.steering import Caller
+from tests.support.steering import header
+from tests.support.steering import Path
+from tests.support.steering import Reply
+from tests.support.steering import Script
+from tests.support.steering import ScriptedAnswer
+from tests.support.steering import ScriptedTargets
+from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from gentianbank.targets.transport import SendError
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetRequest
+
+SEED = 0
+WORK_S = 0.2
+TARGETS = 4
+OBJECTS = 40
+LIMITED = 'desk-1'
+# Span over which a target counts its requests.
+WINDOW_S = 4.0
+# The limit binds this long after the target first named it, and a node this
+# long after it got such an answer.
+STABLE_WINDOW_S = 3.0
+TOLD_AFTER_S = 0.5
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that has reached the limited target."""
+
+    time_s: float
+    vm: str
+
+
+@dataclass
+class SharedTargets:
+    """Targets that all nodes use; one names a limit while it has one."""
+
+    loop: VirtualLoop
+    limit_per_s: float | None = None
+    named_s: float | None = None
+    told_s: dict[str, float] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    async def answer(self, vm: str, request: TargetRequest) -> TargetAnswer:
+        """Run a request of a node."""
+        target = header(request.headers, b'expect-instance').decode()
+        script = Script()
+        if target == LIMITED:
+            self.arrivals.append(Arrival(self.loop.time(), vm))
+        await asyncio.sleep(WORK_S)
+        if target == LIMITED and self.limit_per_s is not None:
+            name = (b'Server-Limit', f'{self.limit_per_s:g}'.encode())
+            script = replace(script, headers=(*script.headers, name))
+            now_s = self.loop.time()
+            self.named_s = self.named_s or now_s
+            self.told_s.setdefault(vm, now_s)
+        return ScriptedAnswer(script, header(request.headers, b'request-id'))
+
+    def worst_window(self) -> int:
+        """Return the most requests in a window from nodes that were told."""
+        assert self.named_s is not None
+        never_s = float('inf')
+        times_s = [
+            arrival.time_s
+            for arrival in self.arrivals
+            if arrival.time_s >= self.named_s + STABLE_WINDOW_S
+            and arrival.time_s
+            >= self.told_s.get(arrival.vm, never_s) + TOLD_AFTER_S
+        ]
+        return max(
+            sum(begin <= time_s < begin + WINDOW_S for time_s in times_s)
+            for begin in times_s or [never_s]
+        )
+
+
+class _NodeTransport(ScriptedTargets):
+    """Sends the requests of one node to the shared targets."""
+
+    def __init__(self, targets: SharedTargets, vm: str) -> None:
+        super().__init__()
+        self._targets = targets
+        self._vm = vm
+
+    async def send(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, SendError]:
+        return Ok(await self._targets.answer(self._vm, request))
+
+
+class Fleet:
+    """Nodes that know each other, without connections between them.
+
+    Callers send to every node, for random objects of one route.
+    """
+
+    def __init__(self, nodes: int, regions: dict[str, str]) -> None:
+        self.loop = VirtualLoop()
+        self.targets = SharedTargets(self.loop)
+        self.replies: list[Reply] = []
+        self._random = random.Random(SEED)
+        domains = sorted(regions)
+        self.nodes = [
+            Path(
+                targets=TARGETS,
+                vm=f'vm-{number}',
+                failure_domain=domains[number % len(domains)],
+                regions=regions,
+                loop=self.loop,
+                transport=_NodeTransport(self.targets, f'vm-{number}'),
+            )
+            for number in range(nodes)
+        ]
+        for node in self.nodes:
+            for other in self.nodes:
+                node.cluster_view.put_node(registration_of(other))
+
+    def play(self, duration_s: float, requests_per_s: float) -> None:
+        """Let callers send requests at random times to random nodes."""
+        self.loop.run_until_complete(self._play(duration_s, requests_per_s))
+
+    async def _play(self, duration_s: float, requests_per_s: float) -> None:
+        end_s = self.loop.time() + duration_s
+        async with asyncio.TaskGroup() as group:
+            while self.loop.time() < end_s:
+                group.create_task(self._ask(self._random.choice(self.nodes)))
+                await asyncio.sleep(self._random.expovariate(requests_per_s))
+
+    async def _ask(self, node: Path) -> None:
+        caller = Caller(
+            self.loop,
+            request_id=f'r-{len(self.replies)}',
+            key=str(self._random.randrange(OBJECTS)),
+        )
+        self.replies.append(caller.reply)
+        await node.proxy.serve(caller.exchange())
+
+
+def registration_of(node: Path) -> NodeRegistration:
+    """Return the entry of a node."""
+    return NodeRegistration(
+        vm=node.vm,
+        region=node.region,
+        failure_domain=node.failure_domain,
+        callers='10.0.1.1:1',
+        peers='10.0.1.1:2',
+    )
+
+
+def allowed_requests(limit_per_s: float) -> float:
+    """Return how many requests a window may have under a limit."""
+    return LIMIT_FACTOR * WINDOW_S * limit_per_s + LIMIT_SLACK
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -233,32 +233,48 @@
 
 
 class Path:
-    """One node's request path; targets ``desk-1`` and on in east-1."""
-
-    def __init__(self, targets: int = 3, **bounds: float) -> None:
-        self.loop = VirtualLoop()
-        self.cluster_view = ClusterView(dict(REGIONS))
+    """One node's request path; targets ``desk-1`` and on in east-1.
+
+    Several nodes may share a loop and the targets.
+    """
+
+    def __init__(
+        self,
+        targets: int = 3,
+        *,
+        vm: str = 'vm-1',
+        failure_domain: str = 'east-1',
+        regions: dict[str, str] = REGIONS,
+        loop: VirtualLoop | None = None,
+        transport: ScriptedTargets | None = None,
+        **bounds: float,
+    ) -> None:
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.region = regions[failure_domain]
+        self.loop = loop or VirtualLoop()
+        self.cluster_view = ClusterView(dict(regions))
         self.put_table()
-        self.transport = ScriptedTargets()
+        self.transport = transport or ScriptedTargets()
         settings = Bounds(**bounds)
         reporter = Reporter(
             cluster_view=self.cluster_view,
             log=RequestLog(LOG_LINES_PER_S, self.loop.now_ms),
-            metrics=DeferredMetrics('vm-1', 'east'),
+            metrics=DeferredMetrics(vm, self.region),
             clock=self.loop.now_ms,
         )
         self.stopping = False
-        placer = Placer(
-            vm='vm-1',
-            region='east',
-            failure_domain='east-1',
+        self.placer = Placer(
+            vm=vm,
+            region=self.region,
+            failure_domain=failure_domain,
             cluster_view=self.cluster_view,
             bounds=settings,
             clock=self.loop.now_ms,
         )
         self.proxy = Proxy(
             cluster_view=self.cluster_view,
-            placer=placer,
+            placer=self.placer,
             transport=self.transport,
             bounds=settings,
             reporter=reporter,
