--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -65,7 +65,7 @@
         Gauge(
             'nodes',
             'Known nodes.',
-            lambda: float(placer.assumed_node_count),
+            lambda: float(placer.quotas.assumed_node_count),
         ),
         Gauge(
             'peers.heard',
--- a/src/gentianbank/policy/fleet_limits.py
+++ b/src/gentianbank/policy/fleet_limits.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 from gentianbank.policy import rendezvous
 from gentianbank.policy.windows import SlidingCount
@@ -18,6 +19,14 @@
 # Longer than 1 s, since requests sent over more than a second may arrive
 # within one when their delays differ.
 COLD_WINDOW_MS = 1_150.0
+# Targets that name a limit count their requests over this span.
+LIMIT_SPAN_S = 4.0
+# Longer than the span, since requests wait for their connections, and their
+# delays differ.
+LIMIT_WINDOW_MS = 4_500.0
+# Part of a named limit that is divided among the nodes of the target's own
+# region, which send most of its requests.
+OWN_REGION_FRACTION = 0.75
 
 
 @dataclass(slots=True)
@@ -89,9 +98,6 @@
 ) -> int:
     """Return the requests per second that one node may send a cold target.
 
-    The remainder of an even division goes to the first nodes in the
-    rendezvous order of the target.
-
     Parameters
     ----------
     nodes
@@ -99,7 +105,52 @@
     allowed_per_s
         Requests per second of all nodes together.
     """
-    total = int(allowed_per_s * COLD_USABLE_FRACTION)
+    return node_quota(
+        target, node, nodes, int(allowed_per_s * COLD_USABLE_FRACTION)
+    )
+
+
+def limited_target_quota(
+    target: str,
+    node: str,
+    near: tuple[str, ...],
+    far: tuple[str, ...],
+    requests_per_s: float,
+) -> int:
+    """Return the requests per window that one node may send a target.
+
+    A target gets at least one request per window of all nodes together, as
+    only an answer can tell that its limit has ended.
+
+    Parameters
+    ----------
+    near, far
+        Nodes that may send, of the target's region and of the others.
+    requests_per_s
+        Limit that the target names for all nodes together.
+    """
+    total = max(1, int(requests_per_s * LIMIT_SPAN_S))
+    near_total = math.ceil(total * OWN_REGION_FRACTION)
+    if node in near:
+        return node_quota(target, node, near, near_total)
+    return node_quota(target, node, far, total - near_total)
+
+
+def node_quota(
+    target: str, node: str, nodes: tuple[str, ...], total: int
+) -> int:
+    """Return one node's part of a total.
+
+    The remainder of an even division goes to the first nodes in the
+    rendezvous order of the target. A node that knows more nodes than exist
+    gets no more than its part, so the sum holds as long as each node knows
+    every other.
+
+    Parameters
+    ----------
+    nodes
+        Every node that may send, this one included.
+    """
     even_share, remainder = divmod(total, max(1, len(nodes)))
     if not remainder:
         return even_share
--- a/src/gentianbank/policy/target_limit.py
+++ b/src/gentianbank/policy/target_limit.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
+from gentianbank.policy.windows import SlidingCount
 
 if TYPE_CHECKING:
     from gentianbank.domain.request_limit import LimitStatement
@@ -29,6 +32,23 @@
     requests_per_s: float | None = None
     named_since_ms: float = float('-inf')
     heard_ms: float = float('-inf')
+    _sent: SlidingCount = field(
+        default_factory=lambda: SlidingCount(LIMIT_WINDOW_MS)
+    )
+
+    @property
+    def is_named(self) -> bool:
+        """Return whether a limit is in force."""
+        return self.requests_per_s is not None
+
+    def on_send(self, now_ms: float) -> None:
+        """Count a request that is sent while a limit is in force."""
+        if self.is_named:
+            self._sent.add(now_ms)
+
+    def may_send(self, now_ms: float, quota: int) -> bool:
+        """Return whether another request fits into this node's quota."""
+        return self._sent.count(now_ms) < quota
 
     def on_answer(
         self, statement: LimitStatement, sent_ms: float, now_ms: float
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -151,6 +151,7 @@
         self.sent_since_report += 1
         if self.is_cold(now_ms):
             self.cold.on_send(now_ms)
+        self.limit.on_send(now_ms)
         if topic:
             object_hash = hash_object(topic)
             self.on_object_sent(object_hash)
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -78,10 +78,7 @@
     @property
     def limited_target_count(self) -> int:
         """Return the number of targets that name a limit."""
-        return sum(
-            target.limit.requests_per_s is not None
-            for target in self.targets.values()
-        )
+        return sum(target.limit.is_named for target in self.targets.values())
 
     def age_ms(self, now_ms: float) -> int | None:
         """Return the time since the store last answered.
--- /dev/null
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -0,0 +1,157 @@
+"""This node's parts of the limits that hold for all nodes together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gentianbank.policy.fleet_limits import cold_target_quota
+from gentianbank.policy.fleet_limits import limited_target_quota
+
+if TYPE_CHECKING:
+    from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.policy.target_load import TargetLoad
+    from gentianbank.steering.cluster_view import ClusterView
+
+# Connections that each node may open to a target, whatever the number of
+# nodes.
+MIN_CONNECTIONS_PER_TARGET = 4
+
+
+class FleetQuotas:
+    """Divides limits among the nodes that may send.
+
+    Parameters
+    ----------
+    vm
+        Name of this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        region: str,
+        cluster_view: ClusterView,
+        bounds: Bounds,
+    ) -> None:
+        self._vm = vm
+        self._region = region
+        self._cluster_view = cluster_view
+        self._bounds = bounds
+        self._cold_quotas: dict[str, int] = {}
+        self._limit_quotas: dict[tuple[str, float], int] = {}
+        self._cached_generation = -1
+
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Apply changed bounds."""
+        self._bounds = bounds
+        self._cold_quotas.clear()
+
+    @property
+    def assumed_node_count(self) -> int:
+        """Return the assumed number of nodes that send requests.
+
+        At least one more than there are failure domains, since some nodes
+        may not be known yet.
+        """
+        known = len({*self._cluster_view.nodes, self._vm})
+        return max(known, len(self._cluster_view.regions) + 1)
+
+    def max_connections_per_target(self, service: str) -> int:
+        """Return how many connections this node may open to a target.
+
+        This is its part of the limit for all nodes, but at least
+        ``MIN_CONNECTIONS_PER_TARGET``.
+        """
+        table = self._cluster_view.table
+        policy = table.services.get(service) if table else None
+        if policy is None:
+            return MIN_CONNECTIONS_PER_TARGET
+        return max(
+            MIN_CONNECTIONS_PER_TARGET,
+            policy.max_connections // self.assumed_node_count,
+        )
+
+    def may_send(self, target: TargetLoad, now_ms: float) -> bool:
+        """Return whether the limits of a target allow a request.
+
+        These are the limit for cold targets and the one that it names.
+        """
+        if target.is_cold(now_ms) and not target.cold.may_send(
+            now_ms, self._cold_quota(target)
+        ):
+            return False
+        quota = self.limit_quota(target)
+        return quota is None or target.limit.may_send(now_ms, quota)
+
+    def limit_quota(self, target: TargetLoad) -> int | None:
+        """Return how many requests per window a limited target may get.
+
+        Returns
+        -------
+        int or None
+            ``None`` if the target names no limit.
+        """
+        requests_per_s = target.limit.requests_per_s
+        if requests_per_s is None:
+            return None
+        self._drop_stale_caches()
+        key = (target.registration.target_id, requests_per_s)
+        if key not in self._limit_quotas:
+            self._limit_quotas[key] = self._divide_limit(target, key[1])
+        return self._limit_quotas[key]
+
+    def _cold_quota(self, target: TargetLoad) -> int:
+        """Return how many requests per second a cold target may get."""
+        self._drop_stale_caches()
+        entry = target.registration
+        quota = self._cold_quotas.get(entry.target_id)
+        if quota is None:
+            assert self._cluster_view.table is not None
+            policy = self._cluster_view.table.services.get(entry.service)
+            rate = policy.cold_per_s if policy else 0.0
+            quota = cold_target_quota(
+                entry.target_id,
+                self._vm,
+                tuple(self._region_by_node()),
+                rate * self._bounds.cold_factor + self._bounds.cold_slack,
+            )
+            self._cold_quotas[entry.target_id] = quota
+        return quota
+
+    def _divide_limit(self, target: TargetLoad, requests_per_s: float) -> int:
+        regions = self._region_by_node()
+        near = [
+            name
+            for name, region in regions.items()
+            if region in (target.region, None)
+        ]
+        far = [
+            name for name, region in regions.items() if region != target.region
+        ]
+        return limited_target_quota(
+            target.registration.target_id,
+            self._vm,
+            tuple(near),
+            tuple(far),
+            requests_per_s,
+        )
+
+    def _region_by_node(self) -> dict[str, str | None]:
+        """Return the region of each node that may send.
+
+        Nodes that are only assumed to exist get a part as well; their
+        region is ``None``.
+        """
+        regions: dict[str, str | None] = {
+            node.vm: node.region for node in self._cluster_view.nodes.values()
+        }
+        regions[self._vm] = self._region
+        unknown = range(self.assumed_node_count - len(regions))
+        return regions | {f'unknown {index}': None for index in unknown}
+
+    def _drop_stale_caches(self) -> None:
+        if self._cached_generation != self._cluster_view.generation:
+            self._cached_generation = self._cluster_view.generation
+            self._cold_quotas.clear()
+            self._limit_quotas.clear()
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -8,7 +8,6 @@
 import zlib
 
 from gentianbank.policy import rendezvous
-from gentianbank.policy.fleet_limits import cold_target_quota
 from gentianbank.policy.placement import choose_target
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.policy.placement import NoUsableTarget
@@ -19,6 +18,7 @@
 from gentianbank.policy.region_shares import BUSY_FRACTION_OF_LARGE
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
+from gentianbank.steering.fleet_quotas import FleetQuotas
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,9 +35,6 @@
 TARGETS_PER_OBJECT = 2
 # Size of the cache of target rankings; a full cache is cleared.
 MAX_CACHED_RANKINGS = 20_000
-# Connections that each node may open to a target, whatever the number of
-# nodes.
-MIN_CONNECTIONS_PER_TARGET = 4
 # Fraction of the setting ``max_region_shift`` that is used. The setting
 # limits the shift from one window of ``SHIFT_WINDOW_S`` to the next.
 USED_SHIFT_FRACTION = 0.4
@@ -93,23 +90,24 @@
         bounds: Bounds,
         clock: Callable[[], float],
     ) -> None:
-        self._vm = vm
         self._region = region
         self._failure_domain = failure_domain
         self._cluster_view = cluster_view
         self._bounds = bounds
         self._clock = clock
+        self._quotas = FleetQuotas(
+            vm=vm, region=region, cluster_view=cluster_view, bounds=bounds
+        )
         self._route_times: dict[str, RouteTimes] = {}
         self._shares: dict[tuple[str, bool], RegionShares] = {}
         self._regions = sorted({*cluster_view.regions.values()})
         self._rankings: dict[tuple[str, str, str, bool], list[TargetLoad]] = {}
-        self._cold_shares: dict[str, int] = {}
         self._cached_generation = -1
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
         self._bounds = bounds
-        self._cold_shares.clear()
+        self._quotas.apply_bounds(bounds)
         rate_per_s = _max_shift_per_s(bounds)
         for shares in self._shares.values():
             shares.rate_per_s = rate_per_s
@@ -123,29 +121,9 @@
         return times
 
     @property
-    def assumed_node_count(self) -> int:
-        """Return the assumed number of nodes that send requests.
-
-        At least one more than there are failure domains, since some nodes
-        may not be known yet.
-        """
-        known = len({*self._cluster_view.nodes, self._vm})
-        return max(known, len(self._cluster_view.regions) + 1)
-
-    def max_connections_per_target(self, service: str) -> int:
-        """Return how many connections this node may open to a target.
-
-        This is its part of the limit for all nodes, but at least
-        ``MIN_CONNECTIONS_PER_TARGET``.
-        """
-        table = self._cluster_view.table
-        policy = table.services.get(service) if table else None
-        if policy is None:
-            return MIN_CONNECTIONS_PER_TARGET
-        return max(
-            MIN_CONNECTIONS_PER_TARGET,
-            policy.max_connections // self.assumed_node_count,
-        )
+    def quotas(self) -> FleetQuotas:
+        """Return this node's parts of the limits for all nodes."""
+        return self._quotas
 
     def choose(self, request: PlacementRequest) -> PlacementResult:
         """Choose the target of a request.
@@ -198,7 +176,7 @@
             target
             for target in order
             if target.registration.target_id not in request.tried_targets
-            and self._may_send_to(target, now_ms)
+            and self._quotas.may_send(target, now_ms)
         ]
         preferred = [
             target
@@ -231,33 +209,6 @@
         lowest = table.lowest_priority(service) if table else route.priority
         return route.priority < lowest
 
-    def _may_send_to(self, target: TargetLoad, now_ms: float) -> bool:
-        """Return whether the limit for cold targets allows a request."""
-        if not target.is_cold(now_ms):
-            return True
-        target_id = target.registration.target_id
-        share = self._cold_shares.get(target_id)
-        if share is None:
-            share = self._cold_share(target)
-            self._cold_shares[target_id] = share
-        return target.cold.may_send(now_ms, share)
-
-    def _cold_share(self, target: TargetLoad) -> int:
-        """Return how many requests per second a cold target may get.
-
-        This is the part of this node. Nodes that are only assumed to exist
-        get a part as well.
-        """
-        assert self._cluster_view.table is not None
-        entry = target.registration
-        policy = self._cluster_view.table.services.get(entry.service)
-        rate = policy.cold_per_s if policy else 0.0
-        allowed = rate * self._bounds.cold_factor + self._bounds.cold_slack
-        names = sorted({*self._cluster_view.nodes, self._vm})
-        unknown = range(self.assumed_node_count - len(names))
-        nodes = (*names, *(f'unknown {index}' for index in unknown))
-        return cold_target_quota(entry.target_id, self._vm, nodes, allowed)
-
     def _ranked_targets(
         self, request: PlacementRequest, region: str
     ) -> list[TargetLoad]:
@@ -294,7 +245,6 @@
         if self._cached_generation != self._cluster_view.generation:
             self._cached_generation = self._cluster_view.generation
             self._rankings.clear()
-            self._cold_shares.clear()
 
     def _update_shares(
         self, request: PlacementRequest, now_ms: float
@@ -330,6 +280,7 @@
         for target in self._cluster_view.usable_targets(service):
             usable = not target.is_cold(now_ms)
             usable = usable and not target.is_suspect(now_ms)
+            usable = usable and not target.limit.is_named
             slots[target.region] += target.registration.slots * usable
             occupied[target.region] += target.occupancy(now_ms) * usable
         return {
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -282,7 +282,7 @@
         budget = self._retry_budget(request.service)
         if not budget.try_spend(
             self._clock(),
-            self._placer.assumed_node_count,
+            self._placer.quotas.assumed_node_count,
             returning=request.was_refused_before,
         ):
             return False
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -170,7 +170,7 @@
                 body=body.framing,
             ),
             body=body.content(),
-            max_connections=self._placer.max_connections_per_target(
+            max_connections=self._placer.quotas.max_connections_per_target(
                 request.service
             ),
             connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
@@ -250,6 +250,7 @@
                 extra={
                     'target': target_id,
                     'limit_per_s': target.limit.requests_per_s,
+                    'quota': self._placer.quotas.limit_quota(target),
                 },
             )
 
--- a/tests/policy/test_fleet_limits.py
+++ b/tests/policy/test_fleet_limits.py
@@ -6,8 +6,13 @@
 
 from gentianbank.policy.fleet_limits import cold_target_quota
 from gentianbank.policy.fleet_limits import ColdRateLimit
+from gentianbank.policy.fleet_limits import LIMIT_SPAN_S
+from gentianbank.policy.fleet_limits import limited_target_quota
 from gentianbank.policy.fleet_limits import SharedRetryBudget
 
+# Nodes and regions of the deployments, small, grown and large.
+FLEETS = [(7, 3), (25, 3), (34, 3), (35, 3), (77, 3), (300, 3)]
+
 
 @pytest.mark.parametrize('nodes', [1, 3, 7, 25, 300])
 @pytest.mark.parametrize('allowed_per_s', [10.4, 15.5, 60.0])
@@ -22,6 +27,44 @@
     assert max(shares) - min(shares) <= 1
 
 
+@pytest.mark.parametrize(('nodes', 'regions'), [(1, 1), *FLEETS])
+@pytest.mark.parametrize('limit_per_s', [0.0, 0.2, 2.5, 3.1, 40.0, 700.0])
+def test_parts_of_a_named_limit_sum_to_no_more_than_the_limit(
+    nodes: int, regions: int, limit_per_s: float
+) -> None:
+    names = [f'vm-{number}' for number in range(nodes)]
+    near = tuple(names[::regions])
+    far = tuple(name for name in names if name not in near)
+    quotas = [
+        limited_target_quota('t-1', name, near, far, limit_per_s)
+        for name in names
+    ]
+    assert sum(quotas) <= max(1, limit_per_s * LIMIT_SPAN_S)
+    assert sum(quotas) >= 1
+    assert sum(quotas[::regions]) >= 0.5 * sum(quotas)
+
+
+@pytest.mark.parametrize(('nodes', 'regions'), FLEETS)
+@pytest.mark.parametrize('limit_per_s', [0.2, 2.5, 40.0])
+def test_node_that_assumes_more_nodes_takes_no_larger_part(
+    nodes: int, regions: int, limit_per_s: float
+) -> None:
+    names = tuple(f'vm-{number}' for number in range(nodes))
+    near, far = names[::regions], names[1::regions]
+    assumed = tuple(f'unknown {number}' for number in range(nodes))
+    for name in names:
+        known = limited_target_quota('t-1', name, near, far, limit_per_s)
+        for more in range(0, nodes, 5):
+            part = limited_target_quota(
+                't-1',
+                name,
+                (*near, *assumed[:more]),
+                (*far, *assumed[:more]),
+                limit_per_s,
+            )
+            assert part <= known
+
+
 def test_cold_rate_limit_holds_in_every_second() -> None:
     limit = ColdRateLimit()
     sent = []
