--- a/src/gentianbank/policy/target_limit.py
+++ b/src/gentianbank/policy/target_limit.py
@@ -14,6 +14,30 @@
 if TYPE_CHECKING:
     from gentianbank.domain.request_limit import LimitStatement
 
+# A limit that stays the same is told to other nodes again after this time.
+REPEAT_MS = 1_000.0
+# After this time without an answer that tells of the limit, a node without a
+# quota asks the target itself, so that a limit that has ended is forgotten.
+SILENCE_MS = 10_000.0
+# Nodes ask one after the other, and an answer is told to the others.
+PROBE_STEP_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNews:
+    """What one node tells others of a target's limit.
+
+    Parameters
+    ----------
+    requests_per_s
+        The limit; ``None`` if it has ended.
+    heard_ms
+        Time of the answer that told of it.
+    """
+
+    requests_per_s: float | None
+    heard_ms: float
+
 
 @dataclass(slots=True)
 class TargetLimit:
@@ -32,6 +56,9 @@
     requests_per_s: float | None = None
     named_since_ms: float = float('-inf')
     heard_ms: float = float('-inf')
+    _told_ms: float = float('-inf')
+    _has_news: bool = False
+    _last_sent_ms: float = float('-inf')
     _sent: SlidingCount = field(
         default_factory=lambda: SlidingCount(LIMIT_WINDOW_MS)
     )
@@ -45,11 +72,48 @@
         """Count a request that is sent while a limit is in force."""
         if self.is_named:
             self._sent.add(now_ms)
+            self._last_sent_ms = now_ms
 
     def may_send(self, now_ms: float, quota: int) -> bool:
         """Return whether another request fits into this node's quota."""
         return self._sent.count(now_ms) < quota
 
+    def may_probe(self, now_ms: float, rank: int) -> bool:
+        """Return whether a node without a quota may ask the target.
+
+        Parameters
+        ----------
+        rank
+            Position of the node among all nodes.
+        """
+        silent_ms = now_ms - max(self.heard_ms, self._last_sent_ms)
+        return silent_ms > SILENCE_MS + rank * PROBE_STEP_MS
+
+    def on_peer_news(self, news: LimitNews) -> bool:
+        """Record what another node tells; return whether the limit changed.
+
+        Older news than what this node knows is ignored. A change is told
+        on, since not every node is connected to every other.
+        """
+        if news.heard_ms <= self.heard_ms:
+            return False
+        changed = self._set(news.requests_per_s, news.heard_ms)
+        self._has_news = self._has_news or changed
+        return changed
+
+    def pop_news(self, now_ms: float) -> LimitNews | None:
+        """Return what other nodes are to be told now, if anything."""
+        if not self._has_news:
+            return None
+        self._has_news = False
+        self._told_ms = now_ms
+        return self.news
+
+    @property
+    def news(self) -> LimitNews:
+        """Return what this node knows of the limit."""
+        return LimitNews(self.requests_per_s, self.heard_ms)
+
     def on_answer(
         self, statement: LimitStatement, sent_ms: float, now_ms: float
     ) -> bool:
@@ -72,10 +136,14 @@
         if isinstance(statement, UnreadableLimit):
             return False
         if isinstance(statement, NamedLimit):
-            return self._set(statement.requests_per_s, now_ms)
-        if self.requests_per_s is None or sent_ms <= self.named_since_ms:
+            changed = self._set(statement.requests_per_s, now_ms)
+        elif self.requests_per_s is None or sent_ms <= self.named_since_ms:
             return False
-        return self._set(None, now_ms)
+        else:
+            changed = self._set(None, now_ms)
+        if changed or now_ms - self._told_ms >= REPEAT_MS:
+            self._has_news = True
+        return changed
 
     def _set(self, requests_per_s: float | None, heard_ms: float) -> bool:
         before = self.requests_per_s
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from gentianbank.policy import rendezvous
 from gentianbank.policy.fleet_limits import cold_target_quota
 from gentianbank.policy.fleet_limits import limited_target_quota
 
@@ -17,6 +19,22 @@
 MIN_CONNECTIONS_PER_TARGET = 4
 
 
+@dataclass(frozen=True, slots=True)
+class LimitPart:
+    """This node's part of the limit that a target names.
+
+    Parameters
+    ----------
+    quota
+        Requests per window that this node may send.
+    rank
+        Position of this node among all nodes, for this target.
+    """
+
+    quota: int
+    rank: int
+
+
 class FleetQuotas:
     """Divides limits among the nodes that may send.
 
@@ -39,7 +57,7 @@
         self._cluster_view = cluster_view
         self._bounds = bounds
         self._cold_quotas: dict[str, int] = {}
-        self._limit_quotas: dict[tuple[str, float], int] = {}
+        self._limit_parts: dict[tuple[str, float], LimitPart] = {}
         self._cached_generation = -1
 
     def apply_bounds(self, bounds: Bounds) -> None:
@@ -81,15 +99,19 @@
             now_ms, self._cold_quota(target)
         ):
             return False
-        quota = self.limit_quota(target)
-        return quota is None or target.limit.may_send(now_ms, quota)
+        part = self.limit_part(target)
+        if part is None:
+            return True
+        if not part.quota:
+            return target.limit.may_probe(now_ms, part.rank)
+        return target.limit.may_send(now_ms, part.quota)
 
-    def limit_quota(self, target: TargetLoad) -> int | None:
-        """Return how many requests per window a limited target may get.
+    def limit_part(self, target: TargetLoad) -> LimitPart | None:
+        """Return this node's part of the limit that a target names.
 
         Returns
         -------
-        int or None
+        LimitPart or None
             ``None`` if the target names no limit.
         """
         requests_per_s = target.limit.requests_per_s
@@ -97,9 +119,9 @@
             return None
         self._drop_stale_caches()
         key = (target.registration.target_id, requests_per_s)
-        if key not in self._limit_quotas:
-            self._limit_quotas[key] = self._divide_limit(target, key[1])
-        return self._limit_quotas[key]
+        if key not in self._limit_parts:
+            self._limit_parts[key] = self._divide_limit(target, key[1])
+        return self._limit_parts[key]
 
     def _cold_quota(self, target: TargetLoad) -> int:
         """Return how many requests per second a cold target may get."""
@@ -119,7 +141,9 @@
             self._cold_quotas[entry.target_id] = quota
         return quota
 
-    def _divide_limit(self, target: TargetLoad, requests_per_s: float) -> int:
+    def _divide_limit(
+        self, target: TargetLoad, requests_per_s: float
+    ) -> LimitPart:
         regions = self._region_by_node()
         near = [
             name
@@ -129,13 +153,12 @@
         far = [
             name for name, region in regions.items() if region != target.region
         ]
-        return limited_target_quota(
-            target.registration.target_id,
-            self._vm,
-            tuple(near),
-            tuple(far),
-            requests_per_s,
+        target_id = target.registration.target_id
+        quota = limited_target_quota(
+            target_id, self._vm, tuple(near), tuple(far), requests_per_s
         )
+        order = rendezvous.rank_names(regions, target_id)
+        return LimitPart(quota, order.index(self._vm))
 
     def _region_by_node(self) -> dict[str, str | None]:
         """Return the region of each node that may send.
@@ -154,4 +177,4 @@
         if self._cached_generation != self._cluster_view.generation:
             self._cached_generation = self._cluster_view.generation
             self._cold_quotas.clear()
-            self._limit_quotas.clear()
+            self._limit_parts.clear()
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-import struct
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from absl import logging
 
-from gentianbank.control.messages import Message
-from gentianbank.control.messages import register_message
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import Disconnected
 from gentianbank.control.peers import Received
-from gentianbank.domain import schema
 from gentianbank.policy import rendezvous
 from gentianbank.policy.gossip_schedule import GossipSchedule
 from gentianbank.policy.gossip_schedule import HEARTBEAT_MS
 from gentianbank.policy.gossip_schedule import REMOTE_REGION_TICKS
 from gentianbank.policy.target_load import MAX_UNSENT_OBJECTS
+from gentianbank.steering.load_update import build_row
+from gentianbank.steering.load_update import decode_rows
+from gentianbank.steering.load_update import encode_rows
+from gentianbank.steering.load_update import LoadUpdate
+from gentianbank.steering.load_update import SLOWDOWN_STEP
+from gentianbank.steering.load_update import TargetRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +30,7 @@
     from gentianbank.control.peers import PeerConnections
     from gentianbank.control.peers import PeerEvent
     from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.policy.target_limit import LimitNews
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.store_catch_up import StoreCatchUp
@@ -36,45 +39,9 @@
 # are estimated from those of the connected ones.
 MAX_PEERS = 40
 DIAL_PERIOD_MS = 1_000.0
-# Larger numbers do not fit into the one byte that is sent.
-MAX_IN_FLIGHT = 255
-# A slowdown is sent as a number of steps of this size.
-SLOWDOWN_STEP = 0.05
-MAX_SLOWDOWN_STEPS = 255
-NAME_SEPARATOR = b'\n'
-_OBJECT_ENTRY = struct.Struct('>HI')
 _MS_PER_S = 1_000
 
 
-@register_message('loads')
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LoadUpdate(Message):
-    """Message with the targets whose load changed at the sending node.
-
-    Without targets it is a heartbeat.
-
-    Parameters
-    ----------
-    targets
-        Ids of the targets, separated by line feeds. ``in_flight`` and
-        ``slowdowns`` have one byte for each target, in the same order.
-    in_flight
-        Requests that the sending node has in flight at the target, at most
-        ``MAX_IN_FLIGHT``.
-    slowdowns
-        Slowdown in the newest load report, in steps of ``SLOWDOWN_STEP``;
-        0 if there is no report since the last message.
-    objects
-        Objects of the requests sent to the targets since the last message,
-        each as the index of the target and the hash of the object.
-    """
-
-    targets: bytes = schema.binary()
-    in_flight: bytes = schema.binary()
-    slowdowns: bytes = schema.binary()
-    objects: bytes = schema.binary()
-
-
 class LoadGossip:
     """Keeps this node connected to others and exchanges loads with them.
 
@@ -109,7 +76,7 @@
         self._last_dial_ms = float('-inf')
         self._last_sent_ms = float('-inf')
         self._ticks = 0
-        self._pending_remote_rows: dict[str, _TargetRow] = {}
+        self._pending_remote_rows: dict[str, TargetRow] = {}
 
     async def run(self) -> None:
         """Exchange loads until cancelled."""
@@ -135,14 +102,17 @@
     def on_event(self, event: PeerEvent) -> None:
         """Handle an event of a connection.
 
-        A new peer gets the loads of all targets with requests in flight.
+        A new peer gets the loads of all targets with requests in flight, and
+        every limit that a target names.
         """
         match event:
             case Connected(vm):
                 self._connected.add(vm)
                 self._cluster_view.disconnected_peers.discard(vm)
-                self._peer_loads.on_heartbeat(vm, self._clock())
-                self._peers.send(vm, _encode(self._busy_target_rows()))
+                now_ms = self._clock()
+                self._peer_loads.on_heartbeat(vm, now_ms)
+                rows = self._rows_for_new_peer(now_ms)
+                self._peers.send(vm, encode_rows(rows, now_ms))
                 logging.info('peer connected', extra={'peer': vm})
             case Disconnected(vm):
                 self._connected.discard(vm)
@@ -180,19 +150,19 @@
 
     def _send_changes(self, now_ms: float) -> None:
         self._ticks += 1
-        changed = self._pop_changed_rows()
+        changed = self._pop_changed_rows(now_ms)
         near, far = self._peers_by_distance()
         if far:
             self._queue_for_remote(changed)
         heartbeat_due = now_ms - self._last_sent_ms >= HEARTBEAT_MS
         if changed or heartbeat_due:
             self._last_sent_ms = now_ms
-            self._peers.send_to_each(near, _encode(changed))
+            self._peers.send_to_each(near, encode_rows(changed, now_ms))
         if not far or self._ticks % REMOTE_REGION_TICKS:
             return
         rows = list(self._pending_remote_rows.values())
         self._pending_remote_rows.clear()
-        self._peers.send_to_each(far, _encode(rows))
+        self._peers.send_to_each(far, encode_rows(rows, now_ms))
 
     def _peers_by_distance(self) -> tuple[list[str], list[str]]:
         """Return the connected peers of this region, and all others."""
@@ -205,7 +175,7 @@
             (near if is_near else far).append(vm)
         return near, far
 
-    def _queue_for_remote(self, changed: list[_TargetRow]) -> None:
+    def _queue_for_remote(self, changed: list[TargetRow]) -> None:
         """Merge changes into the next message to other regions."""
         for row in changed:
             pending = self._pending_remote_rows.get(row.target_id)
@@ -213,56 +183,61 @@
             steps = row.slowdown_steps
             if pending is not None and not steps:
                 steps = pending.slowdown_steps
-            self._pending_remote_rows[row.target_id] = _TargetRow(
+            self._pending_remote_rows[row.target_id] = TargetRow(
                 row.target_id,
                 row.in_flight,
                 steps,
                 objects[-MAX_UNSENT_OBJECTS:],
+                row.limit or (pending.limit if pending else None),
             )
 
-    def _pop_changed_rows(self) -> list[_TargetRow]:
+    def _pop_changed_rows(self, now_ms: float) -> list[TargetRow]:
         target_ids = self._cluster_view.changed_loads
         targets = self._cluster_view.targets
         # For a target that was removed this sends a load of 0, since it may
         # register again under the same id.
         rows = [
-            _target_row(targets.get(target_id), target_id)
+            build_row(targets.get(target_id), target_id, now_ms)
             for target_id in target_ids
         ]
         target_ids.clear()
         return rows
 
-    def _busy_target_rows(self) -> list[_TargetRow]:
-        targets = self._cluster_view.targets.items()
-        return [
-            _target_row(target, target_id)
-            for target_id, target in targets
-            if target.in_flight
-        ]
+    def _rows_for_new_peer(self, now_ms: float) -> list[TargetRow]:
+        rows = []
+        for target_id, target in self._cluster_view.targets.items():
+            if not target.in_flight and not target.limit.is_named:
+                continue
+            row = build_row(target, target_id, now_ms)
+            if target.limit.is_named:
+                row = replace(row, limit=target.limit.news)
+            rows.append(row)
+        return rows
 
     def _apply_update(self, vm: str, update: LoadUpdate) -> None:
         now_ms = self._clock()
         self._peer_loads.on_heartbeat(vm, now_ms)
-        target_ids = _split_target_ids(update.targets)
-        rows = zip(
-            target_ids, update.in_flight, update.slowdowns, strict=False
-        )
-        for target_id, in_flight, steps in rows:
-            self._peer_loads.set_in_flight(vm, target_id, in_flight)
-            target = self._cluster_view.targets.get(target_id)
-            if steps and target is not None:
-                target.on_slowdown(steps * SLOWDOWN_STEP, now_ms)
-        # An incomplete entry at the end of a malformed message is ignored.
-        whole_bytes = (
-            len(update.objects) - len(update.objects) % _OBJECT_ENTRY.size
+        for row in decode_rows(update, now_ms):
+            self._peer_loads.set_in_flight(vm, row.target_id, row.in_flight)
+            target = self._cluster_view.targets.get(row.target_id)
+            if target is None:
+                continue
+            if row.slowdown_steps:
+                target.on_slowdown(row.slowdown_steps * SLOWDOWN_STEP, now_ms)
+            for object_hash in row.objects:
+                target.on_object_sent(object_hash)
+            if row.limit is not None:
+                self._apply_limit(target, row.limit)
+
+    def _apply_limit(self, target: TargetLoad, news: LimitNews) -> None:
+        if not target.limit.on_peer_news(news):
+            return
+        target_id = target.registration.target_id
+        self._cluster_view.changed_loads.add(target_id)
+        logging.info(
+            'limit of a target told by a peer',
+            extra={'target': target_id, 'limit_per_s': news.requests_per_s},
         )
-        for index, object_hash in _OBJECT_ENTRY.iter_unpack(
-            update.objects[:whole_bytes]
-        ):
-            if index < len(target_ids):
-                target = self._cluster_view.targets.get(target_ids[index])
-                if target is not None:
-                    target.on_object_sent(object_hash)
 
 
 def choose_peers(
@@ -280,50 +255,3 @@
     return [
         others[name] for name in rendezvous.rank_names(others, vm)[:MAX_PEERS]
     ]
-
-
-@dataclass(frozen=True, slots=True)
-class _TargetRow:
-    """What a message says of one target."""
-
-    target_id: str
-    in_flight: int
-    slowdown_steps: int
-    objects: tuple[int, ...] = ()
-
-
-def _target_row(target: TargetLoad | None, target_id: str) -> _TargetRow:
-    """Return what is sent about a target.
-
-    Slowdown and objects are included only if they are new since the last
-    call.
-    """
-    if target is None:
-        return _TargetRow(target_id, 0, 0)
-    report = target.pop_unsent_report()
-    steps = 0
-    if report is not None:
-        steps = round(report.slowdown / SLOWDOWN_STEP)
-        steps = max(1, min(MAX_SLOWDOWN_STEPS, steps))
-    in_flight = min(MAX_IN_FLIGHT, target.in_flight)
-    objects = tuple(target.pop_unsent_objects())
-    return _TargetRow(target_id, in_flight, steps, objects)
-
-
-def _split_target_ids(joined: bytes) -> list[str]:
-    if not joined:
-        return []
-    return joined.decode(errors='replace').split(NAME_SEPARATOR.decode())
-
-
-def _encode(rows: list[_TargetRow]) -> LoadUpdate:
-    return LoadUpdate(
-        targets=NAME_SEPARATOR.join(row.target_id.encode() for row in rows),
-        in_flight=bytes(row.in_flight for row in rows),
-        slowdowns=bytes(row.slowdown_steps for row in rows),
-        objects=b''.join(
-            _OBJECT_ENTRY.pack(index, object_hash)
-            for index, row in enumerate(rows)
-            for object_hash in row.objects
-        ),
-    )
--- /dev/null
+++ b/src/gentianbank/steering/load_update.py
@@ -0,0 +1,166 @@
+"""Message between nodes: what they know of the load of targets."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+import math
+import struct
+from typing import Any
+from typing import TYPE_CHECKING
+
+from gentianbank.control.messages import Message
+from gentianbank.control.messages import register_message
+from gentianbank.domain import schema
+from gentianbank.policy.target_limit import LimitNews
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from gentianbank.policy.target_load import TargetLoad
+
+# Larger numbers do not fit into the one byte that is sent.
+MAX_IN_FLIGHT = 255
+# A slowdown is sent as a number of steps of this size.
+SLOWDOWN_STEP = 0.05
+MAX_SLOWDOWN_STEPS = 255
+NAME_SEPARATOR = b'\n'
+_OBJECT_ENTRY = struct.Struct('>HI')
+_LIMIT_ENTRY = struct.Struct('>HdI')
+# Sent in place of a limit that has ended.
+_ENDED_PER_S = -1.0
+MAX_LIMIT_AGE_MS = 2**32 - 1
+
+
+@register_message('loads')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadUpdate(Message):
+    """Message with the targets whose load changed at the sending node.
+
+    Without targets it is a heartbeat.
+
+    Parameters
+    ----------
+    targets
+        Ids of the targets, separated by line feeds. ``in_flight`` and
+        ``slowdowns`` have one byte for each target, in the same order.
+    in_flight
+        Requests that the sending node has in flight at the target, at most
+        ``MAX_IN_FLIGHT``.
+    slowdowns
+        Slowdown in the newest load report, in steps of ``SLOWDOWN_STEP``;
+        0 if there is no report since the last message.
+    objects
+        Objects of the requests sent to the targets since the last message,
+        each as the index of the target and the hash of the object.
+    limits
+        Limits that targets name for all nodes together, each as the index
+        of the target, the requests per second (negative: the limit has
+        ended), and the time in milliseconds since the target said so.
+    """
+
+    targets: bytes = schema.binary()
+    in_flight: bytes = schema.binary()
+    slowdowns: bytes = schema.binary()
+    objects: bytes = schema.binary()
+    limits: bytes = schema.binary(default=b'')
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRow:
+    """What a message says of one target."""
+
+    target_id: str
+    in_flight: int
+    slowdown_steps: int
+    objects: tuple[int, ...] = ()
+    limit: LimitNews | None = None
+
+
+def build_row(
+    target: TargetLoad | None, target_id: str, now_ms: float
+) -> TargetRow:
+    """Return what is sent about a target.
+
+    Slowdown, objects and limit are included only if they are new since the
+    last call.
+    """
+    if target is None:
+        return TargetRow(target_id, 0, 0)
+    report = target.pop_unsent_report()
+    steps = 0
+    if report is not None:
+        steps = round(report.slowdown / SLOWDOWN_STEP)
+        steps = max(1, min(MAX_SLOWDOWN_STEPS, steps))
+    in_flight = min(MAX_IN_FLIGHT, target.in_flight)
+    objects = tuple(target.pop_unsent_objects())
+    limit = target.limit.pop_news(now_ms)
+    return TargetRow(target_id, in_flight, steps, objects, limit)
+
+
+def encode_rows(rows: list[TargetRow], now_ms: float) -> LoadUpdate:
+    """Return the message with some rows."""
+    return LoadUpdate(
+        targets=NAME_SEPARATOR.join(row.target_id.encode() for row in rows),
+        in_flight=bytes(row.in_flight for row in rows),
+        slowdowns=bytes(row.slowdown_steps for row in rows),
+        objects=b''.join(
+            _OBJECT_ENTRY.pack(index, object_hash)
+            for index, row in enumerate(rows)
+            for object_hash in row.objects
+        ),
+        limits=b''.join(
+            _pack_limit(index, row.limit, now_ms)
+            for index, row in enumerate(rows)
+            if row.limit is not None
+        ),
+    )
+
+
+def decode_rows(update: LoadUpdate, now_ms: float) -> list[TargetRow]:
+    """Return the rows of a message; malformed parts are left out."""
+    objects: defaultdict[int, list[int]] = defaultdict(list)
+    for index, object_hash in _unpack(_OBJECT_ENTRY, update.objects):
+        objects[index].append(object_hash)
+    limits: dict[int, LimitNews] = {}
+    for index, per_s, age_ms in _unpack(_LIMIT_ENTRY, update.limits):
+        # Also false for what is no number.
+        if per_s < math.inf:
+            limit_per_s = None if per_s < 0 else per_s
+            limits[index] = LimitNews(limit_per_s, now_ms - age_ms)
+    rows = zip(
+        _split_target_ids(update.targets),
+        update.in_flight,
+        update.slowdowns,
+        strict=False,
+    )
+    return [
+        TargetRow(
+            target_id,
+            in_flight,
+            steps,
+            tuple(objects[index]),
+            limits.get(index),
+        )
+        for index, (target_id, in_flight, steps) in enumerate(rows)
+    ]
+
+
+def _pack_limit(index: int, news: LimitNews, now_ms: float) -> bytes:
+    per_s = news.requests_per_s
+    age_ms = min(MAX_LIMIT_AGE_MS, max(0, round(now_ms - news.heard_ms)))
+    return _LIMIT_ENTRY.pack(
+        index, _ENDED_PER_S if per_s is None else per_s, age_ms
+    )
+
+
+def _split_target_ids(joined: bytes) -> list[str]:
+    if not joined:
+        return []
+    return joined.decode(errors='replace').split(NAME_SEPARATOR.decode())
+
+
+def _unpack(layout: struct.Struct, packed: bytes) -> Iterator[tuple[Any, ...]]:
+    """Unpack entries; an incomplete one at the end is ignored."""
+    whole_bytes = len(packed) - len(packed) % layout.size
+    return layout.iter_unpack(packed[:whole_bytes])
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -245,12 +245,13 @@
             )
             return
         if target.limit.on_answer(statement, sent_ms, self._clock()):
+            part = self._placer.quotas.limit_part(target)
             logging.info(
                 'limit of a target changed',
                 extra={
                     'target': target_id,
                     'limit_per_s': target.limit.requests_per_s,
-                    'quota': self._placer.quotas.limit_quota(target),
+                    'quota': part.quota if part else None,
                 },
             )
 
--- a/tests/policy/test_target_limit.py
+++ b/tests/policy/test_target_limit.py
@@ -5,6 +5,9 @@
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.policy.target_limit import LimitNews
+from gentianbank.policy.target_limit import PROBE_STEP_MS
+from gentianbank.policy.target_limit import SILENCE_MS
 from gentianbank.policy.target_limit import TargetLimit
 
 
@@ -31,3 +34,24 @@
     limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
     assert not limit.on_answer(UnreadableLimit('few'), 600.0, 900.0)
     assert limit.requests_per_s == 2.5
+
+
+def test_older_news_of_a_peer_changes_nothing() -> None:
+    limit = TargetLimit()
+    limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
+    assert not limit.on_peer_news(LimitNews(None, 400.0))
+    assert limit.requests_per_s == 2.5
+    assert limit.on_peer_news(LimitNews(None, 600.0))
+    assert limit.requests_per_s is None
+
+
+def test_nodes_without_a_quota_ask_one_after_the_other() -> None:
+    limit = TargetLimit()
+    limit.on_answer(NamedLimit(0.2), 0.0, 500.0)
+    due_ms = 500.0 + SILENCE_MS
+    assert not limit.may_probe(due_ms, rank=0)
+    assert limit.may_probe(due_ms + 1, rank=0)
+    assert not limit.may_probe(due_ms + 1, rank=1)
+    assert limit.may_probe(due_ms + PROBE_STEP_MS + 1, rank=1)
+    limit.on_send(due_ms + 1)
+    assert not limit.may_probe(due_ms + 2, rank=0)
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
+import math
+import struct
 from typing import TYPE_CHECKING
 
+import cbor2
 from expression import Result
 import pytest
 
@@ -20,14 +23,17 @@
 from gentianbank.control.peers import Received
 from gentianbank.domain.load_report import LoadReport
 from gentianbank.domain.registration import NodeRegistration
+from gentianbank.domain.request_limit import LimitStatement
+from gentianbank.domain.request_limit import NamedLimit
+from gentianbank.domain.request_limit import NoLimit
 from gentianbank.policy.gossip_schedule import GossipSchedule
 from gentianbank.policy.gossip_schedule import MIN_SILENCE_MS
 from gentianbank.policy.gossip_schedule import REMOTE_REGION_TICKS
 from gentianbank.steering.cluster_view import ClusterView
 from gentianbank.steering.load_gossip import choose_peers
 from gentianbank.steering.load_gossip import LoadGossip
-from gentianbank.steering.load_gossip import LoadUpdate
 from gentianbank.steering.load_gossip import MAX_PEERS
+from gentianbank.steering.load_update import LoadUpdate
 from gentianbank.steering.store_catch_up import StoreCatchUp
 from tests.support.steering import REGIONS
 from tests.support.steering import registration
@@ -134,6 +140,16 @@
         for _ in range(count):
             self.cluster_view.targets[target].on_send(0.0, 'read/7')
 
+    def hear_limit(self, hub: Hub, statement: LimitStatement) -> None:
+        """Get an answer of ``desk-1`` to a request that was just sent."""
+        target = self.cluster_view.targets['desk-1']
+        target.on_send(hub.now_ms, '')
+        target.limit.on_answer(statement, hub.now_ms, hub.now_ms)
+        target.on_end()
+
+    def limit_per_s(self) -> float | None:
+        return self.cluster_view.targets['desk-1'].limit.requests_per_s
+
     def occupancy(self, hub: Hub, target: str = 'desk-1') -> float:
         return self.cluster_view.targets[target].occupancy(hub.now_ms)
 
@@ -233,6 +249,90 @@
     assert hub.nodes['vm-1'].occupancy(hub) == 4
 
 
+def test_nodes_learn_the_limit_of_a_target_and_its_end() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    first, second, third = hub.nodes.values()
+    first.hear_limit(hub, NamedLimit(2.5))
+    hub.advance_ms(TICK_MS)
+    assert [second.limit_per_s(), third.limit_per_s()] == [2.5, 2.5]
+    second.hear_limit(hub, NoLimit())
+    hub.advance_ms(TICK_MS)
+    assert [n.limit_per_s() for n in hub.nodes.values()] == [None] * 3
+
+
+def test_node_learns_a_limit_from_a_peer_that_did_not_hear_it_itself() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    first, second, third = hub.nodes.values()
+    first.peers.connected.discard('vm-3')
+    first.hear_limit(hub, NamedLimit(2.5))
+    hub.advance_ms(3 * TICK_MS)
+    assert [second.limit_per_s(), third.limit_per_s()] == [2.5, 2.5]
+    third.hear_limit(hub, NoLimit())
+    hub.advance_ms(3 * TICK_MS)
+    assert first.limit_per_s() is None
+
+
+def test_joining_node_learns_the_limits_of_targets() -> None:
+    hub = Hub('vm-1')
+    hub.nodes['vm-1'].hear_limit(hub, NamedLimit(2.5))
+    hub.advance_ms(5_000.0)
+    late = hub.nodes['vm-2'] = Node(hub, 'vm-2')
+    for node in hub.nodes.values():
+        node.cluster_view.nodes |= {vm: entry(vm) for vm in hub.nodes}
+    hub.advance_ms(1_000.0)
+    assert late.limit_per_s() == 2.5
+
+
+def test_limit_that_stays_the_same_is_told_once_a_second() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    first, second = hub.nodes.values()
+    heard_ms = set()
+    for _ in range(50):
+        first.hear_limit(hub, NamedLimit(2.5))
+        hub.advance_ms(TICK_MS)
+        limit = second.cluster_view.targets['desk-1'].limit
+        heard_ms.add(limit.heard_ms)
+    assert 4 <= len(heard_ms) <= 6
+
+
+@pytest.mark.parametrize(
+    'limits',
+    [
+        struct.pack('>HdI', 0, math.nan, 0),
+        struct.pack('>HdI', 0, math.inf, 0),
+        struct.pack('>HdI', 7, 2.5, 0),
+        struct.pack('>HdI', 0, 2.5, 0)[:-1],
+    ],
+    ids=['no number', 'infinite', 'unknown target', 'incomplete'],
+)
+def test_malformed_limits_of_a_peer_are_ignored(limits: bytes) -> None:
+    hub = Hub('vm-1', 'vm-2')
+    update = LoadUpdate(
+        targets=b'desk-1',
+        in_flight=b'\x01',
+        slowdowns=b'\x00',
+        objects=b'',
+        limits=limits,
+    )
+    hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
+    assert hub.nodes['vm-1'].limit_per_s() is None
+
+
+def test_update_of_an_older_node_has_no_limits() -> None:
+    kind, values = cbor2.loads(
+        encode_message(
+            LoadUpdate(
+                targets=b'desk-1',
+                in_flight=b'\x01',
+                slowdowns=b'\x00',
+                objects=b'',
+            )
+        )
+    )
+    decoded = decode_message(cbor2.dumps([kind, values[:4]]))
+    assert decoded.is_ok()
+
+
 def test_loads_of_unknown_targets_are_ignored() -> None:
     hub = Hub('vm-1', 'vm-2')
     other = hub.nodes['vm-2'].cluster_view
