--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -50,6 +50,9 @@
         Incremented when the configuration, a target's entry or the
         evacuated failure domains change, so that results computed from
         them can be discarded.
+    fleet_generation
+        Incremented when the known nodes change, among which limits for all
+        nodes together are divided.
     store_answered_ms
         Time when the store last answered; ``None`` before that.
     peer_loads
@@ -70,6 +73,7 @@
     evacuated: frozenset[str] = frozenset()
     nodes: dict[str, NodeRegistration] = field(default_factory=dict)
     generation: int = 0
+    fleet_generation: int = 0
     store_answered_ms: float | None = None
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
@@ -131,8 +135,14 @@
         """
         if self.nodes.get(node.vm) != node:
             self.disconnected_peers.discard(node.vm)
+            self.fleet_generation += 1
         self.nodes[node.vm] = node
 
+    def remove_node(self, vm: str) -> None:
+        """Remove a node whose entry is gone."""
+        if self.nodes.pop(vm, None) is not None:
+            self.fleet_generation += 1
+
     def put_target(
         self,
         entry: TargetRegistration,
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -58,7 +58,7 @@
         self._bounds = bounds
         self._cold_quotas: dict[str, int] = {}
         self._limit_parts: dict[tuple[str, float], LimitPart] = {}
-        self._cached_generation = -1
+        self._cached_generations = (-1, -1)
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
@@ -174,7 +174,11 @@
         return regions | {f'unknown {index}': None for index in unknown}
 
     def _drop_stale_caches(self) -> None:
-        if self._cached_generation != self._cluster_view.generation:
-            self._cached_generation = self._cluster_view.generation
+        generations = (
+            self._cluster_view.generation,
+            self._cluster_view.fleet_generation,
+        )
+        if self._cached_generations != generations:
+            self._cached_generations = generations
             self._cold_quotas.clear()
             self._limit_parts.clear()
--- /dev/null
+++ b/tests/steering/test_fleet_quotas.py
@@ -0,0 +1,68 @@
+"""Tests of a node's parts of the limits for all nodes together."""
+
+from __future__ import annotations
+
+import pytest
+
+from gentianbank.domain.request_limit import NamedLimit
+from tests.support.fleet import Fleet
+from tests.support.fleet import LIMITED
+from tests.support.fleet import regions_of
+from tests.support.fleet import registration_of
+
+# Nodes and failure domains of the deployments, small, grown and large.
+FLEETS = [(7, 6), (25, 6), (34, 6), (35, 9), (77, 9), (300, 9)]
+COLD_MS = 10_000.0
+COLD_ALLOWED_PER_S = 15.5
+LIMIT_PER_S = 4.0
+LIMIT_ALLOWED = 16
+
+
+def count_cold_sends(fleet: Fleet) -> int:
+    """Return how many requests the cold target gets at once."""
+    sent = 0
+    for node in fleet.nodes:
+        target = node.cluster_view.targets[LIMITED]
+        now_ms = node.loop.now_ms()
+        target.cold_until_ms = now_ms + COLD_MS
+        while node.placer.quotas.may_send(target, now_ms):
+            target.on_send(now_ms, '')
+            sent += 1
+    return sent
+
+
+def count_limited_sends(fleet: Fleet) -> int:
+    """Return how many requests the limited target gets at once."""
+    sent = 0
+    for node in fleet.nodes:
+        target = node.cluster_view.targets[LIMITED]
+        now_ms = node.loop.now_ms()
+        target.limit.on_answer(NamedLimit(LIMIT_PER_S), now_ms, now_ms)
+        while node.placer.quotas.may_send(target, now_ms):
+            target.on_send(now_ms, '')
+            sent += 1
+    return sent
+
+
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+def test_quotas_of_all_nodes_sum_to_no_more_than_the_limits(
+    nodes: int, domains: int
+) -> None:
+    cold_sends = count_cold_sends(Fleet(nodes, regions_of(domains)))
+    assert 1 <= cold_sends <= COLD_ALLOWED_PER_S
+    limited_sends = count_limited_sends(Fleet(nodes, regions_of(domains)))
+    assert 1 <= limited_sends <= LIMIT_ALLOWED
+
+
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
+def test_quotas_shrink_when_more_nodes_become_known(
+    nodes: int, domains: int
+) -> None:
+    fleet = Fleet(nodes, regions_of(domains), know_each_other=False)
+    for node in fleet.nodes:
+        target = node.cluster_view.targets[LIMITED]
+        target.cold_until_ms = node.loop.now_ms() + COLD_MS
+        node.placer.quotas.may_send(target, node.loop.now_ms())
+        for other in fleet.nodes:
+            node.cluster_view.put_node(registration_of(other))
+    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -6,15 +6,9 @@
 
 from tests.support.fleet import allowed_requests
 from tests.support.fleet import Fleet
+from tests.support.fleet import regions_of
 
-SIX_DOMAINS = {
-    'east-1': 'east',
-    'east-2': 'east',
-    'west-1': 'west',
-    'west-2': 'west',
-    'hills-1': 'hills',
-    'hills-2': 'hills',
-}
+SIX_DOMAINS = regions_of(6)
 
 
 @pytest.mark.parametrize('limit_per_s', [2.5, 3.1, 4.0])
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -32,6 +32,7 @@
 WORK_S = 0.2
 TARGETS = 4
 OBJECTS = 40
+REGIONS = ('east', 'west', 'hills')
 LIMITED = 'desk-1'
 # Span over which a target counts its requests.
 WINDOW_S = 4.0
@@ -113,7 +114,13 @@
     Callers send to every node, for random objects of one route.
     """
 
-    def __init__(self, nodes: int, regions: dict[str, str]) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        regions: dict[str, str],
+        *,
+        know_each_other: bool = True,
+    ) -> None:
         self.loop = VirtualLoop()
         self.targets = SharedTargets(self.loop)
         self.replies: list[Reply] = []
@@ -131,7 +138,7 @@
             for number in range(nodes)
         ]
         for node in self.nodes:
-            for other in self.nodes:
+            for other in self.nodes if know_each_other else ():
                 node.cluster_view.put_node(registration_of(other))
 
     def play(self, duration_s: float, requests_per_s: float) -> None:
@@ -155,6 +162,16 @@
         await node.proxy.serve(caller.exchange())
 
 
+def regions_of(domains: int) -> dict[str, str]:
+    """Return three regions with some failure domains together."""
+    return {
+        f'{REGIONS[number % len(REGIONS)]}-{number // len(REGIONS) + 1}': (
+            REGIONS[number % len(REGIONS)]
+        )
+        for number in range(domains)
+    }
+
+
 def registration_of(node: Path) -> NodeRegistration:
     """Return the entry of a node."""
     return NodeRegistration(
