--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 
+from gentianbank.policy.fleet_members import FleetMembers
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.target_load import TargetLoad
 
@@ -50,9 +51,8 @@
         Incremented when the configuration, a target's entry or the
         evacuated failure domains change, so that results computed from
         them can be discarded.
-    fleet_generation
-        Incremented when the known nodes change, among which limits for all
-        nodes together are divided.
+    members
+        Nodes among which limits for all nodes together are divided.
     store_answered_ms
         Time when the store last answered; ``None`` before that.
     peer_loads
@@ -73,7 +73,7 @@
     evacuated: frozenset[str] = frozenset()
     nodes: dict[str, NodeRegistration] = field(default_factory=dict)
     generation: int = 0
-    fleet_generation: int = 0
+    members: FleetMembers = field(default_factory=FleetMembers)
     store_answered_ms: float | None = None
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
@@ -135,13 +135,13 @@
         """
         if self.nodes.get(node.vm) != node:
             self.disconnected_peers.discard(node.vm)
-            self.fleet_generation += 1
         self.nodes[node.vm] = node
+        self.members.put(node.vm, node.region)
 
-    def remove_node(self, vm: str) -> None:
+    def remove_node(self, vm: str, now_ms: float) -> None:
         """Remove a node whose entry is gone."""
-        if self.nodes.pop(vm, None) is not None:
-            self.fleet_generation += 1
+        self.nodes.pop(vm, None)
+        self.members.on_entry_gone(vm, now_ms)
 
     def put_target(
         self,
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -10,6 +10,8 @@
 from gentianbank.policy.fleet_limits import limited_target_quota
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.cluster_view import ClusterView
@@ -42,6 +44,8 @@
     ----------
     vm
         Name of this node.
+    clock
+        Returns the monotonic time in milliseconds.
     """
 
     def __init__(
@@ -51,11 +55,13 @@
         region: str,
         cluster_view: ClusterView,
         bounds: Bounds,
+        clock: Callable[[], float],
     ) -> None:
         self._vm = vm
         self._region = region
         self._cluster_view = cluster_view
         self._bounds = bounds
+        self._clock = clock
         self._cold_quotas: dict[str, int] = {}
         self._limit_parts: dict[tuple[str, float], LimitPart] = {}
         self._cached_generations = (-1, -1)
@@ -72,7 +78,9 @@
         At least one more than there are failure domains, since some nodes
         may not be known yet.
         """
-        known = len({*self._cluster_view.nodes, self._vm})
+        known = len(self._cluster_view.members)
+        if self._vm not in self._cluster_view.members:
+            known += 1
         return max(known, len(self._cluster_view.regions) + 1)
 
     def max_connections_per_target(self, service: str) -> int:
@@ -167,16 +175,17 @@
         region is ``None``.
         """
         regions: dict[str, str | None] = {
-            node.vm: node.region for node in self._cluster_view.nodes.values()
+            **self._cluster_view.members.regions,
+            self._vm: self._region,
         }
-        regions[self._vm] = self._region
         unknown = range(self.assumed_node_count - len(regions))
         return regions | {f'unknown {index}': None for index in unknown}
 
     def _drop_stale_caches(self) -> None:
+        self._cluster_view.members.forget_departed(self._clock())
         generations = (
             self._cluster_view.generation,
-            self._cluster_view.fleet_generation,
+            self._cluster_view.members.generation,
         )
         if self._cached_generations != generations:
             self._cached_generations = generations
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -96,7 +96,11 @@
         self._bounds = bounds
         self._clock = clock
         self._quotas = FleetQuotas(
-            vm=vm, region=region, cluster_view=cluster_view, bounds=bounds
+            vm=vm,
+            region=region,
+            cluster_view=cluster_view,
+            bounds=bounds,
+            clock=clock,
         )
         self._route_times: dict[str, RouteTimes] = {}
         self._shares: dict[tuple[str, bool], RegionShares] = {}
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -314,7 +314,7 @@
         if vm == self._vm:
             self._on_own_entry_gone()
             return
-        self._cluster_view.remove_node(vm)
+        self._cluster_view.remove_node(vm, self._clock())
         logging.info('node gone', extra={'vm': vm})
 
     def _drop_expired_targets(self) -> None:
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from gentianbank.domain.request_limit import NamedLimit
@@ -54,6 +56,20 @@
     assert 1 <= limited_sends <= LIMIT_ALLOWED
 
 
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
+@pytest.mark.parametrize('after_ms', [100.0, 30_000.0])
+def test_quotas_count_nodes_whose_entries_have_lapsed_but_that_still_send(
+    nodes: int, domains: int, after_ms: float
+) -> None:
+    fleet = Fleet(nodes, regions_of(domains))
+    cut = fleet.nodes[: nodes // 3]
+    for node in fleet.nodes[nodes // 3 :]:
+        for gone in cut:
+            node.cluster_view.remove_node(gone.vm, fleet.loop.now_ms())
+    fleet.loop.run_until_complete(asyncio.sleep(after_ms / 1_000))
+    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+
+
 @pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
 def test_quotas_shrink_when_more_nodes_become_known(
     nodes: int, domains: int
