--- a/src/gentianbank/domain/registration.py
+++ b/src/gentianbank/domain/registration.py
@@ -30,6 +30,17 @@
     born_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberRegistration:
+    """An entry that outlasts a node's own: the node may still send requests.
+
+    Limits for all nodes together are divided among these nodes.
+    """
+
+    vm: str = schema.text()
+    region: str = schema.text()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NodeRegistration:
     """The entry that a node writes: where callers and other nodes reach it.
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -31,6 +31,7 @@
 from gentianbank.steering.apps import ProxyApp
 from gentianbank.steering.apps import ReadinessApp
 from gentianbank.steering.cluster_view import ClusterView
+from gentianbank.steering.member_record import MemberRecord
 from gentianbank.steering.membership import Membership
 from gentianbank.steering.placer import Placer
 from gentianbank.steering.proxy import Proxy
@@ -102,7 +103,11 @@
         )
         self._cluster_view = ClusterView(dict(settings.regions))
         self._membership = Membership(
-            me, self._store, settings.store, lambda: self._sync.retry_now()
+            me,
+            self._store,
+            settings.store,
+            MemberRecord(me, self._store, now_ms),
+            lambda: self._sync.retry_now(),
         )
         self._sync = StoreSync(
             vm=settings.vm,
--- a/src/gentianbank/platform/keyspace.py
+++ b/src/gentianbank/platform/keyspace.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 import json
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from expression import Ok
 from expression import Result
 
 from gentianbank.domain import schema
+from gentianbank.domain.registration import MemberRegistration
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
@@ -24,9 +26,12 @@
     from gentianbank.domain.errors import InvalidDocument
     from gentianbank.storage.store import StoredValue
 
+T = TypeVar('T')
+
 # Prefix of every key: a node watches all keys with one call at a time.
 ALL_KEYS_PREFIX = ''
 NODE_PREFIX = 'nodes/'
+MEMBER_PREFIX = 'members/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,13 @@
     vm: str
 
 
+@dataclass(frozen=True, slots=True)
+class MemberKey:
+    """The key belongs to the lasting entry of a node."""
+
+    vm: str
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationKey:
     """The key belongs to the operator's configuration."""
@@ -60,9 +72,20 @@
     """The key has no meaning for a node."""
 
 
-KeyKind = ConfigurationKey | EvacuationKey | TargetKey | NodeKey | UnrelatedKey
+KeyKind = (
+    ConfigurationKey
+    | EvacuationKey
+    | TargetKey
+    | NodeKey
+    | MemberKey
+    | UnrelatedKey
+)
 DecodedValue = (
-    RouteTable | TargetRegistration | NodeRegistration | EvacuationKey
+    RouteTable
+    | TargetRegistration
+    | NodeRegistration
+    | MemberRegistration
+    | EvacuationKey
 )
 
 
@@ -76,6 +99,8 @@
         return TargetKey(key.removeprefix(TARGET_PREFIX))
     if key.startswith(NODE_PREFIX):
         return NodeKey(key.removeprefix(NODE_PREFIX))
+    if key.startswith(MEMBER_PREFIX):
+        return MemberKey(key.removeprefix(MEMBER_PREFIX))
     return UnrelatedKey()
 
 
@@ -90,7 +115,9 @@
         case TargetKey():
             return decode_target(stored.key, stored.value).map(_as_optional)
         case NodeKey():
-            return _decode_node(stored).map(_as_optional)
+            return _decode(NodeRegistration, stored).map(_as_optional)
+        case MemberKey():
+            return _decode(MemberRegistration, stored).map(_as_optional)
         case EvacuationKey() as domain:
             return Ok(domain)
         case UnrelatedKey():
@@ -113,14 +140,24 @@
     return Put(node_key(node.vm), value, lease)
 
 
-def _decode_node(
-    stored: StoredValue,
-) -> Result[NodeRegistration, InvalidDocument]:
+def member_key(vm: str) -> str:
+    """Return the key of a node's lasting entry."""
+    return f'{MEMBER_PREFIX}{vm}'
+
+
+def encode_member(node: NodeRegistration, lease: int) -> Put:
+    """Return the write of a node's lasting entry under its lease."""
+    member = MemberRegistration(vm=node.vm, region=node.region)
+    value = json.dumps(schema.dump(member)).encode()
+    return Put(member_key(node.vm), value, lease)
+
+
+def _decode(kind: type[T], stored: StoredValue) -> Result[T, InvalidDocument]:
     try:
         raw = json.loads(stored.value)
     except (ValueError, RecursionError):
         raw = None
-    return schema.read(NodeRegistration, raw, stored.key, ignore_unknown=True)
+    return schema.read(kind, raw, stored.key, ignore_unknown=True)
 
 
 def _as_optional(value: DecodedValue) -> DecodedValue | None:
--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -16,6 +16,7 @@
 
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.domain.steering_settings import SteeringStore
+    from gentianbank.steering.member_record import MemberRecord
     from gentianbank.storage.prefix_store import PrefixStore
 
 # The lease survives one lost renewal.
@@ -31,6 +32,8 @@
     ----------
     me
         The node's own entry.
+    record
+        The node's lasting entry, which is kept up to date on the way.
     on_store_recovered
         Called when registration or renewal succeeds for the first time or
         again after a failure.
@@ -41,11 +44,13 @@
         me: NodeRegistration,
         store: PrefixStore,
         settings: SteeringStore,
+        record: MemberRecord,
         on_store_recovered: Callable[[], None],
     ) -> None:
         self._me = me
         self._store = store
         self._settings = settings
+        self._record = record
         self._on_store_recovered = on_store_recovered
         self._lease = 0
         self._is_registered = False
@@ -74,6 +79,8 @@
             if registered and not self._is_registered:
                 self._on_store_recovered()
             self._is_registered = registered
+            if registered:
+                await self._record.refresh()
             self._entry_lost.clear()
             try:
                 async with asyncio.timeout(
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -12,14 +12,17 @@
 
 from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.domain.registration import MemberRegistration
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
 from gentianbank.platform import keyspace
 from gentianbank.platform.keyspace import ConfigurationKey
 from gentianbank.platform.keyspace import EvacuationKey
+from gentianbank.platform.keyspace import MemberKey
 from gentianbank.platform.keyspace import NodeKey
 from gentianbank.platform.keyspace import TargetKey
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import Removal
@@ -210,6 +213,10 @@
         for vm in list(self._cluster_view.nodes):
             if keyspace.node_key(vm) not in keys:
                 self._on_node_removed(vm)
+        members = self._cluster_view.members
+        for vm in members.named_by(MemberSource.LASTING):
+            if keyspace.member_key(vm) not in keys:
+                self._on_member_removed(vm)
         self._revision = listing.revision
         self._recent_changes.clear()
         self._recent_after_revision = listing.revision
@@ -242,6 +249,10 @@
                 self._apply_target(entry, first=first)
             case Result(tag='ok', ok=NodeRegistration() as node):
                 self._cluster_view.put_node(node)
+            case Result(tag='ok', ok=MemberRegistration(vm=vm, region=region)):
+                self._cluster_view.members.put(
+                    vm, region, MemberSource.LASTING
+                )
             case Result(tag='ok', ok=EvacuationKey(name)):
                 domains = self._cluster_view.evacuated | {name}
                 self._cluster_view.set_evacuated_domains(
@@ -285,6 +296,8 @@
                 self._on_target_removed(target_id)
             case NodeKey(vm):
                 self._on_node_removed(vm)
+            case MemberKey(vm):
+                self._on_member_removed(vm)
             case EvacuationKey(name):
                 domains = self._cluster_view.evacuated - {name}
                 self._cluster_view.set_evacuated_domains(
@@ -317,6 +330,11 @@
         self._cluster_view.remove_node(vm, self._clock())
         logging.info('node gone', extra={'vm': vm})
 
+    def _on_member_removed(self, vm: str) -> None:
+        self._cluster_view.members.on_entry_gone(
+            vm, self._clock(), MemberSource.LASTING
+        )
+
     def _drop_expired_targets(self) -> None:
         now_ms = self._clock()
         for target_id, deadline_ms in list(self._drop_deadlines_ms.items()):
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -12,6 +12,8 @@
 
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringStore
+from gentianbank.steering.member_record import MemberRecord
+from gentianbank.steering.member_record import RENEWAL_MS
 from gentianbank.steering.membership import Membership
 from gentianbank.storage.prefix_store import LeaseExpired
 from tests.support.store_copy import FakeStore
@@ -40,6 +42,7 @@
         super().__init__()
         self._loop = loop
         self.ends_ms: dict[int, float] = {}
+        self.ttls_ms: dict[int, int] = {}
         self.entries: dict[str, int] = {}
 
     def has_live_entry(self, key: str) -> bool:
@@ -63,6 +66,7 @@
         if error := await self._call():
             return Error(error)
         lease = len(self.ends_ms) + 1
+        self.ttls_ms[lease] = ttl_ms
         self.ends_ms[lease] = self._loop.now_ms() + ttl_ms
         return Ok(lease)
 
@@ -73,7 +77,7 @@
             return Error(error)
         if not self._is_lease_live(lease):
             return Error(LeaseExpired())
-        self.ends_ms[lease] = self._loop.now_ms() + LEASE_MS
+        self.ends_ms[lease] = self._loop.now_ms() + self.ttls_ms[lease]
         return Ok(None)
 
     async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
@@ -95,7 +99,11 @@
         self.recoveries = 0
         settings = SteeringStore(address='10.0.0.9:1', lease_ms=LEASE_MS)
         self.membership = Membership(
-            ME, self.store, settings, self._count_recovery
+            ME,
+            self.store,
+            settings,
+            MemberRecord(ME, self.store, self.loop.now_ms),
+            self._count_recovery,
         )
         self.task = self.loop.create_task(self.membership.run())
         self.wait(0.1)
@@ -109,6 +117,11 @@
         """Return whether the node's entry is in the store."""
         return self.store.has_live_entry('nodes/vm-1')
 
+    @property
+    def is_member(self) -> bool:
+        """Return whether the node's lasting entry is in the store."""
+        return self.store.has_live_entry('members/vm-1')
+
     def _count_recovery(self) -> None:
         self.recoveries += 1
 
@@ -158,3 +171,30 @@
     began_s = node.loop.time()
     node.loop.run_until_complete(node.membership.unregister())
     assert node.loop.time() - began_s <= 1.1
+
+
+def test_lasting_entry_outlives_an_outage_and_the_leaving(node: Node) -> None:
+    assert node.is_member
+    node.store.set_fault('refuse')
+    node.wait(60)
+    assert node.is_member
+    assert not node.is_registered
+    node.store.set_fault('')
+    node.loop.run_until_complete(node.membership.unregister())
+    assert node.is_member
+
+
+def test_lasting_entry_is_renewed_rarely(node: Node) -> None:
+    calls = node.store.calls
+    leases = len(node.store.ends_ms)
+    node.wait(2.5 * RENEWAL_MS / 1_000)
+    assert node.is_member
+    assert len(node.store.ends_ms) == leases
+    own_renewals = 2.5 * RENEWAL_MS / (LEASE_MS / 2.5)
+    assert node.store.calls - calls <= own_renewals + 3
+
+
+def test_lasting_entry_that_was_lost_is_written_again(node: Node) -> None:
+    node.store.ends_ms = dict.fromkeys(node.store.ends_ms, 0.0)
+    node.wait(RENEWAL_MS / 1_000 + 5)
+    assert node.is_member
--- a/tests/steering/test_store_sync.py
+++ b/tests/steering/test_store_sync.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from gentianbank.policy.fleet_members import MEMORY_MS
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
 from tests.support.store_copy import Copy
@@ -197,3 +198,31 @@
     copy.wait(0.6)
     assert copy.own_entry_lost == 1
     assert 'vm-2' not in copy.cluster_view.nodes
+
+
+def test_starting_node_counts_members_whose_own_entries_have_lapsed(
+    copy: Copy,
+) -> None:
+    copy.store.write('members/vm-2', {'vm': 'vm-2', 'region': 'west'})
+    copy.wait(1.0)
+    assert copy.cluster_view.members.regions['vm-2'] == 'west'
+    assert 'vm-2' not in copy.cluster_view.nodes
+    late = Copy(copy.loop, copy.store)
+    assert late.cluster_view.members.regions['vm-2'] == 'west'
+
+
+@pytest.mark.parametrize('listed', [False, True])
+def test_lasting_entry_that_is_gone_is_forgotten_later(
+    copy: Copy, listed: bool
+) -> None:
+    copy.store.write('members/vm-2', {'vm': 'vm-2', 'region': 'west'})
+    copy.wait(1.0)
+    copy.store.remove('members/vm-2')
+    if listed:
+        copy.store.forget_history()
+    copy.wait(1.0)
+    members = copy.cluster_view.members
+    members.forget_departed(copy.loop.now_ms())
+    assert 'vm-2' in members
+    members.forget_departed(copy.loop.now_ms() + MEMORY_MS)
+    assert 'vm-2' not in members
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -139,9 +139,13 @@
 class Copy:
     """A node's copy of a fake store with two targets."""
 
-    def __init__(self, loop: VirtualLoop | None = None) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop | None = None,
+        store: FakeStore | None = None,
+    ) -> None:
         self.loop = loop or VirtualLoop()
-        self.store = FakeStore()
+        self.store = store or FakeStore()
         self.cluster_view = ClusterView({'east-1': 'east'})
         self.own_entry_lost = 0
         self.sync = StoreSync(
