--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -290,6 +290,9 @@
             return Error(MaybeSent('the answer is to another request'))
         if find_header(answer.headers, http_headers.NOT_RUN) == b'true':
             await answer.close()
+            if echo is None:
+                # It may be an earlier answer that is sent once more.
+                return Error(MaybeSent('the refusal names no request'))
             return Error(_Shed(f'the target answered {answer.status}'))
         self._routing.on_answer(permit, self._clock() - sent_ms)
         return Ok(answer)
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -188,6 +188,11 @@
         """Read the answer and record the load and health of the target."""
         target = placed.target
         status, headers = answer.status, answer.headers
+        if request.request_id and not find_header(headers, wire.REQUEST_ID):
+            # It may be an earlier answer that is sent once more.
+            await answer.close()
+            target.on_broken(self._clock())
+            return Broken('the answer names no request')
         load = wire.decode_load_report(headers)
         if load is not None:
             target.on_report(load, self._clock())
--- a/tests/dataplane/test_at_most_once.py
+++ b/tests/dataplane/test_at_most_once.py
@@ -351,6 +351,20 @@
     assert retry.result().outcome == 'unknown'
 
 
+def test_refusal_that_names_no_request_is_not_called_not_run() -> None:
+    world = World()
+    for vm in VMS:
+        world.start(vm)
+    world.targets.fault = 'repeated refusal'
+    path = '/services/ordering/orders'
+    key = f'{world.nodes["vm-1"].member.incarnation}.0.order'
+    task = world.submit('vm-1', 'POST', path, key, b'order')
+    world.advance(5)
+    assert world.targets.executed == {'order': 1}
+    world.close()
+    assert task.result().outcome == 'unknown'
+
+
 def test_waiting_request_gets_outcome_of_another_node() -> None:
     world = World()
     for vm in VMS:
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -125,6 +125,27 @@
     assert path.ask(**ORDER_REQUEST).status == 502
 
 
+@pytest.mark.parametrize('status', [503, 429, 421])
+def test_refusal_that_names_no_request_does_not_say_not_run(
+    status: int,
+) -> None:
+    path = Path()
+    path.transport.default = replace(SHED, status=status, names_request=False)
+    reply = path.ask(**ORDER_REQUEST)
+    assert reply.status == 502
+    assert len(path.transport.requests) == 1
+
+
+def test_failure_that_names_no_request_is_not_passed_on() -> None:
+    path = Path()
+    path.transport.default = replace(
+        FAILED, headers=(STAMP,), names_request=False
+    )
+    reply = path.ask(**ORDER_REQUEST)
+    assert reply.status == 502
+    assert header(reply.headers, b'server-stamp') == b''
+
+
 def test_refusal_after_lost_answer_and_rejection_is_502() -> None:
     path = Path()
     first = ask_and_get_target_address(path)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -295,6 +295,9 @@
             await asyncio.sleep(limit_s)
             return Error(MaybeSent('timeout'))
         await asyncio.shield(task)
+        if fault == 'repeated refusal':
+            shed = [(b'request-not-run', b'true')]
+            return Ok(FakeAnswer(503, shed, b'', False))
         if fault == 'crossed answer':
             echo, token = b'another-id', 'another-token'
         answer = json.dumps({'token': token}).encode()
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -83,6 +83,7 @@
     failure: SendError | None = None
     cut: bool = False
     request_id: bytes | None = None
+    names_request: bool = True
 
 
 SHED = Script(status=503, headers=((b'not-executed', b'1'),), after_s=0.002)
@@ -100,10 +101,9 @@
         self._unread = script.body
         self.status = script.status
         echo = script.request_id or request_id
-        self.headers: RawHeaders = [
-            *script.headers,
-            (b'Request-Id', echo),
-        ]
+        self.headers: RawHeaders = [*script.headers]
+        if script.names_request:
+            self.headers.append((b'Request-Id', echo))
 
     async def chunks(self) -> AsyncIterator[bytes]:
         if self._script.cut:
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -213,6 +213,28 @@
     run_with_server([[answer('r-0', 'other') + answer('r-1')]], test)
 
 
+def refusal(request_id: str) -> bytes:
+    """Return an answer that says that its request has not run."""
+    return (
+        'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+        f'Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+@pytest.mark.parametrize('repeats', [1, 3])
+def test_refusal_of_an_earlier_request_is_not_taken_for_the_next(
+    repeats: int,
+) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        for name, status in (('r-1', 503), ('r-2', 200)):
+            sent = await pool.send(build_request(server.address, name))
+            assert sent.ok.status == status
+            await read_body(sent)
+
+    late = refusal('r-1') * repeats
+    run_with_server([[refusal('r-1'), late + answer('r-2')]], test)
+
+
 def test_answer_without_length_ends_with_the_connection() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         sent = await pool.send(build_request(server.address))
