--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -235,6 +235,21 @@
     run_with_server([[refusal('r-1'), late + answer('r-2')]], test)
 
 
+def test_answer_whose_head_is_cut_at_any_byte_is_no_answer() -> None:
+    whole = answer('r-1')
+    cuts = range(whole.index(b'\r\n\r\n') + 4)
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        for _ in cuts:
+            match await pool.send(build_request(server.address)):
+                case Result(tag='error', error=MaybeSent()):
+                    pass
+                case _:
+                    raise AssertionError('answered')
+
+    run_with_server([[whole[:cut] + CLOSE] for cut in cuts], test)
+
+
 def test_answer_without_length_ends_with_the_connection() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         sent = await pool.send(build_request(server.address))
