--- a/src/gentianbank/policy/graceful_shutdown.py
+++ b/src/gentianbank/policy/graceful_shutdown.py
@@ -7,6 +7,8 @@
 # New requests are served for this fraction of the grace period; the rest is
 # for the requests in flight.
 SERVING_FRACTION = 0.48
+# Callers that know only an older look-up answer come no longer than this.
+MAX_SERVING_MS = 2_800.0
 # The node listens for this fraction of the grace period, since callers may
 # still use a cached look-up answer that names it.
 LISTENING_FRACTION = 0.6
@@ -31,7 +33,8 @@
 
     def refuses_requests(self, now_ms: float) -> bool:
         """Return whether new requests are refused."""
-        return now_ms >= self.began_ms + SERVING_FRACTION * self.grace_ms
+        serving_ms = min(SERVING_FRACTION * self.grace_ms, MAX_SERVING_MS)
+        return now_ms >= self.began_ms + serving_ms
 
     def may_exit(self, now_ms: float, in_flight: int) -> bool:
         """Return whether the process may exit.
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -155,11 +155,15 @@
     async def _serve(self, exchange: Exchange) -> None:
         now_ms = self._clock()
         table = self._cluster_view.table
-        if table is None or self._refuses_new_requests:
-            cause = 'this node stops' if table else 'no configuration yet'
-            refusal = Refusal(503, cause, may_retry_later=True)
+        if table is None:
+            refusal = Refusal(
+                503, 'no configuration yet', may_retry_later=True
+            )
             await self._replies.send_refusal(exchange, None, refusal)
             return
+        if self._refuses_new_requests:
+            await self._refuse_as_stopping(exchange, None)
+            return
         host = (exchange.header(b'host') or '').lower()
         path = exchange.path.partition(b'?')[0].decode('latin-1')
         route = table.find(host, path)
@@ -190,6 +194,12 @@
             refusal = Refusal(413, 'body too large', closes_connection=True)
             await self._replies.send_refusal(exchange, request, refusal)
 
+    async def _refuse_as_stopping(
+        self, exchange: Exchange, request: CallerRequest | None
+    ) -> None:
+        refusal = Refusal(503, 'this node stops', may_retry_later=True)
+        await self._replies.send_refusal(exchange, request, refusal)
+
     async def _serve_with_body(
         self, exchange: Exchange, request: CallerRequest, limits: CallerLimits
     ) -> None:
@@ -203,6 +213,9 @@
             refusal = Refusal(408, cause, closes_connection=True)
             await self._replies.send_refusal(exchange, request, refusal)
             return
+        if self._refuses_new_requests:
+            await self._refuse_as_stopping(exchange, request)
+            return
         work = self._send_until_answered(exchange, request, body)
         # While the body is streamed, reading it detects that the caller left.
         if not await run_until_disconnect(
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -246,6 +246,23 @@
     assert not path.transport.requests
 
 
+def test_request_whose_body_comes_late_in_a_stop_is_not_passed_on() -> None:
+    path = Path()
+    caller = Caller(path.loop, **ORDER_REQUEST)
+    caller.send_parts(b'two ', b'posts')
+    caller.part_delay_s = 0.4
+
+    async def serve() -> None:
+        task = asyncio.create_task(path.proxy.serve(caller.exchange()))
+        await asyncio.sleep(0.5)
+        path.proxy.refuse_new_requests()
+        await task
+
+    path.run(serve())
+    assert caller.reply.status == 503
+    assert not path.transport.requests
+
+
 @pytest.mark.parametrize(
     ('head', 'timeout_ms'), [({}, 1_500), (ORDER_REQUEST, 2_000)]
 )
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -176,6 +176,7 @@
         self._loop = loop
         self._parts = [head.pop('body', b'')]
         self._is_unfinished = False
+        self.part_delay_s = 0.0
         self.gone = asyncio.Event()
         self.reply = Reply()
         headers = {
@@ -212,6 +213,7 @@
 
     async def _receive(self) -> dict[str, Any]:
         if self._parts and (self._parts[0] or len(self._parts) > 1):
+            await asyncio.sleep(self.part_delay_s)
             part = self._parts.pop(0)
             more = bool(self._parts)
             return {'type': 'http.request', 'body': part, 'more_body': more}
