--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -139,6 +139,7 @@
             bounds=bounds,
             reporter=reporter,
             is_stopping=self._stop.is_set,
+            started_ms=now_ms(),
             clock=now_ms,
         )
         self._caller_server = _build_server(
--- a/src/gentianbank/policy/fleet_limits.py
+++ b/src/gentianbank/policy/fleet_limits.py
@@ -38,11 +38,15 @@
     ratio, slack
         Budget of all nodes in a window: ``ratio`` retries per request, plus
         ``slack`` retries, which the nodes divide evenly.
+    started_ms
+        Time when the node started. Its part of the slack is free one window
+        later, since it may have spent it just before it started again.
     """
 
     ratio: float
     slack: float
     window_ms: float
+    started_ms: float = float('-inf')
     _requests: SlidingCount = field(init=False)
     _retries: SlidingCount = field(init=False)
 
@@ -50,6 +54,14 @@
         self._requests = SlidingCount(self.window_ms)
         self._retries = SlidingCount(self.window_ms)
 
+    def apply(self, ratio: float, slack: float, window_ms: float) -> None:
+        """Change the budget; what was spent before still counts."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+        self._requests.window_ms = window_ms
+        self._retries.window_ms = window_ms
+
     def on_request(self, now_ms: float) -> None:
         """Count a request from a caller."""
         self._requests.add(now_ms)
@@ -68,7 +80,8 @@
             for such callers, since they do not retry again.
         """
         allowed = self.ratio * self._requests.count(now_ms)
-        allowed += self.slack / max(1, nodes)
+        if now_ms >= self.started_ms + self.window_ms:
+            allowed += self.slack / max(1, nodes)
         usable_fraction = USABLE_FRACTION if returning else NEW_CALLER_FRACTION
         if self._retries.count(now_ms) + 1 > allowed * usable_fraction:
             return False
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -103,6 +103,8 @@
     ----------
     is_stopping
         Returns whether the node is shutting down.
+    started_ms
+        Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -116,9 +118,11 @@
         bounds: Bounds,
         reporter: Reporter,
         is_stopping: Callable[[], bool],
+        started_ms: float,
         clock: Callable[[], float],
     ) -> None:
         self._cluster_view = cluster_view
+        self._started_ms = started_ms
         self._placer = placer
         self._bounds = bounds
         self._clock = clock
@@ -132,9 +136,14 @@
         self.in_flight = 0
 
     def apply_bounds(self, bounds: Bounds) -> None:
-        """Apply changed bounds; the retry budgets start anew."""
+        """Apply changed bounds."""
         self._bounds = bounds
-        self._retry_budgets.clear()
+        for budget in self._retry_budgets.values():
+            budget.apply(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s * _MS_PER_S,
+            )
 
     def refuse_new_requests(self) -> None:
         """Refuse all requests that arrive from now on."""
@@ -325,6 +334,7 @@
                 self._bounds.retry_ratio,
                 self._bounds.retry_slack,
                 self._bounds.retry_window_s * _MS_PER_S,
+                self._started_ms,
             )
             self._retry_budgets[service] = budget
         return budget
--- a/tests/policy/test_fleet_limits.py
+++ b/tests/policy/test_fleet_limits.py
@@ -90,6 +90,32 @@
     assert spent
 
 
+def test_restarted_nodes_spend_no_slack_that_was_spent_before() -> None:
+    nodes = 7
+    spent = 0
+    for started_ms in (-60_000.0, 4_000.0):
+        for _ in range(nodes):
+            budget = SharedRetryBudget(
+                ratio=0.0,
+                slack=56,
+                window_ms=10_000,
+                started_ms=started_ms,
+            )
+            while budget.try_spend(4_500.0, nodes):
+                spent += 1
+    assert spent <= 56
+
+
+def test_changed_retry_budget_remembers_what_was_spent() -> None:
+    budget = SharedRetryBudget(ratio=0.0, slack=56, window_ms=10_000)
+    while budget.try_spend(0.0, 1):
+        pass
+    budget.apply(ratio=0.0, slack=28, window_ms=10_000)
+    assert not budget.try_spend(100.0, 1)
+    budget.apply(ratio=0.0, slack=200, window_ms=10_000)
+    assert budget.try_spend(100.0, 1)
+
+
 def test_retry_budget_keeps_a_part_for_returning_callers() -> None:
     budget = SharedRetryBudget(ratio=0.0, slack=20, window_ms=10_000)
     new_callers = sum(budget.try_spend(0.0, 1) for _ in range(20))
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -47,6 +47,7 @@
 HOST = 'shop.example'
 LOG_LINES_PER_S = 1_000
 CHUNK_BYTES = 100_000
+STARTED_BEFORE_MS = 60_000.0
 STAMP = (b'server-stamp', b'stamp')
 READ = Route(
     name='read',
@@ -281,6 +282,7 @@
             bounds=settings,
             reporter=reporter,
             is_stopping=lambda: self.stopping,
+            started_ms=self.loop.now_ms() - STARTED_BEFORE_MS,
             clock=self.loop.now_ms,
         )
         for number in range(1, targets + 1):
