--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -24,10 +24,21 @@
 # Time for which a target counts as cold after its failure domain came back
 # or after it registered, if the configuration has no policy for its service.
 DEFAULT_COLD_START_MS = 3_000.0
+# The load record of a target is kept this long after its entry is gone. The
+# entry may come back, and what was sent before still counts at the target.
+REMOVED_MEMORY_MS = 60_000.0
 # Limit on the length of one log line.
 MAX_LOGGED_PROBLEMS = 10
 
 
+@dataclass(frozen=True, slots=True)
+class _RemovedTarget:
+    """The load record of a target that was removed."""
+
+    target: TargetLoad
+    removed_ms: float
+
+
 @dataclass(slots=True)
 class ClusterView:
     """Routes, targets and nodes as this node last saw them.
@@ -78,6 +89,7 @@
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
     disconnected_peers: set[str] = field(default_factory=set)
+    _removed: dict[str, _RemovedTarget] = field(default_factory=dict)
 
     @property
     def limited_target_count(self) -> int:
@@ -153,7 +165,8 @@
         """Store the entry of a target.
 
         A target that is new, or that has started again, counts as cold and
-        begins with an empty load record.
+        begins with an empty load record. One whose entry was gone for a
+        while counts as cold too, but keeps its record.
 
         Parameters
         ----------
@@ -162,8 +175,12 @@
             of this node. Such a target may have been running for long, so
             it does not count as cold unless its entry says so.
         """
-        known = self.targets.get(entry.target_id)
+        is_listed = entry.target_id in self.targets
+        known = self.targets.get(entry.target_id) or self._pop_removed(
+            entry.target_id
+        )
         if known is None or _has_restarted(known.registration, entry):
+            is_listed = False
             known = TargetLoad(
                 entry,
                 self._region(entry),
@@ -171,9 +188,9 @@
                 peer_loads=self.peer_loads,
                 changed_loads=self.changed_loads,
             )
-            self.targets[entry.target_id] = known
-            if not from_first_listing:
-                known.cold_until_ms = now_ms + self._cold_ms(entry)
+        self.targets[entry.target_id] = known
+        if not is_listed and not from_first_listing:
+            known.cold_until_ms = now_ms + self._cold_ms(entry)
         known.registration = entry
         known.is_unconfirmed = False
         known.cold_until_ms = max(
@@ -191,11 +208,23 @@
         if target is not None:
             target.is_unconfirmed = True
 
-    def remove_target(self, target_id: str) -> None:
+    def remove_target(self, target_id: str, now_ms: float) -> None:
         """Remove a target whose entry is gone."""
-        if self.targets.pop(target_id, None) is not None:
+        self._forget_removed(now_ms)
+        target = self.targets.pop(target_id, None)
+        if target is not None:
+            self._removed[target_id] = _RemovedTarget(target, now_ms)
             self.generation += 1
 
+    def _pop_removed(self, target_id: str) -> TargetLoad | None:
+        removed = self._removed.pop(target_id, None)
+        return removed.target if removed else None
+
+    def _forget_removed(self, now_ms: float) -> None:
+        for target_id, removed in list(self._removed.items()):
+            if now_ms - removed.removed_ms >= REMOVED_MEMORY_MS:
+                del self._removed[target_id]
+
     def set_evacuated_domains(
         self, domains: frozenset[str], now_ms: float
     ) -> None:
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -288,7 +288,7 @@
             return
         logging.warning('invalid entry ignored', extra={'cause': str(error)})
         if isinstance(subject, TargetKey):
-            self._cluster_view.remove_target(subject.target_id)
+            self._cluster_view.remove_target(subject.target_id, self._clock())
 
     def _apply_removal(self, removal: Removal) -> None:
         match keyspace.kind_of_key(removal.key):
@@ -320,7 +320,7 @@
             )
             self._cluster_view.mark_target_unconfirmed(target_id)
             return
-        self._cluster_view.remove_target(target_id)
+        self._cluster_view.remove_target(target_id, now_ms)
         logging.info('target gone', extra={'target': target_id})
 
     def _on_node_removed(self, vm: str) -> None:
@@ -340,5 +340,5 @@
         for target_id, deadline_ms in list(self._drop_deadlines_ms.items()):
             if now_ms >= deadline_ms:
                 del self._drop_deadlines_ms[target_id]
-                self._cluster_view.remove_target(target_id)
+                self._cluster_view.remove_target(target_id, now_ms)
                 logging.info('target gone', extra={'target': target_id})
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -82,3 +82,28 @@
         for other in fleet.nodes:
             node.cluster_view.put_node(registration_of(other))
     assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+
+
+def test_target_whose_entry_was_gone_for_a_moment_gets_no_second_quota() -> (
+    None
+):
+    fleet = Fleet(7, regions_of(6))
+    cold_sends = count_cold_sends(fleet)
+    limited_sends = count_limited_sends(fleet)
+    for node in fleet.nodes:
+        entry = node.cluster_view.targets[LIMITED].registration
+        node.cluster_view.remove_target(LIMITED, node.loop.now_ms())
+        node.put_target(LIMITED)
+        assert node.cluster_view.targets[LIMITED].registration == entry
+    assert fleet.nodes[0].cluster_view.limited_target_count == 1
+    assert cold_sends + count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert limited_sends + count_limited_sends(fleet) <= LIMIT_ALLOWED
+
+
+def test_target_that_has_started_again_knows_no_limit() -> None:
+    fleet = Fleet(7, regions_of(6))
+    count_limited_sends(fleet)
+    view = fleet.nodes[0].cluster_view
+    view.remove_target(LIMITED, fleet.loop.now_ms())
+    fleet.nodes[0].put_target(LIMITED, born_ms=2)
+    assert not view.limited_target_count
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -340,7 +340,7 @@
     hub.nodes['vm-2'].send('desk-9')
     hub.advance_ms(TICK_MS)
     assert 'desk-9' not in hub.nodes['vm-1'].cluster_view.targets
-    other.remove_target('desk-9')
+    other.remove_target('desk-9', hub.now_ms)
     hub.advance_ms(TICK_MS)
 
 
@@ -351,7 +351,7 @@
     hub.advance_ms(TICK_MS)
     assert second.occupancy(hub) == 1
     target = first.cluster_view.targets['desk-1']
-    first.cluster_view.remove_target('desk-1')
+    first.cluster_view.remove_target('desk-1', hub.now_ms)
     target.on_end()
     hub.advance_ms(TICK_MS)
     assert second.occupancy(hub) == 0
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -345,7 +345,7 @@
     for number in range(6):
         path.ask(request_id=f'r-{number}', key=str(number))
     assert set(path.sent_to()) == {'desk-2'}
-    path.cluster_view.remove_target('desk-2')
+    path.cluster_view.remove_target('desk-2', path.loop.now_ms())
     assert path.ask(request_id='r-9').status == 200
 
 
