--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -18,7 +18,7 @@
 
 # Connections that each node may open to a target, whatever the number of
 # nodes.
-MIN_CONNECTIONS_PER_TARGET = 4
+MIN_CONNECTIONS_PER_TARGET = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gentianbank.domain.request_limit import NamedLimit
+from gentianbank.domain.route_table import ServicePolicy
 from tests.support.fleet import Fleet
 from tests.support.fleet import LIMITED
 from tests.support.fleet import regions_of
@@ -56,6 +57,30 @@
     assert 1 <= limited_sends <= LIMIT_ALLOWED
 
 
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+@pytest.mark.parametrize('max_connections', [330, 390, 1290, 3600])
+def test_connections_of_all_nodes_sum_to_no_more_than_a_target_accepts(
+    nodes: int, domains: int, max_connections: int
+) -> None:
+    fleet = Fleet(nodes, regions_of(domains))
+    policy = ServicePolicy(
+        name='desk',
+        health_path='/health',
+        max_connections=max_connections,
+        cold_start_ms=3_000,
+        cold_per_s=7,
+    )
+    for node in fleet.nodes:
+        assert node.cluster_view.table is not None
+        node.cluster_view.table.services['desk'] = policy
+    connections = [
+        node.placer.quotas.max_connections_per_target('desk')
+        for node in fleet.nodes
+    ]
+    assert max_connections - nodes <= sum(connections) <= max_connections
+    assert min(connections) >= 1
+
+
 @pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
 @pytest.mark.parametrize('after_ms', [100.0, 30_000.0])
 def test_quotas_count_nodes_whose_entries_have_lapsed_but_that_still_send(
