--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -135,6 +135,8 @@
         Only the home regions of the route are used, if it has any. The
         planned region comes first. Other regions follow if it has no
         target, or if it is full and few requests have overflowed lately.
+        Targets of this region that name a limit may be used whatever has
+        overflowed, since the plan leaves them out.
 
         Returns
         -------
@@ -156,13 +158,15 @@
             regions = [name for name in regions if name in allowed_regions]
         first_failure: PlacementResult = NoUsableTarget()
         for region in regions:
-            if isinstance(
-                first_failure, NoCapacity
-            ) and not shares.may_overflow(now_ms):
-                break
-            placement = self._choose_in_region(request, region, now_ms)
+            is_overflow = isinstance(first_failure, NoCapacity)
+            limited_only = is_overflow and not shares.may_overflow(now_ms)
+            if limited_only and region != self._region:
+                continue
+            placement = self._choose_in_region(
+                request, region, now_ms, limited_only=limited_only
+            )
             if isinstance(placement, Placement):
-                if isinstance(first_failure, NoCapacity):
+                if is_overflow and not limited_only:
                     shares.on_overflow(now_ms)
                 return placement
             if isinstance(first_failure, NoUsableTarget):
@@ -170,7 +174,12 @@
         return first_failure
 
     def _choose_in_region(
-        self, request: PlacementRequest, region: str, now_ms: float
+        self,
+        request: PlacementRequest,
+        region: str,
+        now_ms: float,
+        *,
+        limited_only: bool,
     ) -> PlacementResult:
         order = self._ranked_targets(request, region)
         if order and not request.topic:
@@ -178,8 +187,10 @@
             order = order[start:] + order[:start]
         eligible = [
             target
-            for target in order
+            for rank, target in enumerate(order)
             if target.registration.target_id not in request.tried_targets
+            and (target.limit.is_named or not limited_only)
+            and _is_worth_its_quota(target, rank, request.topic)
             and self._quotas.may_send(target, now_ms)
         ]
         preferred = [
@@ -293,6 +304,22 @@
         }
 
 
+def _is_worth_its_quota(target: TargetLoad, rank: int, topic: str) -> bool:
+    """Return whether a target's limit should be spent on an object.
+
+    A target that names a limit serves only objects that it serves anyway:
+    with others it would spend its few requests on cold objects.
+
+    Parameters
+    ----------
+    rank
+        Position of the target in the object's preference order.
+    """
+    if not target.limit.is_named or not topic:
+        return True
+    return not rank or target.has_warm_object(topic)
+
+
 def _max_shift_per_s(bounds: Bounds) -> float:
     """Return how fast the shares of the regions may change."""
     return bounds.max_region_shift * USED_SHIFT_FRACTION / SHIFT_WINDOW_S
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -32,6 +34,8 @@
 WORK_S = 0.2
 TARGETS = 4
 OBJECTS = 40
+# Objects that a target has handled so recently that it works fast.
+WARM_OBJECTS = 30
 REGIONS = ('east', 'west', 'hills')
 LIMITED = 'desk-1'
 # Span over which a target counts its requests.
@@ -46,30 +50,41 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """A request that has reached the limited target."""
+    """A request that has reached a target that names a limit at times."""
 
     time_s: float
     vm: str
+    target: str
+    is_warm: bool
 
 
 @dataclass
 class SharedTargets:
-    """Targets that all nodes use; one names a limit while it has one."""
+    """Targets that all nodes use; some name a limit while there is one."""
 
     loop: VirtualLoop
+    limited: frozenset[str] = frozenset({LIMITED})
     limit_per_s: float | None = None
     named_s: float | None = None
     told_s: dict[str, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
+    _recent_objects: defaultdict[str, deque[bytes]] = field(
+        default_factory=lambda: defaultdict(lambda: deque(maxlen=WARM_OBJECTS))
+    )
 
     async def answer(self, vm: str, request: TargetRequest) -> TargetAnswer:
         """Run a request of a node."""
         target = header(request.headers, b'expect-instance').decode()
         script = Script()
-        if target == LIMITED:
-            self.arrivals.append(Arrival(self.loop.time(), vm))
+        is_warm = self._handle_object(
+            target, header(request.headers, b'affinity-key')
+        )
+        if target in self.limited:
+            self.arrivals.append(
+                Arrival(self.loop.time(), vm, target, is_warm)
+            )
         await asyncio.sleep(WORK_S)
-        if target == LIMITED and self.limit_per_s is not None:
+        if target in self.limited and self.limit_per_s is not None:
             name = (b'Server-Limit', f'{self.limit_per_s:g}'.encode())
             script = replace(script, headers=(*script.headers, name))
             now_s = self.loop.time()
@@ -77,8 +92,20 @@
             self.told_s.setdefault(vm, now_s)
         return ScriptedAnswer(script, header(request.headers, b'request-id'))
 
+    def _handle_object(self, target: str, key: bytes) -> bool:
+        """Return whether the target has handled an object recently."""
+        recent = self._recent_objects[target]
+        is_warm = key in recent
+        if is_warm:
+            recent.remove(key)
+        recent.append(key)
+        return is_warm
+
     def worst_window(self) -> int:
-        """Return the most requests in a window from nodes that were told."""
+        """Return the most requests in a window from nodes that were told.
+
+        They are those of the one target that names a limit.
+        """
         assert self.named_s is not None
         never_s = float('inf')
         times_s = [
@@ -119,16 +146,19 @@
         nodes: int,
         regions: dict[str, str],
         *,
+        targets: int = TARGETS,
+        objects: int = OBJECTS,
         know_each_other: bool = True,
     ) -> None:
         self.loop = VirtualLoop()
         self.targets = SharedTargets(self.loop)
         self.replies: list[Reply] = []
+        self._objects = objects
         self._random = random.Random(SEED)
         domains = sorted(regions)
         self.nodes = [
             Path(
-                targets=TARGETS,
+                targets=targets,
                 vm=f'vm-{number}',
                 failure_domain=domains[number % len(domains)],
                 regions=regions,
@@ -156,7 +186,7 @@
         caller = Caller(
             self.loop,
             request_id=f'r-{len(self.replies)}',
-            key=str(self._random.randrange(OBJECTS)),
+            key=str(self._random.randrange(self._objects)),
         )
         self.replies.append(caller.reply)
         await node.proxy.serve(caller.exchange())
