--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -142,6 +142,7 @@
         if not home.slots:
             self._shift_everything(loads, others)
             return
+        self._leave_regions_without_slots(loads)
         if home.utilization > self.busy_fraction:
             self._increase_shares(loads, others, home, max_shift)
         elif home.utilization < self.busy_fraction - RETURN_MARGIN:
@@ -211,6 +212,29 @@
         for region in self.shares:
             self.shares[region] *= 1 - max_shift / total_share
 
+    def _leave_regions_without_slots(
+        self, loads: dict[str, RegionLoad]
+    ) -> None:
+        """Divide what went to regions without usable slots among the rest.
+
+        The home region takes its part as well.
+        """
+        lost_share = 0.0
+        for region in list(self.shares):
+            if region not in loads or not loads[region].slots:
+                lost_share += self.shares.pop(region)
+        if not lost_share:
+            return
+        free_slots = {
+            region: max(0.0, load.slots - load.occupied)
+            for region, load in loads.items()
+        }
+        total_free = sum(free_slots.values())
+        for region, free in free_slots.items():
+            if free > 0 and region != self.home:
+                share = self.shares.get(region, 0.0)
+                self.shares[region] = share + lost_share * free / total_free
+
     def _shift_everything(
         self, loads: dict[str, RegionLoad], others: list[str]
     ) -> None:
--- a/tests/policy/test_region_shares.py
+++ b/tests/policy/test_region_shares.py
@@ -84,6 +84,24 @@
     assert sum(shares.shares.values()) == 1
 
 
+def test_share_of_a_region_that_loses_its_targets_goes_to_the_others() -> None:
+    shares = build_shares()
+    shares.set_initial_shares(IDLE_LOADS)
+    before = sum(shares.shares.values())
+    shares.step(IDLE_LOADS | {'hills': RegionLoad(0, 0)}, STEP_MS)
+    assert set(shares.shares) == {'east'}
+    # The home region and the other one get it by their free slots.
+    assert 0.7 * before <= shares.shares['east'] <= before
+
+
+def test_share_stays_while_no_region_has_targets_that_can_be_used() -> None:
+    shares = build_shares()
+    shares.set_initial_shares(IDLE_LOADS)
+    before = dict(shares.shares)
+    shares.step(dict.fromkeys(IDLE_LOADS, RegionLoad(0, 0)), STEP_MS)
+    assert shares.shares == before
+
+
 def test_objects_keep_their_region_while_the_shares_hold() -> None:
     shares = build_shares()
     shares.set_initial_shares(IDLE_LOADS)
