--- a/src/gentianbank/policy/fleet_limits.py
+++ b/src/gentianbank/policy/fleet_limits.py
@@ -67,21 +67,21 @@
         self._requests.add(now_ms)
 
     def try_spend(
-        self, now_ms: float, nodes: int, *, returning: bool = False
+        self, now_ms: float, part: float, *, returning: bool = False
     ) -> bool:
         """Spend one retry; return whether this node's part had one left.
 
         Parameters
         ----------
-        nodes
-            Number of nodes that share the slack.
+        part
+            This node's part of the slack, 0 to 1.
         returning
             Whether the caller was refused before. Part of the budget is kept
             for such callers, since they do not retry again.
         """
         allowed = self.ratio * self._requests.count(now_ms)
         if now_ms >= self.started_ms + self.window_ms:
-            allowed += self.slack / max(1, nodes)
+            allowed += self.slack * part
         usable_fraction = USABLE_FRACTION if returning else NEW_CALLER_FRACTION
         if self._retries.count(now_ms) + 1 > allowed * usable_fraction:
             return False
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -8,6 +8,7 @@
 from gentianbank.policy import rendezvous
 from gentianbank.policy.fleet_limits import cold_target_quota
 from gentianbank.policy.fleet_limits import limited_target_quota
+from gentianbank.steering.member_record import LEASE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,12 +28,15 @@
 
     Parameters
     ----------
+    requests_per_s
+        The limit that was divided.
     quota
         Requests per window that this node may send.
     rank
         Position of this node among all nodes, for this target.
     """
 
+    requests_per_s: float
     quota: int
     rank: int
 
@@ -40,6 +44,10 @@
 class FleetQuotas:
     """Divides limits among the nodes that may send.
 
+    This node takes a part only while the others count it: its entry is in
+    the store, as far as this node knows, and the store was heard within the
+    time for which the entry lasts without it.
+
     Parameters
     ----------
     vm
@@ -63,7 +71,7 @@
         self._bounds = bounds
         self._clock = clock
         self._cold_quotas: dict[str, int] = {}
-        self._limit_parts: dict[tuple[str, float], LimitPart] = {}
+        self._limit_parts: dict[str, LimitPart] = {}
         self._cached_generations = (-1, -1)
 
     def apply_bounds(self, bounds: Bounds) -> None:
@@ -98,13 +106,20 @@
             policy.max_connections // self.assumed_node_count,
         )
 
+    def even_part(self) -> float:
+        """Return this node's part of what all nodes divide evenly, 0 to 1."""
+        if not self._is_counted(self._clock()):
+            return 0.0
+        return 1 / self.assumed_node_count
+
     def may_send(self, target: TargetLoad, now_ms: float) -> bool:
         """Return whether the limits of a target allow a request.
 
         These are the limit for cold targets and the one that it names.
         """
-        if target.is_cold(now_ms) and not target.cold.may_send(
-            now_ms, self._cold_quota(target)
+        if target.is_cold(now_ms) and not (
+            self._is_counted(now_ms)
+            and target.cold.may_send(now_ms, self._cold_quota(target))
         ):
             return False
         part = self.limit_part(target)
@@ -112,7 +127,9 @@
             return True
         if not part.quota:
             return target.limit.may_probe(now_ms, part.rank)
-        return target.limit.may_send(now_ms, part.quota)
+        return self._is_counted(now_ms) and target.limit.may_send(
+            now_ms, part.quota
+        )
 
     def limit_part(self, target: TargetLoad) -> LimitPart | None:
         """Return this node's part of the limit that a target names.
@@ -126,10 +143,21 @@
         if requests_per_s is None:
             return None
         self._drop_stale_caches()
-        key = (target.registration.target_id, requests_per_s)
-        if key not in self._limit_parts:
-            self._limit_parts[key] = self._divide_limit(target, key[1])
-        return self._limit_parts[key]
+        target_id = target.registration.target_id
+        part = self._limit_parts.get(target_id)
+        if part is None or part.requests_per_s != requests_per_s:
+            part = self._divide_limit(target, requests_per_s)
+            self._limit_parts[target_id] = part
+        return part
+
+    def _is_counted(self, now_ms: float) -> bool:
+        """Return whether the other nodes count this one."""
+        age_ms = self._cluster_view.age_ms(now_ms)
+        return (
+            age_ms is not None
+            and age_ms < LEASE_MS
+            and self._vm in self._cluster_view.members
+        )
 
     def _cold_quota(self, target: TargetLoad) -> int:
         """Return how many requests per second a cold target may get."""
@@ -166,7 +194,7 @@
             target_id, self._vm, tuple(near), tuple(far), requests_per_s
         )
         order = rendezvous.rank_names(regions, target_id)
-        return LimitPart(quota, order.index(self._vm))
+        return LimitPart(requests_per_s, quota, order.index(self._vm))
 
     def _region_by_node(self) -> dict[str, str | None]:
         """Return the region of each node that may send.
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -304,7 +304,7 @@
         budget = self._retry_budget(request.service)
         if not budget.try_spend(
             self._clock(),
-            self._placer.quotas.assumed_node_count,
+            self._placer.quotas.even_part(),
             returning=request.was_refused_before,
         ):
             return False
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -325,6 +325,7 @@
 
     def _on_node_removed(self, vm: str) -> None:
         if vm == self._vm:
+            self._cluster_view.members.on_entry_gone(vm, self._clock())
             self._on_own_entry_gone()
             return
         self._cluster_view.remove_node(vm, self._clock())
--- a/tests/policy/test_fleet_limits.py
+++ b/tests/policy/test_fleet_limits.py
@@ -82,7 +82,7 @@
     spent = []
     for now_ms in range(0, 60_000, 20):
         budget.on_request(now_ms)
-        if budget.try_spend(now_ms, nodes):
+        if budget.try_spend(now_ms, 1 / nodes):
             spent.append(now_ms)
     for start_ms in range(0, 50_000, 500):
         window = [t for t in spent if start_ms <= t < start_ms + 10_000]
@@ -101,7 +101,7 @@
                 window_ms=10_000,
                 started_ms=started_ms,
             )
-            while budget.try_spend(4_500.0, nodes):
+            while budget.try_spend(4_500.0, 1 / nodes):
                 spent += 1
     assert spent <= 56
 
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -8,6 +8,7 @@
 
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.route_table import ServicePolicy
+from gentianbank.steering.member_record import LEASE_MS
 from tests.support.fleet import Fleet
 from tests.support.fleet import LIMITED
 from tests.support.fleet import regions_of
@@ -109,6 +110,31 @@
     assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
 
 
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+def test_nodes_that_the_store_does_not_list_take_no_parts(
+    nodes: int, domains: int
+) -> None:
+    fleet = Fleet(nodes, regions_of(domains))
+    unlisted = fleet.nodes[: nodes // 2]
+    for node in fleet.nodes:
+        members = node.cluster_view.members
+        for other in unlisted:
+            members.on_entry_gone(other.vm, float('-inf'))
+        members.forget_departed(fleet.loop.now_ms())
+    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert count_limited_sends(fleet) <= LIMIT_ALLOWED
+    parts = [node.placer.quotas.even_part() for node in fleet.nodes]
+    assert sum(parts) <= 1 + 1e-9
+
+
+def test_node_cut_off_for_longer_than_its_entry_lasts_takes_no_parts() -> None:
+    fleet = Fleet(7, regions_of(6))
+    fleet.loop.run_until_complete(asyncio.sleep(LEASE_MS / 1_000))
+    assert not count_cold_sends(fleet)
+    assert not count_limited_sends(fleet)
+    assert not any(node.placer.quotas.even_part() for node in fleet.nodes)
+
+
 def test_target_whose_entry_was_gone_for_a_moment_gets_no_second_quota() -> (
     None
 ):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -18,6 +18,7 @@
 from tests.support.steering import header
 from tests.support.steering import Path
 from tests.support.steering import Reply
+from tests.support.steering import RUNNING_MS
 from tests.support.steering import Script
 from tests.support.steering import ScriptedAnswer
 from tests.support.steering import ScriptedTargets
@@ -149,6 +150,7 @@
         targets: int = TARGETS,
         objects: int = OBJECTS,
         know_each_other: bool = True,
+        running_ms: float = RUNNING_MS,
     ) -> None:
         self.loop = VirtualLoop()
         self.targets = SharedTargets(self.loop)
@@ -164,6 +166,7 @@
                 regions=regions,
                 loop=self.loop,
                 transport=_NodeTransport(self.targets, f'vm-{number}'),
+                running_ms=running_ms,
             )
             for number in range(nodes)
         ]
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -47,7 +47,8 @@
 HOST = 'shop.example'
 LOG_LINES_PER_S = 1_000
 CHUNK_BYTES = 100_000
-STARTED_BEFORE_MS = 60_000.0
+# Time since the start of a node.
+RUNNING_MS = 60_000.0
 STAMP = (b'server-stamp', b'stamp')
 READ = Route(
     name='read',
@@ -238,7 +239,8 @@
 class Path:
     """One node's request path; targets ``desk-1`` and on in east-1.
 
-    Several nodes may share a loop and the targets.
+    Several nodes may share a loop and the targets. The store lists the node,
+    unless a test takes its entry away.
     """
 
     def __init__(
@@ -250,13 +252,17 @@
         regions: dict[str, str] = REGIONS,
         loop: VirtualLoop | None = None,
         transport: ScriptedTargets | None = None,
+        running_ms: float = RUNNING_MS,
         **bounds: float,
     ) -> None:
         self.vm = vm
         self.failure_domain = failure_domain
         self.region = regions[failure_domain]
         self.loop = loop or VirtualLoop()
+        started_ms = self.loop.now_ms() - running_ms
         self.cluster_view = ClusterView(dict(regions))
+        self.cluster_view.members.put(vm, self.region)
+        self.cluster_view.store_answered_ms = self.loop.now_ms()
         self.put_table()
         self.transport = transport or ScriptedTargets()
         settings = Bounds(**bounds)
@@ -282,7 +288,7 @@
             bounds=settings,
             reporter=reporter,
             is_stopping=lambda: self.stopping,
-            started_ms=self.loop.now_ms() - STARTED_BEFORE_MS,
+            started_ms=started_ms,
             clock=self.loop.now_ms,
         )
         for number in range(1, targets + 1):
