--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -83,6 +83,7 @@
         self._metrics = DeferredMetrics(settings.vm, settings.region)
         self._loop_delay = LoopDelay()
         bounds = settings.bounds
+        started_ms = now_ms()
         self._stop = asyncio.Event()
         addresses = settings.addresses
         me = NodeRegistration(
@@ -124,6 +125,7 @@
             failure_domain=settings.failure_domain,
             cluster_view=self._cluster_view,
             bounds=bounds,
+            started_ms=started_ms,
             clock=now_ms,
         )
         reporter = Reporter(
@@ -139,7 +141,7 @@
             bounds=bounds,
             reporter=reporter,
             is_stopping=self._stop.is_set,
-            started_ms=now_ms(),
+            started_ms=started_ms,
             clock=now_ms,
         )
         self._caller_server = _build_server(
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -7,6 +7,8 @@
 
 from gentianbank.policy import rendezvous
 from gentianbank.policy.fleet_limits import cold_target_quota
+from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
+from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.policy.fleet_limits import limited_target_quota
 from gentianbank.steering.member_record import LEASE_MS
 
@@ -52,6 +54,9 @@
     ----------
     vm
         Name of this node.
+    started_ms
+        Time when the node started. What it sent before is unknown, so its
+        parts begin one window later.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -63,9 +68,11 @@
         region: str,
         cluster_view: ClusterView,
         bounds: Bounds,
+        started_ms: float,
         clock: Callable[[], float],
     ) -> None:
         self._vm = vm
+        self._started_ms = started_ms
         self._region = region
         self._cluster_view = cluster_view
         self._bounds = bounds
@@ -118,7 +125,7 @@
         These are the limit for cold targets and the one that it names.
         """
         if target.is_cold(now_ms) and not (
-            self._is_counted(now_ms)
+            self._takes_parts(now_ms, COLD_WINDOW_MS)
             and target.cold.may_send(now_ms, self._cold_quota(target))
         ):
             return False
@@ -127,9 +134,9 @@
             return True
         if not part.quota:
             return target.limit.may_probe(now_ms, part.rank)
-        return self._is_counted(now_ms) and target.limit.may_send(
-            now_ms, part.quota
-        )
+        return self._takes_parts(
+            now_ms, LIMIT_WINDOW_MS
+        ) and target.limit.may_send(now_ms, part.quota)
 
     def limit_part(self, target: TargetLoad) -> LimitPart | None:
         """Return this node's part of the limit that a target names.
@@ -150,6 +157,11 @@
             self._limit_parts[target_id] = part
         return part
 
+    def _takes_parts(self, now_ms: float, window_ms: float) -> bool:
+        """Return whether this node takes its part of limits for a window."""
+        has_window = now_ms >= self._started_ms + window_ms
+        return has_window and self._is_counted(now_ms)
+
     def _is_counted(self, now_ms: float) -> bool:
         """Return whether the other nodes count this one."""
         age_ms = self._cluster_view.age_ms(now_ms)
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -76,6 +76,8 @@
 
     Parameters
     ----------
+    started_ms
+        Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -88,6 +90,7 @@
         failure_domain: str,
         cluster_view: ClusterView,
         bounds: Bounds,
+        started_ms: float,
         clock: Callable[[], float],
     ) -> None:
         self._region = region
@@ -100,6 +103,7 @@
             region=region,
             cluster_view=cluster_view,
             bounds=bounds,
+            started_ms=started_ms,
             clock=clock,
         )
         self._route_times: dict[str, RouteTimes] = {}
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.route_table import ServicePolicy
+from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
+from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.steering.member_record import LEASE_MS
 from tests.support.fleet import Fleet
 from tests.support.fleet import LIMITED
 from tests.support.fleet import regions_of
 from tests.support.fleet import registration_of
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Nodes and failure domains of the deployments, small, grown and large.
 FLEETS = [(7, 6), (25, 6), (34, 6), (35, 9), (77, 9), (300, 9)]
 COLD_MS = 10_000.0
@@ -127,6 +133,22 @@
     assert sum(parts) <= 1 + 1e-9
 
 
+@pytest.mark.parametrize(
+    ('count_sends', 'window_ms'),
+    [
+        (count_cold_sends, COLD_WINDOW_MS),
+        (count_limited_sends, LIMIT_WINDOW_MS),
+    ],
+)
+def test_nodes_that_have_just_started_take_no_parts_for_a_window(
+    count_sends: Callable[[Fleet], int], window_ms: float
+) -> None:
+    fleet = Fleet(7, regions_of(6), running_ms=0.0)
+    assert not count_sends(fleet)
+    fleet.loop.run_until_complete(asyncio.sleep(window_ms / 1_000))
+    assert count_sends(fleet)
+
+
 def test_node_cut_off_for_longer_than_its_entry_lasts_takes_no_parts() -> None:
     fleet = Fleet(7, regions_of(6))
     fleet.loop.run_until_complete(asyncio.sleep(LEASE_MS / 1_000))
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -279,6 +279,7 @@
             failure_domain=failure_domain,
             cluster_view=self.cluster_view,
             bounds=settings,
+            started_ms=started_ms,
             clock=self.loop.now_ms,
         )
         self.proxy = Proxy(
