--- a/src/gentianbank/policy/target_limit.py
+++ b/src/gentianbank/policy/target_limit.py
@@ -14,13 +14,14 @@
 if TYPE_CHECKING:
     from gentianbank.domain.request_limit import LimitStatement
 
-# A limit that stays the same is told to other nodes again after this time.
+# A limit that stays the same is told on again after this time.
 REPEAT_MS = 1_000.0
 # After this time without an answer that tells of the limit, a node without a
 # quota asks the target itself, so that a limit that has ended is forgotten.
-SILENCE_MS = 10_000.0
-# Nodes ask one after the other, and an answer is told to the others.
-PROBE_STEP_MS = 500.0
+SILENCE_MS = 6_000.0
+# Nodes without a quota ask one after the other, this far apart, also when
+# they do not hear each other.
+PROBE_STEP_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,13 +52,15 @@
         Time since which a limit has been in force without a break.
     heard_ms
         Time of the newest answer that told of the limit or of its end.
+    has_news
+        Whether other nodes are to be told what this node knows.
     """
 
     requests_per_s: float | None = None
     named_since_ms: float = float('-inf')
     heard_ms: float = float('-inf')
-    _told_ms: float = float('-inf')
-    _has_news: bool = False
+    has_news: bool = False
+    _told_heard_ms: float = float('-inf')
     _last_sent_ms: float = float('-inf')
     _sent: SlidingCount = field(
         default_factory=lambda: SlidingCount(LIMIT_WINDOW_MS)
@@ -78,35 +81,36 @@
         """Return whether another request fits into this node's quota."""
         return self._sent.count(now_ms) < quota
 
-    def may_probe(self, now_ms: float, rank: int) -> bool:
+    def may_probe(self, now_ms: float, rank: int, nodes: int) -> bool:
         """Return whether a node without a quota may ask the target.
 
         Parameters
         ----------
         rank
             Position of the node among all nodes.
+        nodes
+            Number of all nodes.
         """
-        silent_ms = now_ms - max(self.heard_ms, self._last_sent_ms)
-        return silent_ms > SILENCE_MS + rank * PROBE_STEP_MS
+        if now_ms - self._last_sent_ms < nodes * PROBE_STEP_MS:
+            return False
+        return now_ms - self.heard_ms > SILENCE_MS + rank * PROBE_STEP_MS
 
     def on_peer_news(self, news: LimitNews) -> bool:
         """Record what another node tells; return whether the limit changed.
 
-        Older news than what this node knows is ignored. A change is told
+        Older news than what this node knows is ignored. Other news is told
         on, since not every node is connected to every other.
         """
         if news.heard_ms <= self.heard_ms:
             return False
-        changed = self._set(news.requests_per_s, news.heard_ms)
-        self._has_news = self._has_news or changed
-        return changed
+        return self._set(news.requests_per_s, news.heard_ms)
 
-    def pop_news(self, now_ms: float) -> LimitNews | None:
+    def pop_news(self) -> LimitNews | None:
         """Return what other nodes are to be told now, if anything."""
-        if not self._has_news:
+        if not self.has_news:
             return None
-        self._has_news = False
-        self._told_ms = now_ms
+        self.has_news = False
+        self._told_heard_ms = self.heard_ms
         return self.news
 
     @property
@@ -136,19 +140,19 @@
         if isinstance(statement, UnreadableLimit):
             return False
         if isinstance(statement, NamedLimit):
-            changed = self._set(statement.requests_per_s, now_ms)
-        elif self.requests_per_s is None or sent_ms <= self.named_since_ms:
+            return self._set(statement.requests_per_s, now_ms)
+        if self.requests_per_s is None or sent_ms <= self.named_since_ms:
             return False
-        else:
-            changed = self._set(None, now_ms)
-        if changed or now_ms - self._told_ms >= REPEAT_MS:
-            self._has_news = True
-        return changed
+        return self._set(None, now_ms)
 
     def _set(self, requests_per_s: float | None, heard_ms: float) -> bool:
+        """Record a limit or its end; return whether that is a change."""
         before = self.requests_per_s
         self.heard_ms = heard_ms
         self.requests_per_s = requests_per_s
         if before is None and requests_per_s is not None:
             self.named_since_ms = heard_ms
-        return before != requests_per_s
+        changed = before != requests_per_s
+        if changed or heard_ms - self._told_heard_ms >= REPEAT_MS:
+            self.has_news = True
+        return changed
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -36,11 +36,14 @@
         Requests per window that this node may send.
     rank
         Position of this node among all nodes, for this target.
+    nodes
+        Number of all nodes.
     """
 
     requests_per_s: float
     quota: int
     rank: int
+    nodes: int
 
 
 class FleetQuotas:
@@ -133,7 +136,7 @@
         if part is None:
             return True
         if not part.quota:
-            return target.limit.may_probe(now_ms, part.rank)
+            return target.limit.may_probe(now_ms, part.rank, part.nodes)
         return self._takes_parts(
             now_ms, LIMIT_WINDOW_MS
         ) and target.limit.may_send(now_ms, part.quota)
@@ -206,7 +209,8 @@
             target_id, self._vm, tuple(near), tuple(far), requests_per_s
         )
         order = rendezvous.rank_names(regions, target_id)
-        return LimitPart(requests_per_s, quota, order.index(self._vm))
+        rank = order.index(self._vm)
+        return LimitPart(requests_per_s, quota, rank, len(order))
 
     def _region_by_node(self) -> dict[str, str | None]:
         """Return the region of each node that may send.
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -111,7 +111,7 @@
                 self._cluster_view.disconnected_peers.discard(vm)
                 now_ms = self._clock()
                 self._peer_loads.on_heartbeat(vm, now_ms)
-                rows = self._rows_for_new_peer(now_ms)
+                rows = self._rows_for_new_peer()
                 self._peers.send(vm, encode_rows(rows, now_ms))
                 logging.info('peer connected', extra={'peer': vm})
             case Disconnected(vm):
@@ -150,7 +150,7 @@
 
     def _send_changes(self, now_ms: float) -> None:
         self._ticks += 1
-        changed = self._pop_changed_rows(now_ms)
+        changed = self._pop_changed_rows()
         near, far = self._peers_by_distance()
         if far:
             self._queue_for_remote(changed)
@@ -191,24 +191,24 @@
                 row.limit or (pending.limit if pending else None),
             )
 
-    def _pop_changed_rows(self, now_ms: float) -> list[TargetRow]:
+    def _pop_changed_rows(self) -> list[TargetRow]:
         target_ids = self._cluster_view.changed_loads
         targets = self._cluster_view.targets
         # For a target that was removed this sends a load of 0, since it may
         # register again under the same id.
         rows = [
-            build_row(targets.get(target_id), target_id, now_ms)
+            build_row(targets.get(target_id), target_id)
             for target_id in target_ids
         ]
         target_ids.clear()
         return rows
 
-    def _rows_for_new_peer(self, now_ms: float) -> list[TargetRow]:
+    def _rows_for_new_peer(self) -> list[TargetRow]:
         rows = []
         for target_id, target in self._cluster_view.targets.items():
             if not target.in_flight and not target.limit.is_named:
                 continue
-            row = build_row(target, target_id, now_ms)
+            row = build_row(target, target_id)
             if target.limit.is_named:
                 row = replace(row, limit=target.limit.news)
             rows.append(row)
@@ -230,10 +230,12 @@
                 self._apply_limit(target, row.limit)
 
     def _apply_limit(self, target: TargetLoad, news: LimitNews) -> None:
-        if not target.limit.on_peer_news(news):
-            return
+        changed = target.limit.on_peer_news(news)
         target_id = target.registration.target_id
-        self._cluster_view.changed_loads.add(target_id)
+        if target.limit.has_news:
+            self._cluster_view.changed_loads.add(target_id)
+        if not changed:
+            return
         logging.info(
             'limit of a target told by a peer',
             extra={'target': target_id, 'limit_per_s': news.requests_per_s},
--- a/src/gentianbank/steering/load_update.py
+++ b/src/gentianbank/steering/load_update.py
@@ -77,9 +77,7 @@
     limit: LimitNews | None = None
 
 
-def build_row(
-    target: TargetLoad | None, target_id: str, now_ms: float
-) -> TargetRow:
+def build_row(target: TargetLoad | None, target_id: str) -> TargetRow:
     """Return what is sent about a target.
 
     Slowdown, objects and limit are included only if they are new since the
@@ -94,7 +92,7 @@
         steps = max(1, min(MAX_SLOWDOWN_STEPS, steps))
     in_flight = min(MAX_IN_FLIGHT, target.in_flight)
     objects = tuple(target.pop_unsent_objects())
-    limit = target.limit.pop_news(now_ms)
+    limit = target.limit.pop_news()
     return TargetRow(target_id, in_flight, steps, objects, limit)
 
 
--- a/tests/policy/test_target_limit.py
+++ b/tests/policy/test_target_limit.py
@@ -49,9 +49,12 @@
     limit = TargetLimit()
     limit.on_answer(NamedLimit(0.2), 0.0, 500.0)
     due_ms = 500.0 + SILENCE_MS
-    assert not limit.may_probe(due_ms, rank=0)
-    assert limit.may_probe(due_ms + 1, rank=0)
-    assert not limit.may_probe(due_ms + 1, rank=1)
-    assert limit.may_probe(due_ms + PROBE_STEP_MS + 1, rank=1)
+    assert not limit.may_probe(due_ms, rank=0, nodes=7)
+    assert limit.may_probe(due_ms + 1, rank=0, nodes=7)
+    assert not limit.may_probe(due_ms + 1, rank=1, nodes=7)
+    assert limit.may_probe(due_ms + PROBE_STEP_MS + 1, rank=1, nodes=7)
     limit.on_send(due_ms + 1)
-    assert not limit.may_probe(due_ms + 2, rank=0)
+    assert not limit.may_probe(due_ms + 2, rank=0, nodes=7)
+    next_ms = due_ms + 1 + 7 * PROBE_STEP_MS
+    assert not limit.may_probe(next_ms - 1, rank=0, nodes=7)
+    assert limit.may_probe(next_ms, rank=0, nodes=7)
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -12,10 +12,12 @@
 from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
 from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.steering.member_record import LEASE_MS
+from tests.support.fleet import allowed_requests
 from tests.support.fleet import Fleet
 from tests.support.fleet import LIMITED
 from tests.support.fleet import regions_of
 from tests.support.fleet import registration_of
+from tests.support.fleet import WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +28,8 @@
 COLD_ALLOWED_PER_S = 15.5
 LIMIT_PER_S = 4.0
 LIMIT_ALLOWED = 16
+PLAY_S = 60.0
+STEP_S = 0.1
 
 
 def count_cold_sends(fleet: Fleet) -> int:
@@ -54,6 +58,43 @@
     return sent
 
 
+def count_sends_in_the_worst_window(fleet: Fleet, limit_per_s: float) -> int:
+    """Return the most requests that the limited target gets in a window.
+
+    Each node sends as soon as it may and hears only its own answers.
+    """
+    sent_s: list[float] = []
+    targets = [
+        (node.placer.quotas, node.cluster_view.targets[LIMITED])
+        for node in fleet.nodes
+    ]
+    for _, target in targets:
+        now_ms = fleet.loop.now_ms()
+        target.limit.on_answer(NamedLimit(limit_per_s), now_ms, now_ms)
+    for _ in range(round(PLAY_S / STEP_S)):
+        now_ms = fleet.loop.now_ms()
+        for quotas, target in targets:
+            if quotas.may_send(target, now_ms):
+                target.on_send(now_ms, '')
+                target.limit.on_answer(NamedLimit(limit_per_s), now_ms, now_ms)
+                sent_s.append(fleet.loop.time())
+        fleet.loop.run_until_complete(asyncio.sleep(STEP_S))
+    return max(
+        sum(begin_s <= time_s < begin_s + WINDOW_S for time_s in sent_s)
+        for begin_s in sent_s
+    )
+
+
+@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+@pytest.mark.parametrize('limit_per_s', [0.0, 0.2, 2.5])
+def test_nodes_that_do_not_hear_each_other_keep_a_named_limit(
+    nodes: int, domains: int, limit_per_s: float
+) -> None:
+    fleet = Fleet(nodes, regions_of(domains))
+    sends = count_sends_in_the_worst_window(fleet, limit_per_s)
+    assert sends <= allowed_requests(limit_per_s)
+
+
 @pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
 def test_quotas_of_all_nodes_sum_to_no_more_than_the_limits(
     nodes: int, domains: int
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -29,6 +29,7 @@
 from gentianbank.policy.gossip_schedule import GossipSchedule
 from gentianbank.policy.gossip_schedule import MIN_SILENCE_MS
 from gentianbank.policy.gossip_schedule import REMOTE_REGION_TICKS
+from gentianbank.policy.target_limit import REPEAT_MS
 from gentianbank.steering.cluster_view import ClusterView
 from gentianbank.steering.load_gossip import choose_peers
 from gentianbank.steering.load_gossip import LoadGossip
@@ -272,6 +273,17 @@
     assert first.limit_per_s() is None
 
 
+def test_limit_that_stays_the_same_is_told_on_to_nodes_far_away() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    first, _, third = hub.nodes.values()
+    first.peers.connected.discard('vm-3')
+    for _ in range(100):
+        first.hear_limit(hub, NamedLimit(2.5))
+        hub.advance_ms(TICK_MS)
+        limit = third.cluster_view.targets['desk-1'].limit
+        assert hub.now_ms - limit.heard_ms <= 2 * REPEAT_MS
+
+
 def test_joining_node_learns_the_limits_of_targets() -> None:
     hub = Hub('vm-1')
     hub.nodes['vm-1'].hear_limit(hub, NamedLimit(2.5))
