--- a/src/gentianbank/policy/target_limit.py
+++ b/src/gentianbank/policy/target_limit.py
@@ -62,6 +62,7 @@
     has_news: bool = False
     _told_heard_ms: float = float('-inf')
     _last_sent_ms: float = float('-inf')
+    _ended_ms: float = float('-inf')
     _sent: SlidingCount = field(
         default_factory=lambda: SlidingCount(LIMIT_WINDOW_MS)
     )
@@ -72,8 +73,11 @@
         return self.requests_per_s is not None
 
     def on_send(self, now_ms: float) -> None:
-        """Count a request that is sent while a limit is in force."""
-        if self.is_named:
+        """Count a request that is sent under a limit or soon after one.
+
+        Should the target name a limit again, those in between count as well.
+        """
+        if self.is_named or now_ms < self._ended_ms + LIMIT_WINDOW_MS:
             self._sent.add(now_ms)
             self._last_sent_ms = now_ms
 
@@ -152,6 +156,8 @@
         self.requests_per_s = requests_per_s
         if before is None and requests_per_s is not None:
             self.named_since_ms = heard_ms
+        if before is not None and requests_per_s is None:
+            self._ended_ms = heard_ms
         changed = before != requests_per_s
         if changed or heard_ms - self._told_heard_ms >= REPEAT_MS:
             self.has_news = True
--- a/tests/policy/test_target_limit.py
+++ b/tests/policy/test_target_limit.py
@@ -5,6 +5,7 @@
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.policy.target_limit import LimitNews
 from gentianbank.policy.target_limit import PROBE_STEP_MS
 from gentianbank.policy.target_limit import SILENCE_MS
@@ -45,6 +46,17 @@
     assert limit.requests_per_s is None
 
 
+def test_requests_between_two_limits_count_under_the_second() -> None:
+    limit = TargetLimit()
+    limit.on_answer(NamedLimit(2.5), 0.0, 500.0)
+    limit.on_answer(NoLimit(), 501.0, 900.0)
+    limit.on_send(1_000.0)
+    limit.on_send(1_100.0)
+    limit.on_answer(NamedLimit(2.5), 1_000.0, 1_200.0)
+    assert not limit.may_send(1_300.0, quota=2)
+    assert limit.may_send(1_100.0 + LIMIT_WINDOW_MS, quota=2)
+
+
 def test_nodes_without_a_quota_ask_one_after_the_other() -> None:
     limit = TargetLimit()
     limit.on_answer(NamedLimit(0.2), 0.0, 500.0)
