--- a/src/gentianbank/policy/region_shares.py
+++ b/src/gentianbank/policy/region_shares.py
@@ -45,10 +45,13 @@
         Estimated requests at the targets.
     slots
         Requests that the targets run at a time.
+    is_limited
+        Whether every target of the region names a limit on its requests.
     """
 
     occupied: float
     slots: int
+    is_limited: bool = False
 
     @property
     def utilization(self) -> float:
@@ -142,7 +145,7 @@
         if not home.slots:
             self._shift_everything(loads, others)
             return
-        self._leave_regions_without_slots(loads)
+        self._leave_limited_regions(loads)
         if home.utilization > self.busy_fraction:
             self._increase_shares(loads, others, home, max_shift)
         elif home.utilization < self.busy_fraction - RETURN_MARGIN:
@@ -212,17 +215,16 @@
         for region in self.shares:
             self.shares[region] *= 1 - max_shift / total_share
 
-    def _leave_regions_without_slots(
-        self, loads: dict[str, RegionLoad]
-    ) -> None:
-        """Divide what went to regions without usable slots among the rest.
+    def _leave_limited_regions(self, loads: dict[str, RegionLoad]) -> None:
+        """Divide the shares of limited regions among the others.
 
-        The home region takes its part as well.
+        The home region takes its part as well. The shares of regions whose
+        targets are only cold stay, since these are back within seconds.
         """
         lost_share = 0.0
-        for region in list(self.shares):
-            if region not in loads or not loads[region].slots:
-                lost_share += self.shares.pop(region)
+        for region, load in loads.items():
+            if load.is_limited:
+                lost_share += self.shares.pop(region, 0.0)
         if not lost_share:
             return
         free_slots = {
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -296,14 +296,19 @@
     ) -> dict[str, RegionLoad]:
         occupied: defaultdict[str, float] = defaultdict(float)
         slots: defaultdict[str, int] = defaultdict(int)
+        unlimited: set[str] = set()
         for target in self._cluster_view.usable_targets(service):
+            if not target.limit.is_named:
+                unlimited.add(target.region)
             usable = not target.is_cold(now_ms)
             usable = usable and not target.is_suspect(now_ms)
             usable = usable and not target.limit.is_named
             slots[target.region] += target.registration.slots * usable
             occupied[target.region] += target.occupancy(now_ms) * usable
         return {
-            region: RegionLoad(occupied[region], slots[region])
+            region: RegionLoad(
+                occupied[region], slots[region], region not in unlimited
+            )
             for region in slots
         }
 
