--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -3,33 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 
 from gentianbank.domain.request_limit import NamedLimit
-from gentianbank.domain.route_table import ServicePolicy
 from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
 from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
+from gentianbank.policy.fleet_limits import SharedRetryBudget
 from gentianbank.steering.member_record import LEASE_MS
 from tests.support.fleet import allowed_requests
+from tests.support.fleet import Deployment
+from tests.support.fleet import DEPLOYMENTS
 from tests.support.fleet import Fleet
 from tests.support.fleet import LIMITED
 from tests.support.fleet import regions_of
 from tests.support.fleet import registration_of
+from tests.support.fleet import SERVICE
 from tests.support.fleet import WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Nodes and failure domains of the deployments, small, grown and large.
-FLEETS = [(7, 6), (25, 6), (34, 6), (35, 9), (77, 9), (300, 9)]
 COLD_MS = 10_000.0
-COLD_ALLOWED_PER_S = 15.5
 LIMIT_PER_S = 4.0
 LIMIT_ALLOWED = 16
 PLAY_S = 60.0
 STEP_S = 0.1
+RETRY_MS = 10_000.0
+for_every_deployment = pytest.mark.parametrize(
+    'deployment', DEPLOYMENTS, ids=str
+)
 
 
 def count_cold_sends(fleet: Fleet) -> int:
@@ -85,90 +90,97 @@
     )
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+@for_every_deployment
 @pytest.mark.parametrize('limit_per_s', [0.0, 0.2, 2.5])
 def test_nodes_that_do_not_hear_each_other_keep_a_named_limit(
-    nodes: int, domains: int, limit_per_s: float
+    deployment: Deployment, limit_per_s: float
 ) -> None:
-    fleet = Fleet(nodes, regions_of(domains))
+    fleet = Fleet.of(deployment)
     sends = count_sends_in_the_worst_window(fleet, limit_per_s)
     assert sends <= allowed_requests(limit_per_s)
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+@for_every_deployment
 def test_quotas_of_all_nodes_sum_to_no_more_than_the_limits(
-    nodes: int, domains: int
+    deployment: Deployment,
 ) -> None:
-    cold_sends = count_cold_sends(Fleet(nodes, regions_of(domains)))
-    assert 1 <= cold_sends <= COLD_ALLOWED_PER_S
-    limited_sends = count_limited_sends(Fleet(nodes, regions_of(domains)))
+    cold_sends = count_cold_sends(Fleet.of(deployment))
+    assert 1 <= cold_sends <= deployment.cold_allowed_per_s
+    limited_sends = count_limited_sends(Fleet.of(deployment))
     assert 1 <= limited_sends <= LIMIT_ALLOWED
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
 @pytest.mark.parametrize('max_connections', [330, 390, 1290, 3600])
+@for_every_deployment
 def test_connections_of_all_nodes_sum_to_no_more_than_a_target_accepts(
-    nodes: int, domains: int, max_connections: int
+    deployment: Deployment, max_connections: int
 ) -> None:
-    fleet = Fleet(nodes, regions_of(domains))
-    policy = ServicePolicy(
-        name='desk',
-        health_path='/health',
-        max_connections=max_connections,
-        cold_start_ms=3_000,
-        cold_per_s=7,
-    )
-    for node in fleet.nodes:
-        assert node.cluster_view.table is not None
-        node.cluster_view.table.services['desk'] = policy
+    fleet = Fleet.of(replace(deployment, max_connections=max_connections))
     connections = [
-        node.placer.quotas.max_connections_per_target('desk')
+        node.placer.quotas.max_connections_per_target(SERVICE)
         for node in fleet.nodes
     ]
-    assert max_connections - nodes <= sum(connections) <= max_connections
+    assert (
+        max_connections - deployment.nodes
+        <= sum(connections)
+        <= max_connections
+    )
     assert min(connections) >= 1
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
+@for_every_deployment
+def test_retries_of_all_nodes_sum_to_no_more_than_the_slack(
+    deployment: Deployment,
+) -> None:
+    spent = 0
+    for node in Fleet.of(deployment).nodes:
+        budget = SharedRetryBudget(0.0, deployment.retry_slack, RETRY_MS)
+        part = node.placer.quotas.even_part()
+        while budget.try_spend(node.loop.now_ms(), part):
+            spent += 1
+    assert spent <= deployment.retry_slack
+
+
+@for_every_deployment
 @pytest.mark.parametrize('after_ms', [100.0, 30_000.0])
 def test_quotas_count_nodes_whose_entries_have_lapsed_but_that_still_send(
-    nodes: int, domains: int, after_ms: float
+    deployment: Deployment, after_ms: float
 ) -> None:
-    fleet = Fleet(nodes, regions_of(domains))
-    cut = fleet.nodes[: nodes // 3]
-    for node in fleet.nodes[nodes // 3 :]:
+    fleet = Fleet.of(deployment)
+    cut = fleet.nodes[: deployment.nodes // 3]
+    for node in fleet.nodes[deployment.nodes // 3 :]:
         for gone in cut:
             node.cluster_view.remove_node(gone.vm, fleet.loop.now_ms())
     fleet.loop.run_until_complete(asyncio.sleep(after_ms / 1_000))
-    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert count_cold_sends(fleet) <= deployment.cold_allowed_per_s
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS[1:])
+@for_every_deployment
 def test_quotas_shrink_when_more_nodes_become_known(
-    nodes: int, domains: int
+    deployment: Deployment,
 ) -> None:
-    fleet = Fleet(nodes, regions_of(domains), know_each_other=False)
+    fleet = Fleet.of(deployment, know_each_other=False)
     for node in fleet.nodes:
         target = node.cluster_view.targets[LIMITED]
         target.cold_until_ms = node.loop.now_ms() + COLD_MS
         node.placer.quotas.may_send(target, node.loop.now_ms())
         for other in fleet.nodes:
             node.cluster_view.put_node(registration_of(other))
-    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert count_cold_sends(fleet) <= deployment.cold_allowed_per_s
 
 
-@pytest.mark.parametrize(('nodes', 'domains'), FLEETS)
+@for_every_deployment
 def test_nodes_that_the_store_does_not_list_take_no_parts(
-    nodes: int, domains: int
+    deployment: Deployment,
 ) -> None:
-    fleet = Fleet(nodes, regions_of(domains))
-    unlisted = fleet.nodes[: nodes // 2]
+    fleet = Fleet.of(deployment)
+    unlisted = fleet.nodes[: deployment.nodes // 2]
     for node in fleet.nodes:
         members = node.cluster_view.members
         for other in unlisted:
             members.on_entry_gone(other.vm, float('-inf'))
         members.forget_departed(fleet.loop.now_ms())
-    assert count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert count_cold_sends(fleet) <= deployment.cold_allowed_per_s
     assert count_limited_sends(fleet) <= LIMIT_ALLOWED
     parts = [node.placer.quotas.even_part() for node in fleet.nodes]
     assert sum(parts) <= 1 + 1e-9
@@ -201,7 +213,8 @@
 def test_target_whose_entry_was_gone_for_a_moment_gets_no_second_quota() -> (
     None
 ):
-    fleet = Fleet(7, regions_of(6))
+    deployment = DEPLOYMENTS[0]
+    fleet = Fleet.of(deployment)
     cold_sends = count_cold_sends(fleet)
     limited_sends = count_limited_sends(fleet)
     for node in fleet.nodes:
@@ -210,7 +223,9 @@
         node.put_target(LIMITED)
         assert node.cluster_view.targets[LIMITED].registration == entry
     assert fleet.nodes[0].cluster_view.limited_target_count == 1
-    assert cold_sends + count_cold_sends(fleet) <= COLD_ALLOWED_PER_S
+    assert (
+        cold_sends + count_cold_sends(fleet) <= deployment.cold_allowed_per_s
+    )
     assert limited_sends + count_limited_sends(fleet) <= LIMIT_ALLOWED
 
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,11 +9,14 @@
 from dataclasses import field
 from dataclasses import replace
 import random
+from typing import Any
 from typing import TYPE_CHECKING
 
 from expression import Ok
 
 from gentianbank.domain.registration import NodeRegistration
+from gentianbank.domain.route_table import ServicePolicy
+from gentianbank.domain.steering_settings import Bounds
 from tests.support.steering import Caller
 from tests.support.steering import header
 from tests.support.steering import Path
@@ -38,6 +41,7 @@
 # Objects that a target has handled so recently that it works fast.
 WARM_OBJECTS = 30
 REGIONS = ('east', 'west', 'hills')
+SERVICE = 'desk'
 LIMITED = 'desk-1'
 # Span over which a target counts its requests.
 WINDOW_S = 4.0
@@ -136,6 +140,41 @@
         return Ok(await self._targets.answer(self._vm, request))
 
 
+@dataclass(frozen=True)
+class Deployment:
+    """Size of a fleet, and its limits for all nodes together."""
+
+    nodes: int
+    domains: int
+    cold_per_s: float
+    cold_slack: float
+    max_connections: int
+    retry_slack: float
+
+    @property
+    def bounds(self) -> Bounds:
+        """Return the settings of the nodes."""
+        return Bounds(cold_slack=self.cold_slack, retry_slack=self.retry_slack)
+
+    @property
+    def cold_allowed_per_s(self) -> float:
+        """Return how many requests in a second a cold target may get."""
+        return self.cold_per_s * self.bounds.cold_factor + self.cold_slack
+
+
+# Small, grown and large deployments, and one of 300 nodes.
+DEPLOYMENTS = (
+    Deployment(7, 6, 7.0, 5, 330, 56),
+    Deployment(7, 6, 3.6, 5, 390, 64),
+    Deployment(7, 6, 12.0, 5, 330, 58),
+    Deployment(25, 6, 4.8, 8, 1_290, 162),
+    Deployment(34, 6, 5.1, 8, 1_740, 212),
+    Deployment(35, 9, 2.6, 8, 1_800, 220),
+    Deployment(77, 9, 2.0, 10, 3_600, 430),
+    Deployment(300, 9, 7.0, 5, 330, 430),
+)
+
+
 class Fleet:
     """Nodes that know each other, without connections between them.
 
@@ -174,6 +213,25 @@
             for other in self.nodes if know_each_other else ():
                 node.cluster_view.put_node(registration_of(other))
 
+    @classmethod
+    def of(cls, deployment: Deployment, **options: Any) -> Fleet:
+        """Return the nodes of a deployment."""
+        fleet = cls(
+            deployment.nodes, regions_of(deployment.domains), **options
+        )
+        policy = ServicePolicy(
+            name=SERVICE,
+            health_path='/health',
+            max_connections=deployment.max_connections,
+            cold_start_ms=3_000,
+            cold_per_s=deployment.cold_per_s,
+        )
+        for node in fleet.nodes:
+            assert node.cluster_view.table is not None
+            node.cluster_view.table.services[SERVICE] = policy
+            node.placer.apply_bounds(deployment.bounds)
+        return fleet
+
     def play(self, duration_s: float, requests_per_s: float) -> None:
         """Let callers send requests at random times to random nodes."""
         self.loop.run_until_complete(self._play(duration_s, requests_per_s))
