--- a/src/gentianbank/steering/member_record.py
+++ b/src/gentianbank/steering/member_record.py
@@ -47,6 +47,11 @@
         self._lease = 0
         self._due_ms = float('-inf')
 
+    def on_entry_gone(self) -> None:
+        """Write the entry with the next refresh, since it was removed."""
+        self._lease = 0
+        self._due_ms = float('-inf')
+
     async def refresh(self) -> None:
         """Write or renew the entry if that is due; a failure is repeated."""
         now_ms = self._clock()
--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from gentianbank.platform import keyspace
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.storage.prefix_store import LeaseExpired
 
 if TYPE_CHECKING:
@@ -57,12 +58,19 @@
         self._entry_lost = asyncio.Event()
         self._leaving = False
 
-    def on_entry_gone(self) -> None:
-        """Register again, since the entry was removed from the store.
+    def on_entry_gone(self, source: MemberSource) -> None:
+        """Write an entry again, since it was removed from the store.
 
         Does nothing if this node itself has removed it.
+
+        Parameters
+        ----------
+        source
+            Which of the two entries it is.
         """
-        if not self._leaving:
+        if source is MemberSource.LASTING:
+            self._record.on_entry_gone()
+        elif not self._leaving:
             self._lease = 0
             self._entry_lost.set()
 
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -53,7 +53,7 @@
         Time after an outage for which the targets of missing entries are
         kept, since their leases could not be renewed during the outage.
     on_own_entry_gone
-        Called when the entry of this node has been removed.
+        Called when an entry of this node has been removed.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -66,7 +66,7 @@
         settings: SteeringStore,
         cluster_view: ClusterView,
         grace_ms: float,
-        on_own_entry_gone: Callable[[], None],
+        on_own_entry_gone: Callable[[MemberSource], None],
         clock: Callable[[], float],
     ) -> None:
         self._vm = vm
@@ -326,7 +326,7 @@
     def _on_node_removed(self, vm: str) -> None:
         if vm == self._vm:
             self._cluster_view.members.on_entry_gone(vm, self._clock())
-            self._on_own_entry_gone()
+            self._on_own_entry_gone(MemberSource.NODE)
             return
         self._cluster_view.remove_node(vm, self._clock())
         logging.info('node gone', extra={'vm': vm})
@@ -335,6 +335,8 @@
         self._cluster_view.members.on_entry_gone(
             vm, self._clock(), MemberSource.LASTING
         )
+        if vm == self._vm:
+            self._on_own_entry_gone(MemberSource.LASTING)
 
     def _drop_expired_targets(self) -> None:
         now_ms = self._clock()
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -12,6 +12,7 @@
 
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringStore
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.member_record import MemberRecord
 from gentianbank.steering.member_record import RENEWAL_MS
 from gentianbank.steering.membership import Membership
@@ -153,7 +154,7 @@
 
 def test_entry_that_was_removed_is_written_again(node: Node) -> None:
     node.store.ends_ms = dict.fromkeys(node.store.ends_ms, 0.0)
-    node.membership.on_entry_gone()
+    node.membership.on_entry_gone(MemberSource.NODE)
     node.wait(0.6)
     assert node.is_registered
 
@@ -161,7 +162,7 @@
 def test_leaving_node_stays_unregistered(node: Node) -> None:
     node.loop.run_until_complete(node.membership.unregister())
     assert not node.is_registered
-    node.membership.on_entry_gone()
+    node.membership.on_entry_gone(MemberSource.NODE)
     node.wait(30)
     assert not node.is_registered
 
@@ -198,3 +199,12 @@
     node.store.ends_ms = dict.fromkeys(node.store.ends_ms, 0.0)
     node.wait(RENEWAL_MS / 1_000 + 5)
     assert node.is_member
+
+
+def test_lasting_entry_that_was_removed_is_written_again_at_once(
+    node: Node,
+) -> None:
+    node.store.entries.pop('members/vm-1')
+    node.membership.on_entry_gone(MemberSource.LASTING)
+    node.wait(2.0)
+    assert node.is_member
--- a/tests/steering/test_store_sync.py
+++ b/tests/steering/test_store_sync.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.fleet_members import MEMORY_MS
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
@@ -192,11 +193,15 @@
     }
     copy.store.write('nodes/vm-1', node)
     copy.store.write('nodes/vm-2', node | {'vm': 'vm-2'})
+    copy.store.write('members/vm-1', {'vm': 'vm-1', 'region': 'east'})
     copy.wait(0.6)
     copy.store.remove('nodes/vm-1')
     copy.store.remove('nodes/vm-2')
     copy.wait(0.6)
-    assert copy.own_entry_lost == 1
+    assert copy.lost_entries == [MemberSource.NODE]
+    copy.store.remove('members/vm-1')
+    copy.wait(0.6)
+    assert copy.lost_entries == [MemberSource.NODE, MemberSource.LASTING]
     assert 'vm-2' not in copy.cluster_view.nodes
 
 
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -28,6 +28,7 @@
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
+    from gentianbank.policy.fleet_members import MemberSource
     from gentianbank.storage.store import Put
 
 CALL_S = 0.004
@@ -147,14 +148,14 @@
         self.loop = loop or VirtualLoop()
         self.store = store or FakeStore()
         self.cluster_view = ClusterView({'east-1': 'east'})
-        self.own_entry_lost = 0
+        self.lost_entries: list[MemberSource] = []
         self.sync = StoreSync(
             vm='vm-1',
             store=self.store,
             settings=SteeringStore(address='10.0.0.1:1'),
             cluster_view=self.cluster_view,
             grace_ms=GRACE_MS,
-            on_own_entry_gone=self._lose_entry,
+            on_own_entry_gone=self.lost_entries.append,
             clock=self.loop.now_ms,
         )
         self.store.write('op/config', CONFIGURATION)
@@ -172,9 +173,6 @@
         """Return the ids of the targets that are believed in."""
         return set(self.cluster_view.targets)
 
-    def _lose_entry(self) -> None:
-        self.own_entry_lost += 1
-
 
 def _encode(value: Any) -> bytes:
     return json.dumps(value).encode()
