--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -167,6 +167,7 @@
 
     def _is_counted(self, now_ms: float) -> bool:
         """Return whether the other nodes count this one."""
+        self._cluster_view.members.forget_departed(now_ms)
         age_ms = self._cluster_view.age_ms(now_ms)
         return (
             age_ms is not None
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -179,7 +179,7 @@
         members = node.cluster_view.members
         for other in unlisted:
             members.on_entry_gone(other.vm, float('-inf'))
-        members.forget_departed(fleet.loop.now_ms())
+    assert not any(node.placer.quotas.even_part() for node in unlisted)
     assert count_cold_sends(fleet) <= deployment.cold_allowed_per_s
     assert count_limited_sends(fleet) <= LIMIT_ALLOWED
     parts = [node.placer.quotas.even_part() for node in fleet.nodes]
