--- a/src/gentianbank/control/messages.py
+++ b/src/gentianbank/control/messages.py
@@ -36,6 +36,11 @@
 MESSAGE_TYPE_BY_KIND: dict[str, type[Message]] = {}
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownMessage(InvalidDocument):
+    """A message of a kind that only a newer version knows."""
+
+
 class Message:
     """Base class of all messages between nodes."""
 
@@ -310,6 +315,9 @@
     """
     try:
         kind, values = cbor2.loads(data)
+        if isinstance(kind, str) and kind not in MESSAGE_TYPE_BY_KIND:
+            cause = FieldError('(message)', f'unknown kind {kind[:50]!r}')
+            return Error(UnknownMessage('peer', (cause,)))
         message = MESSAGE_TYPE_BY_KIND[kind]
         names = schema.field_names(message)
         raw: dict[str, Any] = dict(zip(names, values, strict=False))
--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -22,6 +22,7 @@
 from gentianbank.control.messages import MAX_MESSAGE_BYTES
 from gentianbank.control.messages import Message
 from gentianbank.control.messages import RequestOrReply
+from gentianbank.control.messages import UnknownMessage
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import Disconnected
 from gentianbank.control.peers import PeerConnections
@@ -99,14 +100,22 @@
     async def read(self, on_message: Callable[[Message], None]) -> None:
         """Read messages until the connection ends.
 
-        The connection is closed after too many malformed messages.
+        The connection is closed after too many malformed messages. Those of
+        a kind that only a newer version knows are ignored.
         """
         malformed = 0
+        unknown = 0
         async for data in self.socket:
             raw = data.encode() if isinstance(data, str) else data
             match decode_message(raw):
                 case Result(tag='ok', ok=message):
                     on_message(message)
+                case Result(error=UnknownMessage() as error):
+                    unknown += 1
+                    if unknown == 1:
+                        logging.warning(
+                            'message of peer %s ignored: %s', self.vm, error
+                        )
                 case Result(error=error):
                     malformed += 1
                     logging.warning(
