--- a/tests/platform/test_mutated_documents.py
+++ b/tests/platform/test_mutated_documents.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from gentianbank.domain.registration import MemberRegistration
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.route_table import Route
 from gentianbank.domain.route_table import RouteTable
@@ -33,6 +34,7 @@
     'op/config': CONFIGURATION,
     'servers/i-1': ENTRY,
     'nodes/vm-1': NODE,
+    'members/vm-1': {'vm': 'vm-1', 'region': 'east'},
 }
 DEPTH = 100_000
 Steps = tuple[str | int, ...]
@@ -139,7 +141,7 @@
         check_untouched_routes(value, path)
         for problem in value.problems:
             assert names_cause(str(problem), path)
-    elif isinstance(value, NodeRegistration):
+    elif isinstance(value, NodeRegistration | MemberRegistration):
         assert value.vm
 
 
