--- a/src/gentianbank_standins/soak/callers.py
+++ b/src/gentianbank_standins/soak/callers.py
@@ -108,6 +108,7 @@
         self._sent += 1
         request_id = f'c{self._number}-{self._sent}'
         address = self._random.choice(self._addresses)
+        process = self._process_at(address)
         sent_s = self._world.now_s()
         status, whole, reached, pause_s = 0, False, True, 0.0
         try:
@@ -133,6 +134,7 @@
         timeout_ms = ORDER_TIMEOUT_MS if once else READ_TIMEOUT_MS
         attempt = Attempt(
             request_id=request_id,
+            process=process,
             once=once,
             sent_s=sent_s,
             took_s=self._world.now_s() - sent_s,
@@ -148,6 +150,11 @@
         node = self._node_at(address)
         return node is None or node.disturbed_s >= sent_s
 
+    def _process_at(self, address: str) -> str:
+        """Return a name for the running process of a node."""
+        node = self._node_at(address)
+        return f'{node.vm}/{node.starts}' if node else ''
+
     def _node_at(self, address: str) -> SoakNode | None:
         for node in self._world.nodes:
             if node.callers == address:
--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -11,6 +11,7 @@
 
 from gentianbank_standins.soak.links import LinkState
 from gentianbank_standins.soak.world import STOP_S
+from gentianbank_standins.users_targets import LimitPeriod
 
 if TYPE_CHECKING:
     from gentianbank_standins.soak.schedule import Fault
@@ -26,6 +27,9 @@
 # Time in which nodes without a fault learn that a target leaves.
 DRAIN_S = 3.0
 SLOW_STORE_MS = 300.0
+LIMITS_PER_S = (0.2, 2.5, 4.0)
+# Long enough that the limit binds for a while.
+LIMITED_S = 6.0
 
 Play = Callable[['SoakWorld', 'Fault'], Awaitable[None]]
 
@@ -204,6 +208,23 @@
     faults.slow_factor = 1.0
 
 
+@register_fault('target limited')
+async def limit_target(world: SoakWorld, fault: Fault) -> None:
+    """Let a target name a limit on the requests of all nodes."""
+    app = _target(world, fault).app
+    if app.faults.limit_per_s:
+        return
+    loop = asyncio.get_running_loop()
+    begin_s = loop.time()
+    limit_per_s = LIMITS_PER_S[fault.subject % len(LIMITS_PER_S)]
+    app.faults.limit_per_s = limit_per_s
+    await asyncio.sleep(LIMITED_S + fault.for_s)
+    app.faults.limit_per_s = 0.0
+    world.journal.limit_periods.append(
+        LimitPeriod(app.target_id, limit_per_s, begin_s, loop.time())
+    )
+
+
 @register_fault('target cut off', 1.5)
 async def cut_target(world: SoakWorld, fault: Fault) -> None:
     """Cut a target off, in one of three ways."""
--- a/src/gentianbank_standins/soak/main.py
+++ b/src/gentianbank_standins/soak/main.py
@@ -22,6 +22,8 @@
 from gentianbank_standins.soak.world import STOP_S
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from gentianbank_standins.soak.schedule import Fault
 
 # Time after the last fault in which all is to be well again.
@@ -57,6 +59,7 @@
     targets: int = 6,
     callers: int = 12,
     duration_s: float = 20.0,
+    kinds: Collection[str] = (),
 ) -> SoakResult:
     """Run one seed and check the promises.
 
@@ -66,9 +69,17 @@
         Takes settings and logs.
     duration_s
         Time in which faults begin.
+    kinds
+        Kinds of faults that come; by default all.
     """
     world = SoakWorld(folder, nodes, targets, seed)
-    return asyncio.run(_run(world, callers, duration_s))
+    weights = {
+        name: kind.weight
+        for name, kind in FAULTS.items()
+        if name in kinds or not kinds
+    }
+    schedule = draw_schedule(seed, duration_s, weights)
+    return asyncio.run(_run(world, schedule, callers, duration_s))
 
 
 def soak(
@@ -77,6 +88,7 @@
     targets: int = 6,
     callers: int = 12,
     duration_s: float = 20.0,
+    kinds: str | tuple[str, ...] = '',
     keep: str = '',
 ) -> None:
     """Run seeds one after the other; exit code 1 if any promise broke.
@@ -85,6 +97,8 @@
     ----------
     seeds
         One seed or a range such as ``1-50``.
+    kinds
+        Kinds of faults that come, separated by commas; by default all.
     keep
         Folder that keeps settings and logs; by default they are kept only
         of seeds that failed.
@@ -104,6 +118,7 @@
             targets=targets,
             callers=callers,
             duration_s=duration_s,
+            kinds=_read_kinds(kinds),
         )
         verdict = f'{len(result.broken)} broken' if result.broken else 'kept'
         print(f'seed {seed}: {verdict}; {result.seen}; {result.faults}')
@@ -121,11 +136,9 @@
 
 
 async def _run(
-    world: SoakWorld, callers: int, duration_s: float
+    world: SoakWorld, schedule: list[Fault], callers: int, duration_s: float
 ) -> SoakResult:
     promises = Promises()
-    weights = {name: kind.weight for name, kind in FAULTS.items()}
-    schedule = draw_schedule(world.seed, duration_s, weights)
     calm_s = duration_s + LONGEST_S + STOP_S + RECOVERY_S
     try:
         await world.start()
@@ -154,6 +167,17 @@
     await FAULTS[fault.kind].play(world, fault)
 
 
+def _read_kinds(text: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return the kinds of faults; fire splits some lists by itself."""
+    parts = text.split(',') if isinstance(text, str) else text
+    kinds = tuple(part.strip() for part in parts if part.strip())
+    unknown = sorted(set(kinds) - FAULTS.keys())
+    if unknown:
+        known = ', '.join(sorted(FAULTS))
+        raise SystemExit(f'unknown fault: {unknown[0]}; known are {known}')
+    return kinds
+
+
 def _read_seeds(text: str) -> list[int]:
     first, _, last = text.partition('-')
     return list(range(int(first), int(last or first) + 1))
--- a/src/gentianbank_standins/soak/promises.py
+++ b/src/gentianbank_standins/soak/promises.py
@@ -7,6 +7,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from gentianbank_standins.soak.limits import exceeded_limits
+
 if TYPE_CHECKING:
     from gentianbank_standins.users_targets import Journal
 
@@ -23,6 +25,8 @@
 
     Parameters
     ----------
+    process
+        Process of the node that was asked.
     status
         Status of the answer; 0 when the connection ended without one.
     whole
@@ -34,6 +38,7 @@
     """
 
     request_id: str
+    process: str
     once: bool
     sent_s: float
     took_s: float
@@ -79,6 +84,12 @@
         for attempt in self.attempts:
             runs = journal.runs[attempt.request_id]
             lines += _broken_by(attempt, runs)
+        processes = {
+            attempt.request_id: attempt.process
+            for attempt in self.attempts
+            if not attempt.disturbed
+        }
+        lines += exceeded_limits(journal, processes)
         lines += self._unrecovered(calm_s)
         return lines
 
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -43,6 +43,8 @@
     ----------
     disturbed_s
         Time until which the node counts as disturbed.
+    starts
+        How often the process was started.
     """
 
     vm: str
@@ -54,6 +56,7 @@
     process: asyncio.subprocess.Process | None = None
     disturbed_s: float = 0.0
     stopping: bool = False
+    starts: int = 0
 
 
 @dataclass
@@ -178,6 +181,7 @@
     async def launch(self, node: SoakNode) -> None:
         """Start the process of a node."""
         node.stopping = False
+        node.starts += 1
         node.process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -25,11 +25,33 @@
         Requests that run, but whose connection then breaks.
     refuse_next
         Requests that are rejected as not run.
+    limit_per_s
+        Limit that answers name on the requests of all nodes; 0 for none.
     """
 
     slow_factor: float = 1.0
     lose_next: int = 0
     refuse_next: int = 0
+    limit_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEvent:
+    """A request that reached a target, or an answer that named its limit."""
+
+    time_s: float
+    target_id: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitPeriod:
+    """Time in which the answers of a target named a limit."""
+
+    target_id: str
+    limit_per_s: float
+    begin_s: float
+    end_s: float
 
 
 @dataclass
@@ -44,11 +66,18 @@
         Requests that run now, by the target's id.
     late
         Requests that came after their target was to get none.
+    arrivals, limits_named
+        Requests that reached targets, and answers that named limits.
+    limit_periods
+        Times in which limits were named.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
     running: Counter[str] = field(default_factory=Counter)
     late: list[str] = field(default_factory=list)
+    arrivals: list[TargetEvent] = field(default_factory=list)
+    limits_named: list[TargetEvent] = field(default_factory=list)
+    limit_periods: list[LimitPeriod] = field(default_factory=list)
 
 
 @dataclass
@@ -86,6 +115,8 @@
             await self._reject(send, 421, request_id)
             return
         now_s = asyncio.get_running_loop().time()
+        arrival = TargetEvent(now_s, self.target_id, request_id)
+        self.journal.arrivals.append(arrival)
         if self.closed_s and now_s > self.closed_s:
             self.journal.late.append(request_id)
         full = self._waiting >= self.slots * QUEUE_PER_SLOT
@@ -171,6 +202,12 @@
             'server-load': load,
             'content-length': str(len(body)),
         }
+        if self.faults.limit_per_s:
+            pairs['server-limit'] = f'{self.faults.limit_per_s:g}'
+            now_s = asyncio.get_running_loop().time()
+            request_id = headers.get('request-id', '')
+            named = TargetEvent(now_s, self.target_id, request_id)
+            self.journal.limits_named.append(named)
         head = [(k.encode(), v.encode()) for k, v in pairs.items()]
         await send(
             {'type': 'http.response.start', 'status': status, 'headers': head}
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -6,12 +6,17 @@
 
 import pytest
 
+from gentianbank_standins.soak.limits import exceeded_limits
 from gentianbank_standins.soak.main import run_soak
+from gentianbank_standins.users_targets import Journal
+from gentianbank_standins.users_targets import LimitPeriod
+from gentianbank_standins.users_targets import TargetEvent
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 DURATION_S = 8.0
+LIMIT_KINDS = ('target limited', 'node stopped', 'store cut off')
 
 
 @pytest.mark.parametrize('seed', [1])
@@ -20,3 +25,22 @@
     assert result.broken == ()
     assert result.faults
     assert result.seen['200'] > 0
+
+
+def test_soak_keeps_the_limits_that_targets_name(tmp_path: Path) -> None:
+    result = run_soak(2, tmp_path, duration_s=DURATION_S, kinds=LIMIT_KINDS)
+    assert result.broken == ()
+    assert result.faults['target limited']
+
+
+def test_soak_notices_a_limit_that_is_exceeded() -> None:
+    journal = Journal(limit_periods=[LimitPeriod('desk-1', 2.5, 0.0, 9.0)])
+    processes = {}
+    for number in range(90):
+        event = TargetEvent(number / 10, 'desk-1', f'r-{number}')
+        journal.arrivals.append(event)
+        journal.limits_named.append(event)
+        processes[event.request_id] = 'vm-1/1'
+    (line,) = exceeded_limits(journal, processes)
+    assert 'desk-1 named a limit of 2.5 a second and got 40' in line
+    assert not exceeded_limits(journal, {})
