--- a/src/gentianbank/steering/member_record.py
+++ b/src/gentianbank/steering/member_record.py
@@ -18,6 +18,9 @@
 # Far longer than outages and cuts, through which a node goes on sending.
 LEASE_MS = 600_000
 RENEWAL_MS = LEASE_MS / 3
+# A node that does not hear from the store knows that its entry is still there
+# for so long, as the entry may have been renewed this long before.
+CERTAIN_MS = LEASE_MS - RENEWAL_MS
 
 
 class MemberRecord:
@@ -57,9 +60,11 @@
         now_ms = self._clock()
         if now_ms < self._due_ms:
             return
+        # Set before the calls, during which the entry may be removed.
+        self._due_ms = now_ms + RENEWAL_MS
         renewed = self._lease and await self._renew()
-        if renewed or await self._write():
-            self._due_ms = now_ms + RENEWAL_MS
+        if not renewed and not await self._write():
+            self._due_ms = float('-inf')
 
     async def _renew(self) -> bool:
         return (await self._store.renew_lease(self._lease)).is_ok()
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -99,11 +99,12 @@
         self.store = LeaseStore(self.loop)
         self.recoveries = 0
         settings = SteeringStore(address='10.0.0.9:1', lease_ms=LEASE_MS)
+        self.record = MemberRecord(ME, self.store, self.loop.now_ms)
         self.membership = Membership(
             ME,
             self.store,
             settings,
-            MemberRecord(ME, self.store, self.loop.now_ms),
+            self.record,
             self._count_recovery,
         )
         self.task = self.loop.create_task(self.membership.run())
@@ -208,3 +209,21 @@
     node.membership.on_entry_gone(MemberSource.LASTING)
     node.wait(2.0)
     assert node.is_member
+
+
+def test_lasting_entry_that_is_removed_during_a_renewal_is_written_again(
+    node: Node,
+) -> None:
+    async def remove_during_renewal() -> None:
+        renewal = asyncio.create_task(node.record.refresh())
+        await asyncio.sleep(0)
+        node.store.entries.pop('members/vm-1')
+        node.record.on_entry_gone()
+        await renewal
+
+    node.task.cancel()
+    node.wait(RENEWAL_MS / 1_000 + 1)
+    node.loop.run_until_complete(remove_during_renewal())
+    assert not node.is_member
+    node.loop.run_until_complete(node.record.refresh())
+    assert node.is_member
