--- a/src/gentianbank/policy/fleet_members.py
+++ b/src/gentianbank/policy/fleet_members.py
@@ -65,6 +65,10 @@
                 del self._sources[vm]
                 self.generation += 1
 
+    def has_entry(self, vm: str, source: MemberSource) -> bool:
+        """Return whether an entry of some kind names a node."""
+        return source in self._sources.get(vm, ())
+
     def named_by(self, source: MemberSource) -> list[str]:
         """Return the nodes that an entry of some kind names."""
         return [
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -10,7 +10,9 @@
 from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
 from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.policy.fleet_limits import limited_target_quota
-from gentianbank.steering.member_record import LEASE_MS
+from gentianbank.policy.fleet_members import MemberSource
+from gentianbank.policy.fleet_members import MEMORY_MS
+from gentianbank.steering.member_record import CERTAIN_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,7 +53,7 @@
 
     This node takes a part only while the others count it: its entry is in
     the store, as far as this node knows, and the store was heard within the
-    time for which the entry lasts without it.
+    time for which the others certainly remember the entry.
 
     Parameters
     ----------
@@ -167,13 +169,13 @@
 
     def _is_counted(self, now_ms: float) -> bool:
         """Return whether the other nodes count this one."""
-        self._cluster_view.members.forget_departed(now_ms)
+        members = self._cluster_view.members
+        members.forget_departed(now_ms)
         age_ms = self._cluster_view.age_ms(now_ms)
-        return (
-            age_ms is not None
-            and age_ms < LEASE_MS
-            and self._vm in self._cluster_view.members
-        )
+        if age_ms is None or self._vm not in members:
+            return False
+        has_lasting = members.has_entry(self._vm, MemberSource.LASTING)
+        return age_ms < (CERTAIN_MS if has_lasting else MEMORY_MS)
 
     def _cold_quota(self, target: TargetLoad) -> int:
         """Return how many requests per second a cold target may get."""
--- a/tests/steering/test_fleet_quotas.py
+++ b/tests/steering/test_fleet_quotas.py
@@ -12,7 +12,10 @@
 from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
 from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.policy.fleet_limits import SharedRetryBudget
+from gentianbank.policy.fleet_members import MemberSource
+from gentianbank.policy.fleet_members import MEMORY_MS
 from gentianbank.steering.member_record import LEASE_MS
+from gentianbank.steering.member_record import RENEWAL_MS
 from tests.support.fleet import allowed_requests
 from tests.support.fleet import Deployment
 from tests.support.fleet import DEPLOYMENTS
@@ -178,7 +181,8 @@
     for node in fleet.nodes:
         members = node.cluster_view.members
         for other in unlisted:
-            members.on_entry_gone(other.vm, float('-inf'))
+            for source in MemberSource:
+                members.on_entry_gone(other.vm, float('-inf'), source)
     assert not any(node.placer.quotas.even_part() for node in unlisted)
     assert count_cold_sends(fleet) <= deployment.cold_allowed_per_s
     assert count_limited_sends(fleet) <= LIMIT_ALLOWED
@@ -202,12 +206,27 @@
     assert count_sends(fleet)
 
 
-def test_node_cut_off_for_longer_than_its_entry_lasts_takes_no_parts() -> None:
+@pytest.mark.parametrize(
+    ('sources', 'certain_ms'),
+    [
+        ((MemberSource.NODE,), MEMORY_MS),
+        ((MemberSource.NODE, MemberSource.LASTING), LEASE_MS - RENEWAL_MS),
+    ],
+)
+def test_node_cut_off_for_longer_than_its_entry_lasts_takes_no_parts(
+    sources: tuple[MemberSource, ...], certain_ms: float
+) -> None:
     fleet = Fleet(7, regions_of(6))
-    fleet.loop.run_until_complete(asyncio.sleep(LEASE_MS / 1_000))
+    for node in fleet.nodes:
+        for source in set(MemberSource) - set(sources):
+            members = node.cluster_view.members
+            members.on_entry_gone(node.vm, fleet.loop.now_ms(), source)
+    fleet.loop.run_until_complete(asyncio.sleep(certain_ms / 1_000 - 1))
+    assert all(node.placer.quotas.even_part() for node in fleet.nodes)
+    fleet.loop.run_until_complete(asyncio.sleep(1))
+    assert not any(node.placer.quotas.even_part() for node in fleet.nodes)
     assert not count_cold_sends(fleet)
     assert not count_limited_sends(fleet)
-    assert not any(node.placer.quotas.even_part() for node in fleet.nodes)
 
 
 def test_target_whose_entry_was_gone_for_a_moment_gets_no_second_quota() -> (
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -22,6 +22,7 @@
 from gentianbank.domain.route_table import SplitPart
 from gentianbank.domain.route_table import UnusableRoute
 from gentianbank.domain.steering_settings import Bounds
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.cluster_view import ClusterView
 from gentianbank.steering.placer import Placer
 from gentianbank.steering.proxy import Proxy
@@ -261,7 +262,8 @@
         self.loop = loop or VirtualLoop()
         started_ms = self.loop.now_ms() - running_ms
         self.cluster_view = ClusterView(dict(regions))
-        self.cluster_view.members.put(vm, self.region)
+        for source in MemberSource:
+            self.cluster_view.members.put(vm, self.region, source)
         self.cluster_view.store_answered_ms = self.loop.now_ms()
         self.put_table()
         self.transport = transport or ScriptedTargets()
