--- a/src/gentianbank/policy/target_limit.py
+++ b/src/gentianbank/policy/target_limit.py
@@ -60,6 +60,7 @@
     named_since_ms: float = float('-inf')
     heard_ms: float = float('-inf')
     has_news: bool = False
+    _unreadable_text: str = ''
     _told_heard_ms: float = float('-inf')
     _last_sent_ms: float = float('-inf')
     _ended_ms: float = float('-inf')
@@ -149,6 +150,12 @@
             return False
         return self._set(None, now_ms)
 
+    def is_new_text(self, statement: UnreadableLimit) -> bool:
+        """Record a limit that cannot be read; return whether it is new."""
+        is_new = statement.text != self._unreadable_text
+        self._unreadable_text = statement.text
+        return is_new
+
     def _set(self, requests_per_s: float | None, heard_ms: float) -> bool:
         """Record a limit or its end; return whether that is a change."""
         before = self.requests_per_s
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -244,10 +244,11 @@
         statement = wire.decode_request_limit(headers)
         target_id = target.registration.target_id
         if isinstance(statement, UnreadableLimit):
-            logging.warning(
-                'limit of a target cannot be read',
-                extra={'target': target_id, 'cause': statement.text},
-            )
+            if target.limit.is_new_text(statement):
+                logging.warning(
+                    'limit of a target cannot be read',
+                    extra={'target': target_id, 'cause': statement.text},
+                )
             return
         if target.limit.on_answer(statement, sent_ms, self._clock()):
             part = self._placer.quotas.limit_part(target)
--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -9,6 +9,8 @@
 from tests.support.fleet import Fleet
 from tests.support.fleet import regions_of
 from tests.support.steering import Path
+from tests.support.steering import Script
+from tests.support.steering import STAMP
 
 SIX_DOMAINS = regions_of(6)
 
@@ -63,3 +65,19 @@
         path.cluster_view.targets['desk-2'].on_send(now_ms, '')
     assert path.ask(key='7').status == 200
     assert path.sent_to() == ['desk-1']
+
+
+def test_limit_that_cannot_be_read_is_logged_once_for_each_text(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    path = Path(targets=1)
+    for text in (b'few', b'few', b'none', b'none'):
+        limit = (b'Server-Limit', text)
+        path.transport.default = Script(headers=(STAMP, limit))
+        assert path.ask().status == 200
+    logged = [
+        vars(record)['cause']
+        for record in caplog.records
+        if record.msg == 'limit of a target cannot be read'
+    ]
+    assert logged == ['few', 'none']
