--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -17,10 +17,14 @@
 
 
 class Store:
-    """Items, leases and watches with one revision counter."""
+    """Items, leases and watches with one revision counter.
+
+    While it is down, calls get no answer and do nothing.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.is_down = False
         self._items: dict[str, dict[str, Any]] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._events: list[dict[str, Any]] = []
@@ -46,6 +50,8 @@
 
     async def handle(self, request: Request) -> Answer | None:
         """Serve one call."""
+        if self.is_down:
+            return await self._keep_silent()
         self._expire()
         query = {
             name: values[0]
@@ -56,12 +62,18 @@
         body = json.loads(request.body or b'{}')
         name, _, argument = request.path.strip('/').partition('/')
         status, document = await self._call(name, argument, query, body)
+        if self.is_down:
+            return await self._keep_silent()
         return Answer(
             status,
             {'Content-Type': 'application/json'},
             json.dumps(document).encode(),
         )
 
+    async def _keep_silent(self) -> None:
+        while self.is_down:
+            await asyncio.sleep(0.05)
+
     async def _call(
         self,
         name: str,
