Read figures of load reports and limits only if they are numbers in range

Cause: the header was converted with float(), which reads `inf`, `nan`, `0` and negative figures. The next message to the other nodes then rounds an infinite slowdown (OverflowError in build_row), and the exception ends the gossip task and with it the process. The same figure passes elsewhere first: `nan` stays in the mean of a route, whose requests are then all refused, and `0` divides in AttemptSender after the request has run, so the caller gets a 500 of the node. A count of 400 digits fails in the estimate of a target.

Change: domain/numbers.py reads plain decimal numbers within bounds and nothing else; both headers are decoded with it. An unreadable report changes nothing and is logged, at most once in 10 s for each target.

--- a/src/gentianbank/domain/load_report.py
+++ b/src/gentianbank/domain/load_report.py
@@ -19,9 +19,17 @@
         Requests that the target processes at once.
     slowdown
         Processing time relative to the target's normal one; 1 is normal.
+        Finite and above 0.
     """
 
     running: int
     waiting: int
     slots: int
     slowdown: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableReport:
+    """A load report with a figure that is no number in its range."""
+
+    text: str
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import math
 from typing import TYPE_CHECKING
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.domain.load_report import UnreadableReport
+from gentianbank.domain.numbers import parse_number
+from gentianbank.domain.numbers import parse_whole
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
@@ -29,6 +31,11 @@
 _NOT_RUN = b'not-executed'
 _MISDIRECTED_STATUS = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
+_MIN_SLOWDOWN_PERCENT = 1.0
+_MAX_SLOWDOWN_PERCENT = 100_000.0
+_MAX_REPORTED_REQUESTS = 1_000_000
+_MAX_LIMIT_PER_S = 1e9
+_SHOWN_CHARACTERS = 60
 _CONNECTION_HEADERS = HOP_BY_HOP | {b'expect'}
 _REPLACED_IN_REQUEST = _CONNECTION_HEADERS | {
     TIME_LEFT,
@@ -104,22 +111,29 @@
     return status == _MISDIRECTED_STATUS
 
 
-def decode_load_report(headers: RawHeaders) -> LoadReport | None:
-    """Return a target's load report; ``None`` if missing or malformed."""
+def decode_load_report(
+    headers: RawHeaders,
+) -> LoadReport | UnreadableReport | None:
+    """Return a target's load report; ``None`` if there is none."""
     raw = find_header(headers, _LOAD_REPORT)
     if raw is None:
         return None
-    figures = raw.decode('latin-1').split(',')
-    try:
-        running, waiting, slots = (int(figure) for figure in figures[:3])
-        slowdown_percent = (
-            float(figures[3]) if len(figures) > 3 else _NORMAL_SLOWDOWN_PERCENT
+    text = raw.decode('latin-1')
+    figures = text.split(',')
+    counts = [
+        parse_whole(figure, 0, _MAX_REPORTED_REQUESTS)
+        for figure in figures[:3]
+    ]
+    slowdown_percent: float | None = _NORMAL_SLOWDOWN_PERCENT
+    if len(figures) > len(counts):
+        slowdown_percent = parse_number(
+            figures[3], _MIN_SLOWDOWN_PERCENT, _MAX_SLOWDOWN_PERCENT
         )
-    except ValueError:
-        return None
-    return LoadReport(
-        running, waiting, slots, slowdown_percent / _NORMAL_SLOWDOWN_PERCENT
-    )
+    match counts:
+        case [int(running), int(waiting), int(slots)] if slowdown_percent:
+            slowdown = slowdown_percent / _NORMAL_SLOWDOWN_PERCENT
+            return LoadReport(running, waiting, slots, slowdown)
+    return UnreadableReport(text[:_SHOWN_CHARACTERS])
 
 
 def decode_request_limit(headers: RawHeaders) -> LimitStatement:
@@ -128,12 +142,9 @@
     if raw is None:
         return NoLimit()
     text = raw.decode('latin-1')
-    try:
-        requests_per_s = float(text)
-    except ValueError:
-        return UnreadableLimit(text)
-    if not 0 <= requests_per_s < math.inf:
-        return UnreadableLimit(text)
+    requests_per_s = parse_number(text, 0, _MAX_LIMIT_PER_S)
+    if requests_per_s is None:
+        return UnreadableLimit(text[:_SHOWN_CHARACTERS])
     return NamedLimit(requests_per_s)
 
 
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -37,6 +37,8 @@
 # Enough doublings to reach the longest backoff; 2 to the power of a count
 # that grows without end is no float any more.
 MAX_BACKOFF_DOUBLINGS = 10
+# Unreadable load reports of a target are logged this far apart at the least.
+UNREADABLE_LOG_PERIOD_MS = 10_000.0
 # Backoff while another target has the address; an entry from the store with
 # the new address ends it sooner.
 MISDIRECTED_BACKOFF_MS = 15_000.0
@@ -97,6 +99,7 @@
     _reported_slowdown: float = DEFAULT_SLOWDOWN
     _slowdown_reported_ms: float = float('-inf')
     _unsent_report: LoadReport | None = None
+    _unreadable_logged_ms: float = float('-inf')
     # By hash, which is how nodes name objects to each other; least recently
     # used first.
     _warm_objects: OrderedDict[int, None] = field(default_factory=OrderedDict)
@@ -183,6 +186,13 @@
         self._unsent_report = report
         self.on_slowdown(report.slowdown, now_ms)
 
+    def on_unreadable_report(self, now_ms: float) -> bool:
+        """Record a report that cannot be read; return whether to log it."""
+        if now_ms - self._unreadable_logged_ms < UNREADABLE_LOG_PERIOD_MS:
+            return False
+        self._unreadable_logged_ms = now_ms
+        return True
+
     def on_slowdown(self, slowdown: float, now_ms: float) -> None:
         """Record a slowdown, reported by the target or by another node."""
         self._reported_slowdown = slowdown
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -9,6 +9,7 @@
 from absl import logging
 from expression import Result
 
+from gentianbank.domain.load_report import UnreadableReport
 from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
 from gentianbank.policy.placement import ROUND_TRIP_MS
@@ -21,6 +22,7 @@
     from collections.abc import Callable
 
     from gentianbank.dataplane.exchange import Exchange
+    from gentianbank.domain.load_report import LoadReport
     from gentianbank.policy.placement import Placement
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.caller_request import CallerRequest
@@ -193,9 +195,7 @@
             await answer.close()
             target.on_broken(self._clock())
             return Broken('the answer names no request')
-        load = wire.decode_load_report(headers)
-        if load is not None:
-            target.on_report(load, self._clock())
+        load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
         buffered = b''
@@ -238,6 +238,26 @@
         unread = None if complete else answer
         return Delivered(status, headers, buffered, unread)
 
+    def _record_load(
+        self, target: TargetLoad, headers: RawHeaders
+    ) -> LoadReport | None:
+        """Record and return the load report; ``None`` if there is none."""
+        now_ms = self._clock()
+        load = wire.decode_load_report(headers)
+        if isinstance(load, UnreadableReport):
+            if target.on_unreadable_report(now_ms):
+                logging.warning(
+                    'load report of a target cannot be read',
+                    extra={
+                        'target': target.registration.target_id,
+                        'cause': load.text,
+                    },
+                )
+            return None
+        if load is not None:
+            target.on_report(load, now_ms)
+        return load
+
     def _record_limit(
         self, target: TargetLoad, headers: RawHeaders, sent_ms: float
     ) -> None:
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -27,12 +27,15 @@
         Requests that are rejected as not run.
     limit_per_s
         Limit that answers name on the requests of all nodes; 0 for none.
+    slowdown
+        Slowdown in the load reports, in percent, as it is written.
     """
 
     slow_factor: float = 1.0
     lose_next: int = 0
     refuse_next: int = 0
     limit_per_s: float = 0.0
+    slowdown: str = '100'
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +200,8 @@
         *,
         cut: bool = False,
     ) -> None:
-        load = f'{self._running},{self._waiting},{self.slots},100'
+        load = f'{self._running},{self._waiting},{self.slots},'
+        load += self.faults.slowdown
         pairs = headers | {
             'server-load': load,
             'content-length': str(len(body)),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gentianbank.domain.load_report import LoadReport
+from gentianbank.domain.load_report import UnreadableReport
 from gentianbank.domain.request_limit import LimitStatement
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
@@ -18,15 +19,44 @@
     [
         (b'3,0,8', LoadReport(3, 0, 8, 1.0)),
         (b'3, 1, 8, 250', LoadReport(3, 1, 8, 2.5)),
-        (b'3,0', None),
-        (b'much', None),
-        (b'', None),
+        (b'3,0,8,100,7', LoadReport(3, 0, 8, 1.0)),
+        (b'3,0', UnreadableReport('3,0')),
+        (b'much', UnreadableReport('much')),
+        (b'', UnreadableReport('')),
     ],
 )
-def test_load_is_decoded(text: bytes, expected: LoadReport | None) -> None:
+def test_load_is_decoded(
+    text: bytes, expected: LoadReport | UnreadableReport
+) -> None:
     assert wire.decode_load_report([(b'Server-Load', text)]) == expected
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'3,0,8,inf',
+        b'3,0,8,nan',
+        b'3,0,8,0',
+        b'3,0,8,-100',
+        b'3,0,8,1e400',
+        b'3,0,8,' + b'9' * 5_000,
+        b'-3,0,8',
+        b'3,-1,8,100',
+        b'9' * 400 + b',0,8,100',
+        b'1_0,0,8,100',
+    ],
+)
+def test_load_with_a_figure_that_is_no_number_in_range_is_refused(
+    text: bytes,
+) -> None:
+    report = wire.decode_load_report([(b'Server-Load', text)])
+    assert report == UnreadableReport(text.decode()[:60])
+
+
+def test_answer_without_the_header_reports_no_load() -> None:
+    assert wire.decode_load_report([(b'server-limit', b'1')]) is None
+
+
 @pytest.mark.parametrize(
     ('text', 'expected'),
     [
--- a/tests/processes/test_steering_node.py
+++ b/tests/processes/test_steering_node.py
@@ -24,6 +24,8 @@
 PATIENCE_S = 30.0
 NODES = 2
 TARGETS = 3
+REPORTS = 4
+REPORT_PERIOD_S = 0.3
 
 
 @pytest.fixture
@@ -95,6 +97,28 @@
     run(test)
 
 
+@pytest.mark.parametrize('figure', ['inf', 'nan', '0', '1' + '0' * 400])
+def test_load_report_that_is_no_number_takes_down_no_process(
+    run: Any, figure: str
+) -> None:
+    async def test(world: SoakWorld) -> None:
+        for target in world.targets:
+            target.app.faults.slowdown = figure
+        for number in range(REPORTS):
+            answers = [
+                await ask(node, f'r-{number}-{node.vm}')
+                for node in world.nodes
+            ]
+            assert [answer.status_code for answer in answers] == [200, 200]
+            # Reports are passed to other nodes in the meantime.
+            await asyncio.sleep(REPORT_PERIOD_S)
+        for node in world.nodes:
+            assert node.process is not None
+            assert node.process.returncode is None
+
+    run(test)
+
+
 def test_metrics_count_requests_and_calls_to_the_store(run: Any) -> None:
     async def test(world: SoakWorld) -> None:
         node = world.nodes[0]
