Count a load report of the own interface only with a number in range

A deeply nested report raised RecursionError, which no caller catches.

A negative count now counts as no report instead of as 0.

--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -17,6 +17,7 @@
 NOT_RUN = b'request-not-run'
 LOAD_REPORT = b'endpoint-load-metrics'
 _JSON_PREFIX = 'JSON '
+_MAX_REPORTED_REQUESTS = 1_000_000
 _NOT_FORWARDED = HOP_BY_HOP | {
     b'host',
     REQUEST_ID,
@@ -83,6 +84,8 @@
 def reported_in_flight(headers: RawHeaders) -> int | None:
     """Return the requests in flight that a target reports, if it does.
 
+    A report without such a number counts as none.
+
     The load report is a header in the JSON form of Open Request Cost
     Aggregation (ORCA), with ``in_flight`` among its named metrics.
     """
@@ -94,6 +97,12 @@
         return None
     try:
         report = json.loads(text.removeprefix(_JSON_PREFIX))
-        return max(0, int(report['named_metrics']['in_flight']))
-    except (ValueError, KeyError, TypeError, OverflowError):
+        in_flight = report['named_metrics']['in_flight']
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    if isinstance(in_flight, bool) or not isinstance(in_flight, int | float):
+        return None
+    # Also false for what is no number.
+    if not 0 <= in_flight <= _MAX_REPORTED_REQUESTS:
         return None
+    return int(in_flight)
