Let a health check end that gets no usable body

Own interface, same class: what one target sends ended the process or stopped the checks. A deeply nested body raised RecursionError in the check, which ends the checker's task and with it the node. A body that never ends held its check for ever, and the checks of all other targets wait for it.

Change: the body has the same time limit as the head, and nesting counts as an unusable document.

Evidence: the cases `[[[...`, `{"status": {"status": ...` and the silent body of test_check_without_a_usable_answer_fails_only_its_own_target failed before.

--- a/src/gentianbank/dataplane/health_checker.py
+++ b/src/gentianbank/dataplane/health_checker.py
@@ -29,6 +29,7 @@
 FAILURE_THRESHOLD = 2
 MAX_BODY_BYTES = 65_536
 _HEALTH_PATH = b'/healthz'
+_MS_PER_S = 1_000
 
 
 class HealthChecker:
@@ -72,13 +73,15 @@
                 self._record_check(target, passing=False, leaving=False)
 
     async def _read_answer(self, target: Target, answer: TargetAnswer) -> None:
-        body = b''
+        body = bytearray()
         try:
-            async for chunk in answer.chunks():
-                body += chunk
-                if len(body) > MAX_BODY_BYTES:
-                    break
-        except TruncatedBodyError:
+            async with asyncio.timeout(CHECK_TIMEOUT_MS / _MS_PER_S):
+                async for chunk in answer.chunks():
+                    body += chunk
+                    if len(body) > MAX_BODY_BYTES:
+                        break
+        except (TruncatedBodyError, TimeoutError):
+            # What has arrived is no whole document, so the check fails below.
             pass
         finally:
             await answer.close()
@@ -89,7 +92,7 @@
             document = json.loads(body)
             passing = document.get('status') in ('pass', 'warn')
             leaving = document.get('output') == 'leaving'
-        except (ValueError, AttributeError):
+        except (ValueError, AttributeError, RecursionError):
             passing, leaving = False, False
         self._record_check(target, passing=passing, leaving=leaving)
 
