Name a value of any kind in an error without raising

Same class: a whole number of more than 4,300 digits in a message between nodes raised ValueError where the error text shows the value, as does the text of the exception itself if the number stands for the kind. The exception ended the task that read the connection, or the handshake, without a line that names the peer.

Change: one function writes values into error texts, for the platform's documents, messages and settings; it stood in platform/fields.py alone.

--- a/src/gentianbank/control/messages.py
+++ b/src/gentianbank/control/messages.py
@@ -14,6 +14,7 @@
 from gentianbank.domain import schema
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import show
 from gentianbank.domain.member import Member
 
 if TYPE_CHECKING:
@@ -322,6 +323,6 @@
         names = schema.field_names(message)
         raw: dict[str, Any] = dict(zip(names, values, strict=False))
     except _UNDECODABLE as error:
-        cause = FieldError('(message)', f'{type(error).__name__}: {error}')
+        cause = FieldError('(message)', show(error))
         return Error(InvalidDocument('peer', (cause,)))
     return schema.read(message, raw, f'message {kind}', ignore_unknown=True)
--- a/src/gentianbank/domain/errors.py
+++ b/src/gentianbank/domain/errors.py
@@ -3,6 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
+
+_SHOWN_CHARACTERS = 60
+
+
+def show(value: Any) -> str:
+    """Return the start of a value of any kind, for an error message."""
+    try:
+        return f'{value!r:.{_SHOWN_CHARACTERS}}'
+    except (ValueError, RecursionError):
+        # Numbers of very many digits and deep values cannot be printed.
+        return f'a {type(value).__name__} that is too large'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianbank/domain/schema.py
+++ b/src/gentianbank/domain/schema.py
@@ -24,6 +24,7 @@
 
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import show
 from gentianbank.domain.errors import UnknownField
 
 T = TypeVar('T')
@@ -72,11 +73,11 @@
         kinds = (int,) if self.whole else (int, float)
         if isinstance(raw, bool) or not isinstance(raw, kinds):
             kind = 'whole number' if self.whole else 'number'
-            cause = f'expected a {kind}{_unit_phrase(path)}, got {raw!r:.60}'
+            cause = f'expected a {kind}{_unit_phrase(path)}, got {show(raw)}'
             errors.append(FieldError(path, cause))
             return None
         if not self.minimum <= raw <= self.maximum:
-            cause = f'{raw} is outside {self.minimum}..{self.maximum}'
+            cause = f'{show(raw)} is outside {self.minimum}..{self.maximum}'
             errors.append(FieldError(path, cause))
             return None
         return raw if self.whole else float(raw)
@@ -89,14 +90,14 @@
 
     def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
         if not isinstance(raw, str):
-            errors.append(FieldError(path, f'expected text, got {raw!r:.60}'))
+            errors.append(FieldError(path, f'expected text, got {show(raw)}'))
             return None
         if self.choices and raw not in self.choices:
-            cause = f'{raw!r:.60} is none of {", ".join(self.choices)}'
+            cause = f'{show(raw)} is none of {", ".join(self.choices)}'
             errors.append(FieldError(path, cause))
             return None
         if not re.fullmatch(self.pattern, raw):
-            cause = f'{raw!r:.60} does not match {self.pattern}'
+            cause = f'{show(raw)} does not match {self.pattern}'
             errors.append(FieldError(path, cause))
             return None
         return raw
@@ -106,7 +107,7 @@
 class _FlagRule(Rule):
     def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
         if not isinstance(raw, bool):
-            cause = f'expected true or false, got {raw!r:.60}'
+            cause = f'expected true or false, got {show(raw)}'
             errors.append(FieldError(path, cause))
             return None
         return raw
@@ -142,7 +143,7 @@
     def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
         if not isinstance(raw, list):
             errors.append(
-                FieldError(path, f'expected a list, got {raw!r:.60}')
+                FieldError(path, f'expected a list, got {show(raw)}')
             )
             return None
         return tuple(
@@ -161,7 +162,7 @@
 
     def read(self, raw: Any, path: str, errors: list[FieldError]) -> Any:
         if not isinstance(raw, dict):
-            cause = f'expected a mapping, got {raw!r:.60}'
+            cause = f'expected a mapping, got {show(raw)}'
             errors.append(FieldError(path, cause))
             return None
         for key in raw:
@@ -288,7 +289,7 @@
     kind: type, raw: Any, path: str, errors: list[FieldError]
 ) -> Any:
     if not isinstance(raw, dict):
-        cause = f'expected a mapping, got {raw!r:.60}'
+        cause = f'expected a mapping, got {show(raw)}'
         errors.append(FieldError(path or '(document)', cause))
         return None
     prefix = f'{path}.' if path else ''
--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -14,11 +14,11 @@
 
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
+from gentianbank.domain.errors import show
 
 # Larger numbers are errors: no field needs them, and not all of them can be
 # converted to a float.
 MAX_NUMBER = 2**53
-SHOWN_CHARACTERS = 60
 
 
 class Fields:
@@ -46,7 +46,7 @@
         value = self._raw.get(name, default)
         if isinstance(value, str) and value and _is_encodable(value):
             return value
-        self.reject(name, f'expected text, got {_show(value)}')
+        self.reject(name, f'expected text, got {show(value)}')
         return ''
 
     def number(self, name: str, default: float | None = None) -> float:
@@ -57,7 +57,7 @@
         )
         if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return float(value)
-        self.reject(name, f'expected a number from 0, got {_show(value)}')
+        self.reject(name, f'expected a number from 0, got {show(value)}')
         return 0.0
 
     def whole(self, name: str, default: int | None = None) -> int:
@@ -66,7 +66,7 @@
         is_number = isinstance(value, int) and not isinstance(value, bool)
         if is_number and value is not None and 0 <= value <= MAX_NUMBER:
             return int(value)
-        self.reject(name, f'expected a whole number, got {_show(value)}')
+        self.reject(name, f'expected a whole number, got {show(value)}')
         return 0
 
     def flag(self, name: str, *, default: bool) -> bool:
@@ -74,7 +74,7 @@
         value = self._raw.get(name, default)
         if isinstance(value, bool):
             return value
-        self.reject(name, f'expected true or false, got {_show(value)}')
+        self.reject(name, f'expected true or false, got {show(value)}')
         return default
 
     def choice(self, name: str, choices: frozenset[str]) -> str:
@@ -83,7 +83,7 @@
         if isinstance(value, str) and value in choices:
             return value
         expected = ', '.join(sorted(choices))
-        self.reject(name, f'expected one of {expected}, got {_show(value)}')
+        self.reject(name, f'expected one of {expected}, got {show(value)}')
         return ''
 
     def objects(self, name: str) -> list[Fields]:
@@ -104,7 +104,7 @@
         values = self._read_list(name)
         if all(isinstance(v, str) and _is_encodable(v) for v in values):
             return tuple(values)
-        self.reject(name, f'expected texts, got {_show(values)}')
+        self.reject(name, f'expected texts, got {show(values)}')
         return ()
 
     def nested(self, name: str) -> Fields:
@@ -121,7 +121,7 @@
             return []
         if isinstance(value, list):
             return value
-        self.reject(name, f'expected a list, got {_show(value)}')
+        self.reject(name, f'expected a list, got {show(value)}')
         return []
 
     def reject(self, name: str, cause: str) -> None:
@@ -145,12 +145,3 @@
     except UnicodeEncodeError:
         return False
     return True
-
-
-def _show(value: Any) -> str:
-    """Return the start of a value for an error message."""
-    try:
-        return f'{value!r:.{SHOWN_CHARACTERS}}'
-    except (ValueError, RecursionError):
-        # Numbers of very many digits and deep values cannot be printed.
-        return f'a {type(value).__name__} that is too large'
