--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -109,7 +109,7 @@
             raw = data.encode() if isinstance(data, str) else data
             match decode_message(raw):
                 case Result(tag='ok', ok=message):
-                    on_message(message)
+                    malformed += not self._handle(message, on_message)
                 case Result(error=UnknownMessage() as error):
                     unknown += 1
                     if unknown == 1:
@@ -121,8 +121,20 @@
                     logging.warning(
                         'malformed message of peer %s: %s', self.vm, error
                     )
-                    if malformed >= MAX_MALFORMED_MESSAGES:
-                        await self.socket.close(1008, 'malformed messages')
+            if malformed >= MAX_MALFORMED_MESSAGES:
+                await self.socket.close(1008, 'malformed messages')
+
+    def _handle(
+        self, message: Message, on_message: Callable[[Message], None]
+    ) -> bool:
+        """Handle a message; return whether that was possible."""
+        try:
+            on_message(message)
+        except Exception:
+            # One message must not end the connection or the task.
+            logging.exception('message of peer %s not handled', self.vm)
+            return False
+        return True
 
     async def run(self, on_message: Callable[[Message], None]) -> None:
         """Read and write until the connection ends."""
@@ -277,6 +289,10 @@
         except _CONNECTION_ERRORS:
             channel.close()
             return
+        except Exception:
+            logging.exception('channel to peer %s not opened', vm)
+            channel.close()
+            return
         match result:
             case Result(tag='ok'):
                 await channel.run(socket)
@@ -292,8 +308,11 @@
                     socket, self._credentials(vm), handshake.PURPOSE_CONTROL
                 )
         except _CONNECTION_ERRORS:
-            self._dialling.discard(vm)
-            self._on_event(Unreachable(vm))
+            self._on_unreachable(vm)
+            return
+        except Exception:
+            logging.exception('handshake with peer %s failed', vm)
+            self._on_unreachable(vm)
             return
         match result:
             case Result(tag='ok', ok=identity):
@@ -304,9 +323,12 @@
                 logging.warning(
                     'handshake with %s failed: %s', vm, refused.cause
                 )
-                self._dialling.discard(vm)
                 await socket.close()
-                self._on_event(Unreachable(vm))
+                self._on_unreachable(vm)
+
+    def _on_unreachable(self, vm: str) -> None:
+        self._dialling.discard(vm)
+        self._on_event(Unreachable(vm))
 
     async def _accept(self, socket: ServerConnection) -> None:
         try:
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -23,6 +23,7 @@
 from gentianbank.control.peers import PeerEvent
 from gentianbank.control.peers import Received
 from gentianbank.control.peers import Unreachable
+from gentianbank.transport import handshake
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import MAX_MALFORMED_MESSAGES
 from gentianbank.transport.peers import WebsocketPeers
@@ -31,6 +32,8 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from gentianbank.control.peers import EventSink
+
 KEY = b'a-key-of-the-fleet'
 EVENT_TIMEOUT_S = 10
 
@@ -43,10 +46,11 @@
         self.addresses: dict[str, str] = {}
         self.keys: dict[str, bytes] = {}
         self.events: asyncio.Queue[PeerEvent] = asyncio.Queue()
+        self.on_event: EventSink = self.events.put_nowait
         self.peers = WebsocketPeers(
             Credentials(vm, key),
             address,
-            self.events.put_nowait,
+            lambda event: self.on_event(event),
             self._answer,
             self.addresses.get,
             lambda vm: self.keys.get(vm, key),
@@ -134,6 +138,45 @@
     run_with_two_nodes(test)
 
 
+def test_message_that_the_receiver_fails_on_costs_only_itself() -> None:
+    async def test(first: Node, second: Node) -> None:
+        received = second.events.put_nowait
+
+        def fail_once(event: PeerEvent) -> None:
+            if event == Received(
+                'vm-1', Heartbeat(revision=1, members_digest=1)
+            ):
+                raise OverflowError('the message cannot be applied')
+            received(event)
+
+        second.on_event = fail_once
+        first.peers.dial('vm-2', second.address)
+        assert await second.next_event() == Connected('vm-1')
+        for revision in (1, 2):
+            heartbeat = Heartbeat(revision=revision, members_digest=1)
+            first.peers.send('vm-2', heartbeat)
+        assert await second.next_event() == Received('vm-1', heartbeat)
+
+    run_with_two_nodes(test)
+
+
+def test_peer_is_dialled_again_after_a_handshake_that_failed_unexpectedly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test(first: Node, second: Node) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(handshake, 'authenticate_as_client', _fail)
+            first.peers.dial('vm-2', second.address)
+            assert await first.next_event() == Unreachable('vm-2')
+        first.peers.dial('vm-2', second.address)
+        assert await first.next_event() == Connected('vm-2')
+
+    async def _fail(*_: Any) -> None:
+        raise ValueError('unexpected')
+
+    run_with_two_nodes(test)
+
+
 def test_messages_of_kinds_that_a_newer_version_added_are_ignored(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
