Write log lines whose text has no encoding

Only the text form was concerned; the JSON form escapes it.

Evidence: the text case of test_text_without_an_encoding_is_written_all_the_ same failed before.

--- a/src/gentianbank/telemetry/logs.py
+++ b/src/gentianbank/telemetry/logs.py
@@ -153,7 +153,10 @@
 def _encode(
     formatter: std_logging.Formatter, record: std_logging.LogRecord
 ) -> bytes:
-    return f'{formatter.format(record)}\n'.encode()
+    line = f'{formatter.format(record)}\n'
+    # Text from outside may hold what no encoding has, such as half of a
+    # surrogate pair.
+    return line.encode(errors='backslashreplace')
 
 
 def _write_out(data: bytes) -> None:
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -48,3 +48,17 @@
         'target': 'desk-1',
     }
     assert 'line_class' not in sample
+
+
+def test_text_without_an_encoding_is_written_all_the_same(
+    is_json: bool,
+) -> None:
+    code = CODE.replace("'desk-1'", "'half \\ud800'")
+    done = subprocess.run(
+        [sys.executable, '-c', code.format(json=is_json)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stderr == ''
+    assert 'half \\ud800' in done.stdout
