Start a background task again when it fails, instead of ending the node

The agent of the own interface ended the same way by one event that could not be handled.

A server that fails still ends the node, as it can serve nobody then, and so does a broken invariant in the agent.

--- a/src/gentianbank/control/agent.py
+++ b/src/gentianbank/control/agent.py
@@ -188,11 +188,26 @@
             self._spawn(coroutine)
         try:
             while True:
-                self._dispatch(await self._inbox.get())
+                self._dispatch_safely(await self._inbox.get())
         finally:
             for task in self._tasks:
                 task.cancel()
 
+    def _dispatch_safely(self, event: _Event) -> None:
+        """Handle an event; one that cannot be handled costs only itself.
+
+        Raises
+        ------
+        AssertionError
+            If an invariant is broken.
+        """
+        try:
+            self._dispatch(event)
+        except AssertionError:
+            raise
+        except Exception:
+            logging.exception('event of kind %s not handled', type(event))
+
     def _dispatch(self, event: _Event) -> None:
         effects = self._handle(event)
         for effect in effects:
--- a/src/gentianbank/nodes/own.py
+++ b/src/gentianbank/nodes/own.py
@@ -44,6 +44,7 @@
 from gentianbank.domain.member import READY
 from gentianbank.domain.outcome import OutcomeTable
 from gentianbank.domain.settings import Settings
+from gentianbank.nodes.supervision import keep_running
 from gentianbank.policy.balancer import BALANCERS
 from gentianbank.requests import PeerRequests
 from gentianbank.rpc.changes import ConfigurationChanges
@@ -101,13 +102,15 @@
         await self._operators.start()
         http = asyncio.create_task(self._http.serve())
         tasks = [
-            asyncio.create_task(part.run())
-            for part in (
-                self._agent,
-                self._keeper,
-                self._borrower,
-                self._checker,
-            )
+            asyncio.create_task(self._agent.run()),
+            *(
+                asyncio.create_task(keep_running(name, work))
+                for name, work in (
+                    ('region budgets', self._keeper.run),
+                    ('loans', self._borrower.run),
+                    ('health checks', self._checker.run),
+                )
+            ),
         ]
         logging.info('node %s runs', self._settings.vm)
         draining = asyncio.create_task(self._draining.wait())
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -24,6 +24,7 @@
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.nodes.settings_file import SettingsFile
 from gentianbank.nodes.steering_gauges import list_gauges
+from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
 from gentianbank.policy.graceful_shutdown import ShutdownSchedule
 from gentianbank.steering.apps import LookupApp
@@ -163,19 +164,25 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully.
 
-        SIGHUP reloads the settings.
+        SIGHUP reloads the settings. A background task that fails is started
+        again; a server that fails ends the node, which serves nobody then.
         """
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         tasks = [asyncio.create_task(s.serve()) for s in self._servers]
-        tasks.append(asyncio.create_task(self._sync.run()))
-        tasks.append(asyncio.create_task(self._membership.run()))
-        tasks.append(asyncio.create_task(self._loop_delay.run()))
-        tasks.append(asyncio.create_task(self._watch_settings()))
-        tasks.append(asyncio.create_task(self._load_metrics()))
-        tasks.append(asyncio.create_task(self._run_mesh()))
+        tasks += [
+            asyncio.create_task(keep_running(name, work))
+            for name, work in (
+                ('store sync', self._sync.run),
+                ('membership', self._membership.run),
+                ('loop delay', self._loop_delay.run),
+                ('settings file', self._watch_settings),
+                ('metrics', self._load_metrics),
+                ('mesh', self._run_mesh),
+            )
+        ]
         logging.info('node runs', extra={'settings': self._settings})
         stopping = asyncio.create_task(self._stop.wait())
         await asyncio.wait(
