Give the event loop back while an answer is parsed

Cause: the pool reads 256 KiB at once and hands on one chunk after another without an await that suspends, so the loop stands still for about 44,000 events, and no timeout can fire. Not the cause: the sum of processor time. The timeouts end each body; they only could not run.

Change: after 64 parsed events, or 256 KiB, a connection waits for its turn, and all connections of a node take one turn in each iteration of the loop together. Small chunks that arrived together are handed on as one part, as each costs its reader a write. The same path serves foreign answers that are skipped, and large answers that are streamed. Chunks of one byte are valid, so the answer is not cut; its deadline ends it.

Evidence: test_body_that_is_slow_to_parse_leaves_the_loop_to_others failed in three of its four cases, and test_body_in_small_chunks_is_handed_on_in_larger_ ones failed before.

--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -20,6 +20,8 @@
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TargetTransport
 from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.turns import ParsingTurns
+from gentianbank.targets.turns import ParsingWork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,12 +41,15 @@
 MAX_HEAD_BYTES = 64 * 1024
 _MS_PER_S = 1_000
 _CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError)
+# States of the parser after the end of an answer.
+_ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
 class ConnectionPool(TargetTransport):
     """Sends requests with h11 over persistent connections."""
 
     def __init__(self) -> None:
+        self.turns = ParsingTurns()
         self._idle: dict[str, list[_Connection]] = {}
         self._open: dict[str, int] = {}
 
@@ -160,6 +165,7 @@
         self.idle_until_s = 0.0
         self._pool = pool
         self._parser = _new_parser()
+        self._work = ParsingWork(pool.turns)
 
     async def exchange_heads(self, request: TargetRequest) -> h11.Response:
         """Send a request and return the head of its answer.
@@ -178,6 +184,7 @@
             target=request.path,
             headers=request.headers,
         )
+        self._work = ParsingWork(self._pool.turns)
         data = self._parser.send(head)
         assert data is not None
         if request.body is None or isinstance(request.body, bytes):
@@ -234,13 +241,23 @@
         raise h11.RemoteProtocolError('too many answers to other requests')
 
     async def next_chunk(self) -> bytes | None:
-        """Return the next chunk of the body, or ``None`` at its end."""
-        while True:
-            event = await self._next_event()
+        """Return the next part of the body, or ``None`` at its end.
+
+        Small chunks that have arrived together are joined, as each part
+        costs its reader more than its bytes.
+        """
+        if self._parser.their_state in _ENDED_STATES:
+            return None
+        parts: list[bytes] = []
+        while not (parts and self._work.is_turn_over):
+            event = await self._next_event(wait=not parts)
             if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
+                parts.append(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage) and not parts:
                 return None
+            break
+        return b''.join(parts)
 
     def finish(self, head: h11.Response) -> None:
         """Return the connection to the pool if it is reusable, else abort it.
@@ -310,14 +327,29 @@
         if unread:
             self._parser.receive_data(unread)
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(
+        self, *, wait: bool = True
+    ) -> h11.Event | type[h11.PAUSED] | None:
+        """Return the next event of the parser.
+
+        Parameters
+        ----------
+        wait
+            Whether to wait for bytes if the event is not complete; without
+            that, the result is ``None`` then.
+        """
         while True:
+            await self._work.wait_turn()
             event = self._parser.next_event()
-            if event is h11.NEED_DATA:
-                self._parser.receive_data(await self.stream.read())
-                continue
-            assert not isinstance(event, type) or event is h11.PAUSED
-            return event
+            if event is not h11.NEED_DATA:
+                self._work.add_event()
+                assert not isinstance(event, type) or event is h11.PAUSED
+                return event
+            if not wait:
+                return None
+            data = await self.stream.read()
+            self._work.add_bytes(len(data))
+            self._parser.receive_data(data)
 
 
 class _PooledAnswer(TargetAnswer):
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -20,6 +20,8 @@
 from gentianbank.targets.transport import TargetAnswer
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.turns import BYTES_PER_EVENT
+from gentianbank.targets.turns import EVENTS_PER_TURN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -460,3 +462,85 @@
     server = run_with_server([[answer('r-1')], [answer('r-2')]], test)
     assert server.connections == 2
     assert server.heads[-1].startswith(b'GET')
+
+
+def chunked_answer(chunks: int, chunk: bytes) -> bytes:
+    """Return an answer whose body comes in equal chunks."""
+    head = 'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked'
+    return head.encode() + b'\r\n\r\n' + chunks * chunk + b'0\r\n\r\n'
+
+
+@dataclass
+class LoopIterations:
+    """Counts the iterations of the event loop."""
+
+    count: int = 0
+
+    async def run(self) -> None:
+        while True:
+            self.count += 1
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ('chunks', 'chunk'),
+    [
+        (40_000, b'1\r\nx\r\n'),
+        (100, b'1;' + b'e' * 30_000 + b'\r\nx\r\n'),
+    ],
+    ids=['small chunks', 'long extensions'],
+)
+@pytest.mark.parametrize('connections', [1, 5])
+def test_body_that_is_slow_to_parse_leaves_the_loop_to_others(
+    chunks: int, chunk: bytes, connections: int
+) -> None:
+    data = chunked_answer(chunks, chunk)
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        iterations = LoopIterations()
+        counting = asyncio.create_task(iterations.run())
+        requests = [build_request(server.address) for _ in range(connections)]
+
+        async def read(request: TargetRequest) -> bytes:
+            return await read_body(await pool.send(request))
+
+        bodies = await asyncio.gather(*map(read, requests))
+        counting.cancel()
+        assert bodies == [b'x' * chunks] * connections
+        # A turn has so many events, and others run between any two turns.
+        work = chunks + len(data) // BYTES_PER_EVENT
+        assert iterations.count >= connections * work // (2 * EVENTS_PER_TURN)
+
+    run_with_server([[data]], test)
+
+
+def test_whole_body_arrives_also_from_a_target_that_then_closes() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_request(server.address))
+        assert await read_body(sent) == b'x' * 1_000
+
+    data = chunked_answer(1_000, b'1\r\nx\r\n')
+    run_with_server([[data + CLOSE]], test)
+
+
+def test_body_in_small_chunks_is_handed_on_in_larger_ones() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        match await pool.send(build_request(server.address)):
+            case Result(tag='ok', ok=found):
+                chunks = [chunk async for chunk in found.chunks()]
+                assert b''.join(chunks) == b'x' * 10_000
+                assert len(chunks) <= 10_000 // 16
+            case _:
+                raise AssertionError('no answer')
+
+    run_with_server([[chunked_answer(10_000, b'1\r\nx\r\n')]], test)
+
+
+def test_foreign_body_without_end_is_given_up_in_time() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        request = build_request(server.address, headers_timeout_ms=500)
+        sent = await pool.send(request)
+        assert sent.error == MaybeSent('the target did not answer in time')
+
+    foreign = chunked_answer(400_000, b'1\r\nx\r\n').replace(b'r-1', b'r-0')
+    run_with_server([[foreign]], test)
