Give up an answer of the store that is larger than any that it sends

Same class as the bodies without end of targets: the client of the store kept whatever came until its timeout, hundreds of MB on a fast link, and the process ends at its memory limit (by reading). 32 MiB are several times a page.

test_answer_without_end_is_given_up_while_memory_is_left has no failing run before that shows the growth: it needs the bound that did not exist.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -35,6 +35,8 @@
 MAX_PAGES = 10_000
 MAX_CONNECTIONS = 8
 CONNECT_TIMEOUT_MS = 500.0
+# Several times a page or the changes within the history of the store.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
@@ -235,6 +237,9 @@
             async with asyncio.timeout(self._timeout_ms / _MS_PER_S):
                 async for chunk in answer.chunks():
                     data += chunk
+                    if len(data) > MAX_ANSWER_BYTES:
+                        cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
+                        return Error(StoreUnavailable(cause))
         except (TruncatedBodyError, TimeoutError) as error:
             return Error(StoreUnavailable(f'the answer was cut: {error}'))
         finally:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 import pytest
 
 from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.platform import store as store_module
 from gentianbank.platform.store import PlatformStore
 from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import LeaseExpired
@@ -137,6 +138,16 @@
     assert [value.value for value in values] == [b'', b'v']
 
 
+def test_answer_without_end_is_given_up_while_memory_is_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, 'MAX_ANSWER_BYTES', 200_000)
+    endless = Script(body=b'{"items": ["' + b'x' * 1_000_000)
+    harness = StoreHarness(endless)
+    error = harness.run(harness.store.list_prefix(''))
+    assert error == StoreUnavailable('the answer is over 200000 bytes')
+
+
 def test_write_is_bound_to_the_lease() -> None:
     harness = StoreHarness(reply({'revision': 12}))
     put = Put('nodes/vm-1', b'me', 77)
