Ask a target whose connections were lost whether it has started again

Cause: a target counted as cold only by its entry in the store, or at the end of an evacuation. What a node sees by itself, that all connections end and new ones are refused, only started a backoff of 0.4 to 4 s, after which the target got its usual requests. The class is wider than an outage: the entry may also be late, or reach some nodes only.

Change: - a connection that is lost or refused raises a suspicion, under which the limit for cold targets holds. The health path is asked until the target has told its status, which ends it; a deadline that passes raises none. - a target found cold is told to the other nodes, also those that had no connection to it. - requests always count towards the limit: those just before a restart is known, and those before its late entry, took a second full part.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -38,6 +38,7 @@
 from gentianbank.steering.proxy import Proxy
 from gentianbank.steering.reporter import Reporter
 from gentianbank.steering.request_log import RequestLog
+from gentianbank.steering.restart_checks import RestartChecks
 from gentianbank.steering.store_sync import StoreSync
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
@@ -135,10 +136,18 @@
             metrics=self._metrics,
             clock=now_ms,
         )
+        self._restart_checks = RestartChecks(
+            cluster_view=self._cluster_view,
+            quotas=self._placer.quotas,
+            transport=self._targets,
+            on_check=self._on_status_check,
+            clock=now_ms,
+        )
         self._proxy = Proxy(
             cluster_view=self._cluster_view,
             placer=self._placer,
             transport=self._targets,
+            checks=self._restart_checks,
             bounds=bounds,
             reporter=reporter,
             is_stopping=self._stop.is_set,
@@ -198,11 +207,15 @@
         for task in tasks[len(self._servers) :]:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._restart_checks.close()
         await self._targets.close()
 
     def _on_store_call(self, call: str, outcome: str) -> None:
         self._metrics.record(lambda m: m.on_store_call(call, outcome))
 
+    def _on_status_check(self, outcome: str) -> None:
+        self._metrics.record(lambda m: m.on_status_check(outcome))
+
     async def _run_mesh(self) -> None:
         module = await asyncio.to_thread(
             importlib.import_module, 'gentianbank.nodes.steering_mesh'
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -12,6 +12,7 @@
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.policy.restart_suspicion import TargetStatus
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
@@ -27,6 +28,8 @@
 RETRY_AFTER = b'retry-after'
 CONTENT_ENCODING = b'content-encoding'
 _LOAD_REPORT = b'server-load'
+_TARGET_ID = b'instance-id'
+_COLD_LEFT_MS = b'cold-ms'
 _REQUEST_LIMIT = b'server-limit'
 _NOT_RUN = b'not-executed'
 _MISDIRECTED_STATUS = 421
@@ -35,6 +38,7 @@
 _MAX_SLOWDOWN_PERCENT = 100_000.0
 _MAX_REPORTED_REQUESTS = 1_000_000
 _MAX_LIMIT_PER_S = 1e9
+_MAX_COLD_LEFT_MS = 3_600_000.0
 _SHOWN_CHARACTERS = 60
 _CONNECTION_HEADERS = HOP_BY_HOP | {b'expect'}
 _REPLACED_IN_REQUEST = _CONNECTION_HEADERS | {
@@ -136,6 +140,21 @@
     return UnreadableReport(text[:_SHOWN_CHARACTERS])
 
 
+def decode_status(headers: RawHeaders) -> TargetStatus:
+    """Return what the answer to a status check says of the target.
+
+    A target that does not say that it is cold is not.
+    """
+    target_id = find_header(headers, _TARGET_ID) or b''
+    raw_cold = find_header(headers, _COLD_LEFT_MS)
+    cold_left_ms: float | None = 0.0
+    if raw_cold is not None:
+        cold_left_ms = parse_number(
+            raw_cold.decode('latin-1'), 0, _MAX_COLD_LEFT_MS
+        )
+    return TargetStatus(target_id.decode('latin-1'), cold_left_ms)
+
+
 def decode_request_limit(headers: RawHeaders) -> LimitStatement:
     """Return what a target says of a limit on its requests."""
     raw = find_header(headers, _REQUEST_LIMIT)
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -12,6 +12,7 @@
 
 from gentianbank.policy.fleet_limits import ColdRateLimit
 from gentianbank.policy.peer_loads import PeerLoads
+from gentianbank.policy.restart_suspicion import RestartSuspicion
 from gentianbank.policy.target_limit import TargetLimit
 
 if TYPE_CHECKING:
@@ -39,6 +40,9 @@
 MAX_BACKOFF_DOUBLINGS = 10
 # Unreadable load reports of a target are logged this far apart at the least.
 UNREADABLE_LOG_PERIOD_MS = 10_000.0
+# Times until which a target is cold that differ by less are the same; nodes
+# hear of them with different delays.
+COLD_TOLERANCE_MS = 500.0
 # Backoff while another target has the address; an entry from the store with
 # the new address ends it sooner.
 MISDIRECTED_BACKOFF_MS = 15_000.0
@@ -78,6 +82,8 @@
         Rate limit that holds while the target is cold.
     limit
         Limit that the target itself names.
+    restart
+        Suspicion that the target has started again.
     """
 
     registration: TargetRegistration
@@ -96,10 +102,12 @@
     changed_loads: set[str] = field(default_factory=set)
     cold: ColdRateLimit = field(default_factory=ColdRateLimit)
     limit: TargetLimit = field(default_factory=TargetLimit)
+    restart: RestartSuspicion = field(default_factory=RestartSuspicion)
     _reported_slowdown: float = DEFAULT_SLOWDOWN
     _slowdown_reported_ms: float = float('-inf')
     _unsent_report: LoadReport | None = None
     _unreadable_logged_ms: float = float('-inf')
+    _has_unsent_cold: bool = False
     # By hash, which is how nodes name objects to each other; least recently
     # used first.
     _warm_objects: OrderedDict[int, None] = field(default_factory=OrderedDict)
@@ -111,6 +119,10 @@
         """Return whether the target started or came back recently."""
         return now_ms < self.cold_until_ms
 
+    def may_be_cold(self, now_ms: float) -> bool:
+        """Return whether the rate limit for cold targets holds."""
+        return self.is_cold(now_ms) or self.restart.is_active
+
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether the target is avoided after connection failures."""
         return now_ms < self.suspect_until_ms
@@ -152,8 +164,7 @@
         self.in_flight += 1
         self.changed_loads.add(self.registration.target_id)
         self.sent_since_report += 1
-        if self.is_cold(now_ms):
-            self.cold.on_send(now_ms)
+        self.cold.on_send(now_ms)
         self.limit.on_send(now_ms)
         if topic:
             object_hash = hash_object(topic)
@@ -241,6 +252,27 @@
         )
         self.suspect_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
 
+    def on_restart(self, cold_until_ms: float, now_ms: float) -> None:
+        """Record that the target has started again and is cold.
+
+        What was sent to it lately still counts towards its rate limit. Other
+        nodes are told, unless this node knew it already.
+        """
+        if cold_until_ms <= self.cold_until_ms + COLD_TOLERANCE_MS:
+            return
+        self.cold_until_ms = cold_until_ms
+        self.known_since_ms = now_ms
+        self.clear_warm_objects()
+        self._has_unsent_cold = True
+        self.changed_loads.add(self.registration.target_id)
+
+    def pop_unsent_cold_ms(self) -> float | None:
+        """Return until when the target is cold if others must be told."""
+        if not self._has_unsent_cold:
+            return None
+        self._has_unsent_cold = False
+        return self.cold_until_ms
+
     def clear_warm_objects(self) -> None:
         """Clear the warm objects, as the target comes back cold."""
         self._warm_objects.clear()
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 
+from gentianbank.policy.fleet_limits import ColdRateLimit
 from gentianbank.policy.fleet_members import FleetMembers
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.target_load import TargetLoad
@@ -24,6 +25,7 @@
 # Time for which a target counts as cold after its failure domain came back
 # or after it registered, if the configuration has no policy for its service.
 DEFAULT_COLD_START_MS = 3_000.0
+DEFAULT_HEALTH_PATH = '/'
 # The load record of a target is kept this long after its entry is gone. The
 # entry may come back, and what was sent before still counts at the target.
 REMOVED_MEMORY_MS = 60_000.0
@@ -181,16 +183,20 @@
         )
         if known is None or _has_restarted(known.registration, entry):
             is_listed = False
+            sent = known.cold if known else ColdRateLimit()
             known = TargetLoad(
                 entry,
                 self._region(entry),
                 now_ms,
                 peer_loads=self.peer_loads,
                 changed_loads=self.changed_loads,
+                # Requests since the restart may have been sent before the
+                # entry tells of it.
+                cold=sent,
             )
         self.targets[entry.target_id] = known
         if not is_listed and not from_first_listing:
-            known.cold_until_ms = now_ms + self._cold_ms(entry)
+            known.cold_until_ms = now_ms + self.cold_start_ms(entry)
         known.registration = entry
         known.is_unconfirmed = False
         known.cold_until_ms = max(
@@ -241,7 +247,7 @@
         for target in self.targets.values():
             entry = target.registration
             if entry.failure_domain in returned:
-                target.cold_until_ms = now_ms + self._cold_ms(entry)
+                target.cold_until_ms = now_ms + self.cold_start_ms(entry)
                 target.clear_warm_objects()
 
     def usable_targets(self, service: str) -> list[TargetLoad]:
@@ -253,14 +259,26 @@
             target
             for target in self.targets.values()
             if target.registration.service == service
-            and not target.registration.draining
-            and target.registration.failure_domain not in self.evacuated
+            and self.is_usable(target)
         ]
 
+    def is_usable(self, target: TargetLoad) -> bool:
+        """Return whether a target may get requests."""
+        entry = target.registration
+        if entry.draining:
+            return False
+        return entry.failure_domain not in self.evacuated
+
+    def health_path(self, service: str) -> str:
+        """Return the path at which targets of a service tell their status."""
+        policy = self.table.services.get(service) if self.table else None
+        return policy.health_path if policy else DEFAULT_HEALTH_PATH
+
     def _region(self, entry: TargetRegistration) -> str:
         return self.regions.get(entry.failure_domain, '')
 
-    def _cold_ms(self, entry: TargetRegistration) -> float:
+    def cold_start_ms(self, entry: TargetRegistration) -> float:
+        """Return for how long a target is cold after its start."""
         if self.table is None:
             return DEFAULT_COLD_START_MS
         policy = self.table.services.get(entry.service)
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -127,9 +127,10 @@
     def may_send(self, target: TargetLoad, now_ms: float) -> bool:
         """Return whether the limits of a target allow a request.
 
-        These are the limit for cold targets and the one that it names.
+        These are the limit for targets that are or may be cold, and the one
+        that the target names.
         """
-        if target.is_cold(now_ms) and not (
+        if target.may_be_cold(now_ms) and not (
             self._takes_parts(now_ms, COLD_WINDOW_MS)
             and target.cold.may_send(now_ms, self._cold_quota(target))
         ):
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -102,8 +102,8 @@
     def on_event(self, event: PeerEvent) -> None:
         """Handle an event of a connection.
 
-        A new peer gets the loads of all targets with requests in flight, and
-        every limit that a target names.
+        A new peer gets the loads of all targets with requests in flight,
+        every limit that a target names, and which targets are cold.
         """
         match event:
             case Connected(vm):
@@ -189,6 +189,8 @@
                 steps,
                 objects[-MAX_UNSENT_OBJECTS:],
                 row.limit or (pending.limit if pending else None),
+                row.cold_until_ms
+                or (pending.cold_until_ms if pending else None),
             )
 
     def _pop_changed_rows(self) -> list[TargetRow]:
@@ -205,12 +207,16 @@
 
     def _rows_for_new_peer(self) -> list[TargetRow]:
         rows = []
+        now_ms = self._clock()
         for target_id, target in self._cluster_view.targets.items():
-            if not target.in_flight and not target.limit.is_named:
+            is_cold = target.is_cold(now_ms)
+            if not (target.in_flight or target.limit.is_named or is_cold):
                 continue
             row = build_row(target, target_id)
             if target.limit.is_named:
                 row = replace(row, limit=target.limit.news)
+            if is_cold:
+                row = replace(row, cold_until_ms=target.cold_until_ms)
             rows.append(row)
         return rows
 
@@ -228,6 +234,8 @@
                 target.on_object_sent(object_hash)
             if row.limit is not None:
                 self._apply_limit(target, row.limit)
+            if row.cold_until_ms is not None:
+                target.on_restart(row.cold_until_ms, now_ms)
 
     def _apply_limit(self, target: TargetLoad, news: LimitNews) -> None:
         changed = target.limit.on_peer_news(news)
--- a/src/gentianbank/steering/load_update.py
+++ b/src/gentianbank/steering/load_update.py
@@ -27,9 +27,12 @@
 NAME_SEPARATOR = b'\n'
 _OBJECT_ENTRY = struct.Struct('>HI')
 _LIMIT_ENTRY = struct.Struct('>HdI')
+_COLD_ENTRY = struct.Struct('>HI')
 # Sent in place of a limit that has ended.
 _ENDED_PER_S = -1.0
 MAX_LIMIT_AGE_MS = 2**32 - 1
+# Longer times for which a target is said to be cold are cut to this.
+MAX_COLD_LEFT_MS = 600_000.0
 
 
 @register_message('loads')
@@ -57,6 +60,9 @@
         Limits that targets name for all nodes together, each as the index
         of the target, the requests per second (negative: the limit has
         ended), and the time in milliseconds since the target said so.
+    colds
+        Targets that the sending node found to be cold after a restart, each
+        as the index of the target and the time left in milliseconds.
     """
 
     targets: bytes = schema.binary()
@@ -64,24 +70,32 @@
     slowdowns: bytes = schema.binary()
     objects: bytes = schema.binary()
     limits: bytes = schema.binary(default=b'')
+    colds: bytes = schema.binary(default=b'')
 
 
 @dataclass(frozen=True, slots=True)
 class TargetRow:
-    """What a message says of one target."""
+    """What a message says of one target.
+
+    Parameters
+    ----------
+    cold_until_ms
+        Time until which the target is cold; ``None`` if nothing is said.
+    """
 
     target_id: str
     in_flight: int
     slowdown_steps: int
     objects: tuple[int, ...] = ()
     limit: LimitNews | None = None
+    cold_until_ms: float | None = None
 
 
 def build_row(target: TargetLoad | None, target_id: str) -> TargetRow:
     """Return what is sent about a target.
 
-    Slowdown, objects and limit are included only if they are new since the
-    last call.
+    Slowdown, objects, limit and coldness are included only if they are new
+    since the last call.
     """
     if target is None:
         return TargetRow(target_id, 0, 0)
@@ -93,7 +107,14 @@
     in_flight = min(MAX_IN_FLIGHT, target.in_flight)
     objects = tuple(target.pop_unsent_objects())
     limit = target.limit.pop_news()
-    return TargetRow(target_id, in_flight, steps, objects, limit)
+    return TargetRow(
+        target_id,
+        in_flight,
+        steps,
+        objects,
+        limit,
+        target.pop_unsent_cold_ms(),
+    )
 
 
 def encode_rows(rows: list[TargetRow], now_ms: float) -> LoadUpdate:
@@ -112,6 +133,11 @@
             for index, row in enumerate(rows)
             if row.limit is not None
         ),
+        colds=b''.join(
+            _pack_cold(index, row.cold_until_ms, now_ms)
+            for index, row in enumerate(rows)
+            if row.cold_until_ms is not None
+        ),
     )
 
 
@@ -126,6 +152,10 @@
         if per_s < math.inf:
             limit_per_s = None if per_s < 0 else per_s
             limits[index] = LimitNews(limit_per_s, now_ms - age_ms)
+    colds = {
+        index: now_ms + min(left_ms, MAX_COLD_LEFT_MS)
+        for index, left_ms in _unpack(_COLD_ENTRY, update.colds)
+    }
     rows = zip(
         _split_target_ids(update.targets),
         update.in_flight,
@@ -139,6 +169,7 @@
             steps,
             tuple(objects[index]),
             limits.get(index),
+            colds.get(index),
         )
         for index, (target_id, in_flight, steps) in enumerate(rows)
     ]
@@ -152,6 +183,11 @@
     )
 
 
+def _pack_cold(index: int, cold_until_ms: float, now_ms: float) -> bytes:
+    left_ms = min(MAX_COLD_LEFT_MS, max(0.0, cold_until_ms - now_ms))
+    return _COLD_ENTRY.pack(index, round(left_ms))
+
+
 def _split_target_ids(joined: bytes) -> list[str]:
     if not joined:
         return []
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -40,6 +40,7 @@
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.reporter import Reporter
+    from gentianbank.steering.restart_checks import RestartChecks
     from gentianbank.steering.sending import Outcome
     from gentianbank.targets.transport import TargetTransport
 
@@ -115,6 +116,7 @@
         cluster_view: ClusterView,
         placer: Placer,
         transport: TargetTransport,
+        checks: RestartChecks,
         bounds: Bounds,
         reporter: Reporter,
         is_stopping: Callable[[], bool],
@@ -128,7 +130,7 @@
         self._clock = clock
         self._reporter = reporter
         self._replies = AnswerWriter(reporter, is_stopping, clock)
-        self._sender = AttemptSender(placer, transport, clock)
+        self._sender = AttemptSender(placer, transport, checks, clock)
         self._service_turns: dict[str, WeightedRoundRobin] = {}
         self._patience: dict[str, ReturningCallerDetector] = {}
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
--- /dev/null
+++ b/src/gentianbank/steering/restart_checks.py
@@ -0,0 +1,202 @@
+"""Status checks of targets that may have started again."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from absl import logging
+from expression import Result
+
+from gentianbank.platform import headers as wire
+from gentianbank.targets.http_headers import find_header
+from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.transport import Unreachable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gentianbank.policy.restart_suspicion import TargetStatus
+    from gentianbank.policy.target_load import TargetLoad
+    from gentianbank.steering.cluster_view import ClusterView
+    from gentianbank.steering.fleet_quotas import FleetQuotas
+    from gentianbank.targets.transport import RawHeaders
+    from gentianbank.targets.transport import TargetAnswer
+    from gentianbank.targets.transport import TargetTransport
+
+CHECK_TIMEOUT_MS = 1_000.0
+CONNECT_TIMEOUT_MS = 300.0
+# Pause of a check while its target is not to be used, or after one that had
+# to be dropped.
+PAUSE_MS = 500.0
+# Checks that one node runs at a time.
+MAX_CHECKS = 16
+MAX_BODY_BYTES = 64 * 1024
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The target told its status."""
+
+    status: TargetStatus
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """The target was not reached, or gave no whole answer.
+
+    Parameters
+    ----------
+    refused
+        Whether no connection could be opened.
+    """
+
+    refused: bool
+
+
+class RestartChecks:
+    """Asks targets that may have started again whether they are cold.
+
+    Until a target has told that, it gets no more requests than a cold one.
+
+    Parameters
+    ----------
+    on_check
+        Called with the outcome of each check.
+    clock
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster_view: ClusterView,
+        quotas: FleetQuotas,
+        transport: TargetTransport,
+        on_check: Callable[[str], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._cluster_view = cluster_view
+        self._quotas = quotas
+        self._transport = transport
+        self._on_check = on_check
+        self._clock = clock
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._free = asyncio.Semaphore(MAX_CHECKS)
+
+    def on_connection_lost(self, target: TargetLoad) -> None:
+        """Suspect a target, and ask it unless that is under way already."""
+        target.restart.on_connection_lost(self._clock())
+        target_id = target.registration.target_id
+        if target_id in self._tasks:
+            return
+        task = asyncio.create_task(self._check_until_told(target_id))
+        self._tasks[target_id] = task
+        task.add_done_callback(lambda _: self._tasks.pop(target_id, None))
+
+    async def close(self) -> None:
+        """Cancel the checks."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _check_until_told(self, target_id: str) -> None:
+        """Ask a target until it has told its status or is gone."""
+        while True:
+            target = self._cluster_view.targets.get(target_id)
+            if target is None or not target.restart.is_active:
+                return
+            if self._cluster_view.is_usable(target):
+                async with self._free:
+                    await self._check(target)
+            if target.restart.is_active:
+                await asyncio.sleep(self._pause_ms(target) / _MS_PER_S)
+
+    def _pause_ms(self, target: TargetLoad) -> float:
+        backoff_ms = target.suspect_until_ms - self._clock()
+        return backoff_ms if backoff_ms > 0 else PAUSE_MS
+
+    async def _check(self, target: TargetLoad) -> None:
+        asked_ms = self._clock()
+        match await self._ask(target):
+            case Told(status):
+                self._apply(target, status, asked_ms)
+            case Unanswered(refused):
+                self._on_check('refused' if refused else 'unanswered')
+                if refused:
+                    target.on_unreachable(self._clock())
+
+    def _apply(
+        self, target: TargetLoad, status: TargetStatus, asked_ms: float
+    ) -> None:
+        now_ms = self._clock()
+        entry = target.registration
+        if status.target_id and status.target_id != entry.target_id:
+            self._on_check('misdirected')
+            target.on_misdirected(now_ms)
+            return
+        cold_left_ms = status.cold_left_ms
+        if cold_left_ms is None or not status.target_id:
+            # The answer is not a status, but something has come up there.
+            cold_left_ms = self._cluster_view.cold_start_ms(entry)
+        self._on_check('cold' if cold_left_ms else 'warm')
+        if not target.restart.on_status(asked_ms) or not cold_left_ms:
+            return
+        target.on_restart(now_ms + cold_left_ms, now_ms)
+        logging.info(
+            'target has started again',
+            extra={
+                'target': entry.target_id,
+                'cold_left_ms': round(cold_left_ms),
+                'is_told': status.cold_left_ms is not None,
+                'store_age_ms': self._cluster_view.age_ms(now_ms),
+            },
+        )
+
+    async def _ask(self, target: TargetLoad) -> Told | Unanswered:
+        entry = target.registration
+        request = TargetRequest(
+            address=entry.address,
+            method='GET',
+            path=self._cluster_view.health_path(entry.service).encode(),
+            headers=[(b'host', entry.address.encode())],
+            body=None,
+            max_connections=self._quotas.max_connections_per_target(
+                entry.service
+            ),
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            headers_timeout_ms=CHECK_TIMEOUT_MS,
+            owns_answer=_is_status,
+        )
+        match await self._transport.send(request):
+            case Result(tag='ok', ok=answer):
+                if not await _read_whole(answer):
+                    return Unanswered(refused=False)
+                return Told(wire.decode_status(answer.headers))
+            case Result(error=error):
+                return Unanswered(refused=isinstance(error, Unreachable))
+
+
+def _is_status(headers: RawHeaders) -> bool:
+    """Return whether an answer is none to a caller's request."""
+    return find_header(headers, wire.REQUEST_ID) is None
+
+
+async def _read_whole(answer: TargetAnswer) -> bool:
+    """Read the body of an answer; return whether it was whole."""
+    size = 0
+    try:
+        async with asyncio.timeout(CHECK_TIMEOUT_MS / _MS_PER_S):
+            async for chunk in answer.chunks():
+                size += len(chunk)
+                if size > MAX_BODY_BYTES:
+                    return False
+    except (TruncatedBodyError, TimeoutError):
+        return False
+    finally:
+        await answer.close()
+    return True
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -14,9 +14,12 @@
 from gentianbank.platform import headers as wire
 from gentianbank.policy.placement import ROUND_TRIP_MS
 from gentianbank.targets.http_headers import find_header
+from gentianbank.targets.transport import BodyConnectionLostError
+from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.transport import Unreachable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +31,7 @@
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.request_body import RequestBody
+    from gentianbank.steering.restart_checks import RestartChecks
     from gentianbank.targets.transport import RawHeaders
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
@@ -103,9 +107,11 @@
         self,
         placer: Placer,
         transport: TargetTransport,
+        checks: RestartChecks,
         clock: Callable[[], float],
     ) -> None:
         self._placer = placer
+        self._checks = checks
         self._transport = transport
         self._clock = clock
 
@@ -141,11 +147,15 @@
                 return await self._read_answer(
                     request, answer, placed, sent_ms
                 )
-            case Result(error=NotSent(cause)):
+            case Result(error=NotSent(cause) as error):
                 target.on_unreachable(self._clock())
+                if isinstance(error, Unreachable):
+                    self._checks.on_connection_lost(target)
                 return NotReached(cause)
             case Result(error=error):
                 target.on_broken(self._clock())
+                if isinstance(error, ConnectionLost):
+                    self._checks.on_connection_lost(target)
                 return Broken(error.cause)
 
     def _build_target_request(
@@ -206,6 +216,8 @@
         except (TruncatedBodyError, TimeoutError) as error:
             await answer.close()
             target.on_broken(self._clock())
+            if isinstance(error, BodyConnectionLostError):
+                self._checks.on_connection_lost(target)
             return Broken(f'the answer was cut short: {error}')
         except BaseException:
             await answer.close()
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -13,6 +13,8 @@
 
 from gentianbank.domain.addresses import parse_address
 from gentianbank.targets.stream import TargetStream
+from gentianbank.targets.transport import BodyConnectionLostError
+from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -20,6 +22,7 @@
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TargetTransport
 from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.transport import Unreachable
 from gentianbank.targets.turns import ParsingTurns
 from gentianbank.targets.turns import ParsingWork
 
@@ -83,11 +86,13 @@
             # The operating system reports an unresponsive connection by a
             # TimeoutError too.
             if not limit.expired():
-                return Error(MaybeSent('the connection timed out'))
+                return Error(ConnectionLost('the connection timed out'))
             return Error(MaybeSent('the target did not answer in time'))
         except _CONNECTION_ERRORS as error:
+            lost = connection.stream.has_ended
             connection.abort()
-            return Error(MaybeSent(_describe(error)))
+            outcome = ConnectionLost if lost else MaybeSent
+            return Error(outcome(_describe(error)))
         except BaseException:
             connection.abort()
             raise
@@ -128,7 +133,7 @@
                 )
         except (OSError, TimeoutError) as error:
             counted.release()
-            return Error(NotSent(_describe(error)))
+            return Error(Unreachable(_describe(error)))
         except BaseException:
             counted.release()
             raise
@@ -365,7 +370,9 @@
             while (chunk := await self._connection.next_chunk()) is not None:
                 yield chunk
         except _CONNECTION_ERRORS as error:
-            raise TruncatedBodyError(_describe(error)) from error
+            lost = self._connection.stream.has_ended
+            failure = BodyConnectionLostError if lost else TruncatedBodyError
+            raise failure(_describe(error)) from error
         self._open = False
         self._connection.finish(self._head)
 
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -55,6 +55,11 @@
             or self._transport.get_write_buffer_size()
         )
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the connection has been closed or reset."""
+        return self._ended
+
     def write(self, data: bytes) -> None:
         """Queue bytes for sending."""
         self._transport.write(data)
--- a/src/gentianbank/targets/transport.py
+++ b/src/gentianbank/targets/transport.py
@@ -30,6 +30,16 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable(NotSent):
+    """No connection could be opened: it was refused or timed out."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLost(MaybeSent):
+    """The connection ended while the answer was awaited."""
+
+
 SendError = NotSent | MaybeSent
 
 
@@ -37,6 +47,10 @@
     """The body of an answer was cut short."""
 
 
+class BodyConnectionLostError(TruncatedBodyError):
+    """The connection ended within the body of an answer."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetRequest:
     """A request to a target.
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -53,6 +53,10 @@
         self._store_calls = self._meter.create_counter(
             'gentianbank.store.calls', description='Calls to the store.'
         )
+        self._status_checks = self._meter.create_counter(
+            'gentianbank.targets.checks',
+            description='Status checks of targets after lost connections.',
+        )
         self._lookups = self._meter.create_counter(
             'gentianbank.lookups', description='Look-ups answered.'
         )
@@ -101,6 +105,10 @@
         """Count a call to the store."""
         self._store_calls.add(1, {'call': call, 'outcome': outcome})
 
+    def on_status_check(self, outcome: str) -> None:
+        """Count a status check of a target."""
+        self._status_checks.add(1, {'outcome': outcome})
+
     def on_lookup(self) -> None:
         """Count a look-up."""
         self._lookups.add(1)
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -35,6 +35,7 @@
 from gentianbank.steering.load_gossip import LoadGossip
 from gentianbank.steering.load_gossip import MAX_PEERS
 from gentianbank.steering.load_update import LoadUpdate
+from gentianbank.steering.load_update import MAX_COLD_LEFT_MS
 from gentianbank.steering.store_catch_up import StoreCatchUp
 from tests.support.steering import REGIONS
 from tests.support.steering import registration
@@ -44,6 +45,7 @@
 
 TICK_MS = 100.0
 FLEET_TIME_MS = 12_000.0
+COLD_MS = 3_000.0
 
 
 class Hub:
@@ -345,6 +347,86 @@
     assert decoded.is_ok()
 
 
+def cold_left_ms(hub: Hub, vm: str) -> float:
+    target = hub.nodes[vm].cluster_view.targets['desk-1']
+    return target.cold_until_ms - hub.now_ms
+
+
+def test_nodes_learn_that_a_target_is_cold_again() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    target = hub.nodes['vm-1'].cluster_view.targets['desk-1']
+    target.on_restart(hub.now_ms + COLD_MS, hub.now_ms)
+    hub.advance_ms(TICK_MS)
+    for vm in hub.nodes:
+        assert COLD_MS - 3 * TICK_MS <= cold_left_ms(hub, vm) <= COLD_MS
+
+
+def test_node_learns_of_a_cold_target_from_a_peer_that_was_told() -> None:
+    hub = Hub('vm-1', 'vm-2', 'vm-3')
+    first, _, third = hub.nodes.values()
+    first.peers.disconnect('vm-3')
+    third.peers.disconnect('vm-1')
+    target = first.cluster_view.targets['desk-1']
+    target.on_restart(hub.now_ms + COLD_MS, hub.now_ms)
+    hub.advance_ms(3 * TICK_MS)
+    assert cold_left_ms(hub, 'vm-3') > 0
+
+
+def test_cold_target_is_told_on_only_once() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    target = hub.nodes['vm-1'].cluster_view.targets['desk-1']
+    target.on_restart(hub.now_ms + COLD_MS, hub.now_ms)
+    hub.advance_ms(3 * TICK_MS)
+    for node in hub.nodes.values():
+        told = node.cluster_view.targets['desk-1']
+        assert told.pop_unsent_cold_ms() is None
+        assert 'desk-1' not in node.cluster_view.changed_loads
+
+
+def test_joining_node_learns_which_targets_are_cold() -> None:
+    hub = Hub('vm-1')
+    target = hub.nodes['vm-1'].cluster_view.targets['desk-1']
+    target.on_restart(hub.now_ms + COLD_MS, hub.now_ms)
+    hub.advance_ms(TICK_MS)
+    hub.nodes['vm-2'] = Node(hub, 'vm-2')
+    for node in hub.nodes.values():
+        for name in hub.nodes:
+            node.cluster_view.nodes[name] = entry(name)
+    hub.advance_ms(2_000.0)
+    assert cold_left_ms(hub, 'vm-2') > 0
+
+
+@pytest.mark.parametrize(
+    'colds',
+    [struct.pack('>HI', 7, 5_000), struct.pack('>HI', 0, 5_000)[:-1]],
+    ids=['unknown target', 'incomplete'],
+)
+def test_malformed_colds_of_a_peer_are_ignored(colds: bytes) -> None:
+    hub = Hub('vm-1', 'vm-2')
+    update = LoadUpdate(
+        targets=b'desk-1',
+        in_flight=b'\x01',
+        slowdowns=b'\x00',
+        objects=b'',
+        colds=colds,
+    )
+    hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
+    assert cold_left_ms(hub, 'vm-1') < 0
+
+
+def test_time_for_which_a_peer_calls_a_target_cold_is_limited() -> None:
+    hub = Hub('vm-1', 'vm-2')
+    update = LoadUpdate(
+        targets=b'desk-1',
+        in_flight=b'\x01',
+        slowdowns=b'\x00',
+        objects=b'',
+        colds=struct.pack('>HI', 0, 2**32 - 1),
+    )
+    hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
+    assert cold_left_ms(hub, 'vm-1') <= MAX_COLD_LEFT_MS
+
+
 def test_loads_of_unknown_targets_are_ignored() -> None:
     hub = Hub('vm-1', 'vm-2')
     other = hub.nodes['vm-2'].cluster_view
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -28,6 +28,7 @@
 from gentianbank.steering.proxy import Proxy
 from gentianbank.steering.reporter import Reporter
 from gentianbank.steering.request_log import RequestLog
+from gentianbank.steering.restart_checks import RestartChecks
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -284,10 +285,19 @@
             started_ms=started_ms,
             clock=self.loop.now_ms,
         )
+        self.check_outcomes: list[str] = []
+        self.checks = RestartChecks(
+            cluster_view=self.cluster_view,
+            quotas=self.placer.quotas,
+            transport=self.transport,
+            on_check=self.check_outcomes.append,
+            clock=self.loop.now_ms,
+        )
         self.proxy = Proxy(
             cluster_view=self.cluster_view,
             placer=self.placer,
             transport=self.transport,
+            checks=self.checks,
             bounds=settings,
             reporter=reporter,
             is_stopping=lambda: self.stopping,
