Let an odd entry among those of the targets cost only itself

Here: deep nesting (depths around the recursion limit too), numbers of 400 or 5,000 digits and ports out of range were refused before, in changes and in listings. What could happen: - an entry with 2**53 slots was used, and would draw a region's share; - brackets around a host were dropped wherever they stood, and a scope of an IPv6 address may be any text, so the connection was opened elsewhere or failed with an error that is no OSError; - a text of a megabyte was kept as the name of a service; - an unexpected error while one entry is applied ended the copy, and, since the listing holds the entry, each further one.

--- a/src/gentianbank/domain/addresses.py
+++ b/src/gentianbank/domain/addresses.py
@@ -31,9 +31,13 @@
     host, separator, port = text.rpartition(':')
     if not (separator and port.isascii() and port.isdecimal()):
         return False
+    bare_host = host[1:-1] if host[:1] + host[-1:] == '[]' else host
     try:
-        ipaddress.ip_address(host.strip('[]'))
+        address = ipaddress.ip_address(bare_host)
     except ValueError:
         return False
+    if isinstance(address, ipaddress.IPv6Address) and address.scope_id:
+        # A scope has a meaning on one machine only, and may be any text.
+        return False
     # A longer text may be too long to convert.
     return len(port) <= len(str(MAX_PORT)) and 0 < int(port) <= MAX_PORT
--- a/src/gentianbank/platform/documents.py
+++ b/src/gentianbank/platform/documents.py
@@ -36,6 +36,7 @@
 # Limits on callers that hold if the document has none that can be read.
 _DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 _DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
+_MAX_SLOTS = 100_000
 _MS_PER_S = 1_000
 
 
@@ -91,7 +92,7 @@
         service=entry.text('service'),
         address=entry.text('address'),
         failure_domain=entry.text('zone'),
-        slots=entry.whole('slots'),
+        slots=entry.whole('slots', maximum=_MAX_SLOTS),
         draining=entry.choice('state', _TARGET_STATES) == 'draining',
         cold_left_ms=entry.number('coldLeftMs'),
         born_ms=entry.whole('born', 0),
@@ -107,7 +108,7 @@
         entry.reject('slots', 'expected at least 1')
     # The id is sent to the target in a header.
     target_id = registration.target_id
-    if not (target_id.isascii() and target_id.isprintable()):
+    if not (target_id and target_id.isascii() and target_id.isprintable()):
         entry.reject('', 'expected an id of printable ASCII characters')
     if entry.errors:
         return Error(InvalidDocument(key, tuple(entry.errors)))
--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -19,6 +19,7 @@
 # Larger numbers are errors: no field needs them, and not all of them can be
 # converted to a float.
 MAX_NUMBER = 2**53
+MAX_TEXT_CHARACTERS = 4_000
 
 
 class Fields:
@@ -41,13 +42,17 @@
         """Return a non-empty text; an empty one after an error.
 
         Text that cannot be encoded, such as half of a surrogate pair, is an
-        error.
+        error, and so is a very long one.
         """
         value = self._raw.get(name, default)
-        if isinstance(value, str) and value and _is_encodable(value):
-            return value
-        self.reject(name, f'expected text, got {show(value)}')
-        return ''
+        if not (isinstance(value, str) and value and is_encodable(value)):
+            self.reject(name, f'expected text, got {show(value)}')
+            return ''
+        if len(value) > MAX_TEXT_CHARACTERS:
+            cause = f'{len(value)} characters are over {MAX_TEXT_CHARACTERS}'
+            self.reject(name, cause)
+            return ''
+        return value
 
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number of at least 0; 0 after an error."""
@@ -60,13 +65,20 @@
         self.reject(name, f'expected a number from 0, got {show(value)}')
         return 0.0
 
-    def whole(self, name: str, default: int | None = None) -> int:
-        """Return a whole number of at least 0; 0 after an error."""
+    def whole(
+        self,
+        name: str,
+        default: int | None = None,
+        *,
+        maximum: int = MAX_NUMBER,
+    ) -> int:
+        """Return a whole number from 0 to a maximum; 0 after an error."""
         value = self._raw.get(name, default)
         is_number = isinstance(value, int) and not isinstance(value, bool)
-        if is_number and value is not None and 0 <= value <= MAX_NUMBER:
+        if is_number and value is not None and 0 <= value <= maximum:
             return int(value)
-        self.reject(name, f'expected a whole number, got {show(value)}')
+        cause = f'expected a whole number up to {maximum}, got {show(value)}'
+        self.reject(name, cause)
         return 0
 
     def flag(self, name: str, *, default: bool) -> bool:
@@ -102,7 +114,7 @@
     def texts(self, name: str) -> tuple[str, ...]:
         """Return a list of texts; empty if the field is missing."""
         values = self._read_list(name)
-        if all(isinstance(v, str) and _is_encodable(v) for v in values):
+        if all(isinstance(v, str) and is_encodable(v) for v in values):
             return tuple(values)
         self.reject(name, f'expected texts, got {show(values)}')
         return ()
@@ -139,7 +151,8 @@
         return Error(InvalidDocument(source, (cause,)))
 
 
-def _is_encodable(text: str) -> bool:
+def is_encodable(text: str) -> bool:
+    """Return whether a text has no half of a surrogate pair."""
     try:
         text.encode()
     except UnicodeEncodeError:
--- a/src/gentianbank/platform/keyspace.py
+++ b/src/gentianbank/platform/keyspace.py
@@ -15,6 +15,7 @@
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.registration import TargetRegistration
 from gentianbank.domain.route_table import RouteTable
+from gentianbank.platform import fields
 from gentianbank.platform.documents import CONFIGURATION_KEY
 from gentianbank.platform.documents import decode_configuration
 from gentianbank.platform.documents import decode_target
@@ -90,7 +91,13 @@
 
 
 def kind_of_key(key: str) -> KeyKind:
-    """Return which kind of entry a key belongs to."""
+    """Return which kind of entry a key belongs to.
+
+    A key that cannot be encoded, as another writer may leave one, belongs to
+    none.
+    """
+    if not fields.is_encodable(key):
+        return UnrelatedKey()
     if key == CONFIGURATION_KEY:
         return ConfigurationKey()
     if key.startswith(EVACUATION_PREFIX):
@@ -104,6 +111,11 @@
     return UnrelatedKey()
 
 
+def is_used(key: str) -> bool:
+    """Return whether a node makes any use of a key."""
+    return not isinstance(kind_of_key(key), UnrelatedKey)
+
+
 def decode(
     stored: StoredValue,
 ) -> Result[DecodedValue | None, InvalidDocument]:
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -242,6 +242,15 @@
         self._recent_changes.append(event)
 
     def _apply_value(self, stored: StoredValue, *, first: bool) -> None:
+        """Apply a value; one that cannot be applied costs only itself."""
+        try:
+            self._apply_decoded(stored, first=first)
+        except Exception:
+            # Else the same entry would fail the next listing too.
+            logging.exception('entry not applied', extra={'key': stored.key})
+            self._drop_target_of(stored.key)
+
+    def _apply_decoded(self, stored: StoredValue, *, first: bool) -> None:
         match keyspace.decode(stored):
             case Result(tag='ok', ok=RouteTable() as table):
                 self._cluster_view.put_table(table)
@@ -287,6 +296,11 @@
             self._cluster_view.reject_table(str(error))
             return
         logging.warning('invalid entry ignored', extra={'cause': str(error)})
+        self._drop_target_of(stored.key)
+
+    def _drop_target_of(self, key: str) -> None:
+        """Drop the target whose entry cannot be used any more, if any."""
+        subject = keyspace.kind_of_key(key)
         if isinstance(subject, TargetKey):
             self._cluster_view.remove_target(subject.target_id, self._clock())
 
--- a/tests/processes/test_steering_node.py
+++ b/tests/processes/test_steering_node.py
@@ -15,6 +15,9 @@
 from gentianbank_standins.soak.world import HOST
 from gentianbank_standins.soak.world import SoakNode
 from gentianbank_standins.soak.world import SoakWorld
+from tests.support.odd_entries import ODD_KEYS
+from tests.support.odd_entries import ODD_VALUES
+from tests.support.odd_entries import USABLE_VALUES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -25,6 +28,8 @@
 NODES = 2
 TARGETS = 3
 REPORTS = 4
+REQUESTS = 5
+DRAIN_S = 3.0
 REPORT_PERIOD_S = 0.3
 
 
@@ -119,6 +124,40 @@
     run(test)
 
 
+def test_odd_entries_take_down_no_process_and_later_ones_are_followed(
+    run: Any,
+) -> None:
+    async def test(world: SoakWorld) -> None:
+        for number, (name, value) in enumerate(ODD_VALUES.items()):
+            if name not in USABLE_VALUES:
+                world.store.write(f'servers/odd-{number}', value)
+        for key in ODD_KEYS:
+            world.store.write(key, b'{}')
+        restarted, other = world.nodes
+        # One node gets them as changes, the other in its listing.
+        await world.kill(restarted)
+        await world.launch(restarted)
+        serving = 'node registered'
+        await wait_until(
+            lambda: (
+                len(messages(world, restarted, serving)) == restarted.starts
+            )
+        )
+        for target in world.targets[1:]:
+            world.register(target, 'draining')
+        await asyncio.sleep(DRAIN_S)
+        for number in range(REQUESTS):
+            for node in world.nodes:
+                answer = await ask(node, f'r-{number}-{node.vm}')
+                assert answer.status_code == 200
+                target_id = world.targets[0].app.target_id
+                assert answer.headers['server-stamp'].startswith(target_id)
+        assert other.process is not None
+        assert other.process.returncode is None
+
+    run(test)
+
+
 def test_metrics_count_requests_and_calls_to_the_store(run: Any) -> None:
     async def test(world: SoakWorld) -> None:
         node = world.nodes[0]
