Pass changes of the store on whatever key or value one of them has

A key with a line break, one that cannot be encoded, or a value over a million bytes made the whole message invalid, and several values of the largest size made it larger than a peer accepts. The node then stopped following, for as long as the peer held that change: it sent requests to targets that had left.

Change: only keys that a node uses are passed on, values have the store's limit, and an answer ends at 2 MiB.

The stand-in for the connection now drops a message over the limit, as the real one does.

--- a/src/gentianbank/steering/store_catch_up.py
+++ b/src/gentianbank/steering/store_catch_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import itertools
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -10,6 +11,7 @@
 from gentianbank.control.messages import Message
 from gentianbank.control.messages import register_message
 from gentianbank.domain import schema
+from gentianbank.platform import keyspace
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import StoredValue
@@ -24,6 +26,9 @@
 REQUEST_PERIOD_MS = 300.0
 # Longer lists of changes are split over several answers.
 MAX_CHANGES_PER_ANSWER = 200
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
+# Size up to which the store takes values.
+MAX_VALUE_BYTES = 1024 * 1024
 _MAX_REVISION = 2**53
 
 
@@ -39,10 +44,10 @@
 class StoreChange:
     """A key that was written or removed."""
 
-    key: str = schema.text(r'.{1,200}')
+    key: str = schema.text(r'(?s).{1,200}')
     revision: int = schema.integer(0, _MAX_REVISION)
     removed: bool = schema.flag()
-    value: bytes = schema.binary()
+    value: bytes = schema.binary(MAX_VALUE_BYTES)
 
 
 @register_message('news')
@@ -118,16 +123,16 @@
         changes = self._sync.changes_after(after_revision)
         if changes is None or not changes.events:
             return
-        events = changes.events[:MAX_CHANGES_PER_ANSWER]
+        events = _first_answer(changes.events)
         revision = changes.revision
         if len(events) < len(changes.events):
             revision = events[-1].mod_revision
-            # Never split a revision over two answers: the next request asks
-            # only for later revisions.
-            events = tuple(
-                e for e in changes.events if e.mod_revision <= revision
-            )
-        rows = tuple(_encode(event) for event in events)
+        rows = tuple(
+            _encode(event)
+            for event in events
+            # A node makes no use of other keys, which may be of any kind.
+            if keyspace.is_used(event.key)
+        )
         self._peers.send(vm, StoreChanges(revision=revision, changes=rows))
 
     def _apply_answer(self, vm: str, answer: StoreChanges) -> None:
@@ -145,6 +150,33 @@
         self._sync.apply_peer_changes(Changes(events, answer.revision))
 
 
+def _first_answer(
+    events: tuple[StoredValue | Removal, ...],
+) -> tuple[StoredValue | Removal, ...]:
+    """Return the first events, as many as one answer may have.
+
+    A revision is never split over two answers, since the next request asks
+    only for later revisions.
+    """
+    count = 0
+    size_bytes = 0
+    for _, group in itertools.groupby(events, lambda e: e.mod_revision):
+        revision = list(group)
+        size_bytes += sum(map(_size_bytes, revision))
+        is_full = (
+            count + len(revision) > MAX_CHANGES_PER_ANSWER
+            or size_bytes > MAX_ANSWER_BYTES
+        )
+        if count and is_full:
+            break
+        count += len(revision)
+    return events[:count]
+
+
+def _size_bytes(event: StoredValue | Removal) -> int:
+    return 0 if isinstance(event, Removal) else len(event.value)
+
+
 def _encode(event: StoredValue | Removal) -> StoreChange:
     if isinstance(event, Removal):
         return StoreChange(
--- a/tests/steering/test_store_catch_up.py
+++ b/tests/steering/test_store_catch_up.py
@@ -10,6 +10,7 @@
 
 from gentianbank.control.messages import decode_message
 from gentianbank.control.messages import encode_message
+from gentianbank.control.messages import MAX_MESSAGE_BYTES
 from gentianbank.control.messages import Message
 from gentianbank.control.messages import RequestOrReply
 from gentianbank.control.peers import PeerConnections
@@ -21,6 +22,9 @@
 from gentianbank.storage.store import StoredValue
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
+from tests.support.odd_entries import MAX_VALUE_BYTES
+from tests.support.odd_entries import ODD_KEYS
+from tests.support.odd_entries import ODD_VALUES
 from tests.support.store_copy import Copy
 
 if TYPE_CHECKING:
@@ -44,7 +48,11 @@
         raise NotImplementedError
 
     def send(self, vm: str, message: Message) -> None:
-        match decode_message(encode_message(message)):
+        data = encode_message(message)
+        if len(data) > MAX_MESSAGE_BYTES:
+            # The receiver ends the connection.
+            return
+        match decode_message(data):
             case Result(tag='ok', ok=decoded):
                 self._pair.sent.append(decoded)
                 self._pair.news[self._to].on_message('other', decoded)
@@ -169,6 +177,39 @@
     assert len(pair.refused.targets) == MAX_RECENT_CHANGES + 3
 
 
+@pytest.mark.parametrize('name', ODD_VALUES)
+def test_odd_value_does_not_keep_later_changes_from_a_node(
+    pair: Pair, name: str
+) -> None:
+    pair.refuse_store_calls()
+    pair.write('servers/odd', ODD_VALUES[name])
+    pair.write('servers/i-1', DRAINING)
+    pair.wait(2.0)
+    assert pair.refused.cluster_view.targets['i-1'].registration.draining
+
+
+@pytest.mark.parametrize('key', ODD_KEYS)
+def test_odd_key_does_not_keep_later_changes_from_a_node(
+    pair: Pair, key: str
+) -> None:
+    pair.refuse_store_calls()
+    pair.write(key, ENTRY)
+    pair.write('servers/i-1', DRAINING)
+    pair.wait(2.0)
+    assert pair.refused.cluster_view.targets['i-1'].registration.draining
+
+
+def test_values_of_the_largest_size_come_in_several_answers(
+    pair: Pair,
+) -> None:
+    pair.refuse_store_calls()
+    for number in range(10):
+        pair.write(f'servers/odd-{number}', b'x' * MAX_VALUE_BYTES)
+    pair.write('servers/i-1', DRAINING)
+    pair.wait(5.0)
+    assert pair.refused.cluster_view.targets['i-1'].registration.draining
+
+
 def test_older_change_never_replaces_a_newer_one(pair: Pair) -> None:
     copy = pair.refused
     first = copy.sync.revision + 1
