Keep a target cold until the latest time that was told

A time that was later by less than half a second was dropped as known, so the limit for cold targets ended up to that much too early. Found on reading the change; two cases of the new test failed before.

--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -258,9 +258,10 @@
         What was sent to it lately still counts towards its rate limit. Other
         nodes are told, unless this node knew it already.
         """
-        if cold_until_ms <= self.cold_until_ms + COLD_TOLERANCE_MS:
+        was_known = cold_until_ms <= self.cold_until_ms + COLD_TOLERANCE_MS
+        self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
+        if was_known:
             return
-        self.cold_until_ms = cold_until_ms
         self.known_since_ms = now_ms
         self.clear_warm_objects()
         self._has_unsent_cold = True
--- a/tests/policy/test_target_load.py
+++ b/tests/policy/test_target_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from gentianbank.domain.load_report import LoadReport
 from gentianbank.policy.target_load import MAX_BACKOFF_MS
 from gentianbank.policy.target_load import MAX_WARM_OBJECTS
@@ -55,6 +57,17 @@
     assert backoff_ends_ms == sorted(set(backoff_ends_ms))
 
 
+@pytest.mark.parametrize('later_ms', [0.0, 1.0, 499.0, 501.0, 3_000.0])
+def test_target_is_cold_until_the_latest_time_that_was_told(
+    later_ms: float,
+) -> None:
+    target = build_target()
+    target.on_restart(NOW_MS + 3_000, NOW_MS)
+    target.on_restart(NOW_MS + 3_000 + later_ms, NOW_MS)
+    target.on_restart(NOW_MS + 1_000, NOW_MS)
+    assert target.cold_until_ms == NOW_MS + 3_000 + later_ms
+
+
 def test_answer_ends_the_backoff() -> None:
     target = build_target()
     target.on_unreachable(NOW_MS)
