--- a/src/gentianbank/dataplane/routing.py
+++ b/src/gentianbank/dataplane/routing.py
@@ -277,7 +277,7 @@
         state = self._targets.get(target)
         if state is not None:
             state.health = state.health.on_health_check(
-                failing=failing, leaving=leaving
+                failing=failing, leaving=leaving, now_ms=self._clock()
             )
 
     def health_of(self, target: str) -> TargetHealth | None:
--- a/src/gentianbank/policy/target_health.py
+++ b/src/gentianbank/policy/target_health.py
@@ -87,9 +87,21 @@
         """Record a load report."""
         return replace(self, reported_in_flight=in_flight, reported_ms=now_ms)
 
-    def on_health_check(self, *, failing: bool, leaving: bool) -> TargetHealth:
-        """Record the result of a health check."""
-        return replace(self, failing=failing, leaving=leaving)
+    def on_health_check(
+        self, *, failing: bool, leaving: bool, now_ms: float
+    ) -> TargetHealth:
+        """Record the result of a health check.
+
+        A target that passes again may have been started again, so slow start
+        follows.
+        """
+        is_back = self.failing and not failing
+        return replace(
+            self,
+            failing=failing,
+            leaving=leaving,
+            warm_from_ms=now_ms if is_back else self.warm_from_ms,
+        )
 
     def eject(self, now_ms: float) -> TargetHealth:
         """Eject the target, twice as long each time, up to a limit."""
