Ask a target that ended idle connections just after their use

What the nodes saw is that their idle connections ended, and the pool only dropped them.

Change: the pool reports an idle connection that the peer ends within a second of its last use and before its idle timeout; the target is then asked like after other lost connections. A target that ends every connection so soon, also that of the check, is asked at most every 2 s.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -97,7 +97,7 @@
             peer_key=secrets.token_hex(PEER_KEY_BYTES),
         )
         self._me = me
-        self._targets = ConnectionPool()
+        self._targets = ConnectionPool(self._on_idle_lost)
         self._store = PlatformStore(
             settings.store.address,
             settings.store.timeout_ms,
@@ -213,6 +213,9 @@
     def _on_store_call(self, call: str, outcome: str) -> None:
         self._metrics.record(lambda m: m.on_store_call(call, outcome))
 
+    def _on_idle_lost(self, address: str) -> None:
+        self._restart_checks.on_idle_connection_lost(address)
+
     def _on_status_check(self, outcome: str) -> None:
         self._metrics.record(lambda m: m.on_status_check(outcome))
 
--- a/src/gentianbank/policy/restart_suspicion.py
+++ b/src/gentianbank/policy/restart_suspicion.py
@@ -38,9 +38,12 @@
     ----------
     since_ms
         Time of the latest lost connection; ``None`` without suspicion.
+    told_ms
+        Time when the target last told its status.
     """
 
     since_ms: float | None = None
+    told_ms: float = float('-inf')
 
     @property
     def is_active(self) -> bool:
@@ -51,7 +54,7 @@
         """Record that a connection was lost or refused."""
         self.since_ms = now_ms
 
-    def on_status(self, asked_ms: float) -> bool:
+    def on_status(self, asked_ms: float, now_ms: float) -> bool:
         """Record that the target told its status.
 
         Parameters
@@ -65,6 +68,7 @@
         bool
             Whether the status may be used.
         """
+        self.told_ms = now_ms
         if self.since_ms is not None and self.since_ms > asked_ms:
             return False
         self.since_ms = None
--- a/src/gentianbank/steering/restart_checks.py
+++ b/src/gentianbank/steering/restart_checks.py
@@ -31,6 +31,8 @@
 # Pause of a check while its target is not to be used, or after one that had
 # to be dropped.
 PAUSE_MS = 500.0
+# Time after a check in which lost idle connections to its target do not count.
+MIN_IDLE_CHECK_INTERVAL_MS = 2_000.0
 # Checks that one node runs at a time.
 MAX_CHECKS = 16
 MAX_BODY_BYTES = 64 * 1024
@@ -97,6 +99,20 @@
         self._tasks[target_id] = task
         task.add_done_callback(lambda _: self._tasks.pop(target_id, None))
 
+    def on_idle_connection_lost(self, address: str) -> None:
+        """Suspect the target at an address, unless it was asked just now.
+
+        A target that closes each connection soon, also that of a check, is
+        not asked again and again.
+        """
+        now_ms = self._clock()
+        for target in self._cluster_view.targets.values():
+            if target.registration.address != address:
+                continue
+            if now_ms - target.restart.told_ms >= MIN_IDLE_CHECK_INTERVAL_MS:
+                self.on_connection_lost(target)
+            return
+
     async def close(self) -> None:
         """Cancel the checks."""
         tasks = list(self._tasks.values())
@@ -144,7 +160,8 @@
             # The answer is not a status, but something has come up there.
             cold_left_ms = self._cluster_view.cold_start_ms(entry)
         self._on_check('cold' if cold_left_ms else 'warm')
-        if not target.restart.on_status(asked_ms) or not cold_left_ms:
+        is_new = target.restart.on_status(asked_ms, now_ms)
+        if not (is_new and cold_left_ms):
             return
         target.on_restart(now_ms + cold_left_ms, now_ms)
         logging.info(
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from gentianbank.targets.transport import RawHeaders
 
@@ -36,6 +37,9 @@
 DEFAULT_IDLE_S = 8.0
 # Idle connections are dropped this long before the stated idle timeout.
 IDLE_MARGIN_S = 1.5
+# An idle connection that is lost so soon after its last use has not been
+# closed for being idle.
+RECENT_USE_S = 1.0
 # Answers to other requests that are skipped before a connection is aborted.
 MAX_SKIPPED_ANSWERS = 4
 # Interim answers (1xx) before an answer; a target in trouble may send them
@@ -49,10 +53,20 @@
 
 
 class ConnectionPool(TargetTransport):
-    """Sends requests with h11 over persistent connections."""
+    """Sends requests with h11 over persistent connections.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    on_idle_lost
+        Called with the address when an idle connection is lost soon after
+        its last use, as when its target ends.
+    """
+
+    def __init__(
+        self, on_idle_lost: Callable[[str], None] = lambda _: None
+    ) -> None:
         self.turns = ParsingTurns()
+        self._on_idle_lost = on_idle_lost
         self._idle: dict[str, list[_Connection]] = {}
         self._open: dict[str, int] = {}
 
@@ -122,14 +136,19 @@
         if self._open.get(address, 0) >= request.max_connections:
             return Error(NotSent('every connection to the target is in use'))
         counted = _CountedConnection(self._open, address)
+        connection: _Connection | None = None
+
+        def on_closed() -> None:
+            counted.release()
+            if connection is not None and connection.is_lost_after_use:
+                self._on_idle_lost(address)
+
         peer = parse_address(address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(request.connect_timeout_ms / _MS_PER_S):
                 _, stream = await loop.create_connection(
-                    lambda: TargetStream(counted.release),
-                    peer.host,
-                    peer.port,
+                    lambda: TargetStream(on_closed), peer.host, peer.port
                 )
         except (OSError, TimeoutError) as error:
             counted.release()
@@ -137,7 +156,8 @@
         except BaseException:
             counted.release()
             raise
-        return Ok(_Connection(self, address, stream))
+        connection = _Connection(self, address, stream)
+        return Ok(connection)
 
 
 class _CountedConnection:
@@ -168,6 +188,7 @@
         self.address = address
         self.stream = stream
         self.idle_until_s = 0.0
+        self._idle_since_s = 0.0
         self._pool = pool
         self._parser = _new_parser()
         self._work = ParsingWork(pool.turns)
@@ -264,6 +285,14 @@
             break
         return b''.join(parts)
 
+    @property
+    def is_lost_after_use(self) -> bool:
+        """Return whether the connection was lost soon after its last use."""
+        if not (self.stream.is_idle and self.stream.was_lost):
+            return False
+        end_s = min(self.idle_until_s, self._idle_since_s + RECENT_USE_S)
+        return time.monotonic() < end_s
+
     def finish(self, head: h11.Response) -> None:
         """Return the connection to the pool if it is reusable, else abort it.
 
@@ -283,7 +312,8 @@
             self.abort()
             return
         self._parser.start_next_cycle()
-        self.idle_until_s = time.monotonic() + _idle_timeout_s(head)
+        self._idle_since_s = time.monotonic()
+        self.idle_until_s = self._idle_since_s + _idle_timeout_s(head)
         self._pool.put_idle(self)
 
     def abort(self) -> None:
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -37,6 +37,7 @@
         self._buffer = bytearray()
         self._ended = False
         self._error: Exception | None = None
+        self._closed_here = False
         self._read_waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -55,6 +56,11 @@
             or self._transport.get_write_buffer_size()
         )
 
+    @property
+    def was_lost(self) -> bool:
+        """Return whether the peer or the network ended the connection."""
+        return self._ended and not self._closed_here
+
     @property
     def has_ended(self) -> bool:
         """Return whether the connection has been closed or reset."""
@@ -101,10 +107,12 @@
 
     def abort(self) -> None:
         """Close the connection without sending what is queued."""
+        self._closed_here = True
         self._transport.abort()
 
     def close(self) -> None:
         """Close the connection after sending what is queued."""
+        self._closed_here = True
         self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -133,8 +141,8 @@
 
     def _wake(self) -> None:
         """Resume the reader, or close an idle connection."""
-        if self.is_idle:
-            self._transport.close()
+        if self.is_idle and not self._ended:
+            self.close()
         if self._read_waiter is not None and not self._read_waiter.done():
             self._read_waiter.set_result(None)
 
