Let targets of the soak start again cold, report no numbers and never end

A target that has started again must get no more in a second than a cold one may, whatever else is at work; its entry comes late. The cold rate of the soak is small enough to bind (4 a second, slack 5).

--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -10,7 +10,12 @@
 from typing import TYPE_CHECKING
 
 from gentianbank_standins.soak.links import LinkState
+from gentianbank_standins.soak.world import COLD_FACTOR
+from gentianbank_standins.soak.world import COLD_PER_S
+from gentianbank_standins.soak.world import COLD_SLACK
+from gentianbank_standins.soak.world import COLD_START_S
 from gentianbank_standins.soak.world import STOP_S
+from gentianbank_standins.users_targets import ColdPeriod
 from gentianbank_standins.users_targets import LimitPeriod
 
 if TYPE_CHECKING:
@@ -27,6 +32,9 @@
 # Time in which nodes without a fault learn that a target leaves.
 DRAIN_S = 3.0
 SLOW_STORE_MS = 300.0
+# Time for which a target is down before it starts again.
+DOWN_S = (0.05, 0.5, 2.0)
+NO_NUMBERS = ('inf', 'nan', '0', '-100', '1e400', '9' * 400)
 LIMITS_PER_S = (0.2, 2.5, 4.0)
 # Long enough that the limit binds for a while.
 LIMITED_S = 6.0
@@ -235,6 +243,52 @@
     link.set_state(LinkState.WHOLE)
 
 
+@register_fault('target restarted', 1.5)
+async def restart_target(world: SoakWorld, fault: Fault) -> None:
+    """End a target and start it again under its id, cold.
+
+    Its entry comes late, as if the store had been slow to take it.
+    """
+    target = _target(world, fault)
+    if target.restarting or target.leaving:
+        return
+    target.restarting = True
+    app = target.app
+    target.link.set_state(LinkState.REFUSING)
+    await asyncio.sleep(DOWN_S[fault.subject % len(DOWN_S)])
+    loop = asyncio.get_running_loop()
+    begin_s = loop.time()
+    app.cold_until_s = begin_s + COLD_START_S
+    target.born += 1
+    target.link.set_state(LinkState.WHOLE)
+    world.journal.cold_periods.append(
+        ColdPeriod(
+            app.target_id,
+            COLD_PER_S * COLD_FACTOR + COLD_SLACK,
+            begin_s,
+            app.cold_until_s,
+        )
+    )
+    await asyncio.sleep(fault.for_s)
+    world.register(target)
+    target.restarting = False
+
+
+@register_fault('target reports no number')
+async def spoil_reports(world: SoakWorld, fault: Fault) -> None:
+    """Let the load reports of a target have a figure that is no number."""
+    faults = _target(world, fault).app.faults
+    faults.slowdown = NO_NUMBERS[fault.subject % len(NO_NUMBERS)]
+    await asyncio.sleep(fault.for_s)
+    faults.slowdown = '100'
+
+
+@register_fault('target answers without end')
+async def answer_without_end(world: SoakWorld, fault: Fault) -> None:
+    """Let a target send bodies that go on until the caller closes."""
+    _target(world, fault).app.faults.endless_next = FEW_REQUESTS
+
+
 @register_fault('target far', 0.5)
 async def delay_target(world: SoakWorld, fault: Fault) -> None:
     """Let bytes to and from a target take longer."""
--- a/src/gentianbank_standins/soak/limits.py
+++ b/src/gentianbank_standins/soak/limits.py
@@ -1,4 +1,7 @@
-"""Whether targets got more requests than the limits that they named."""
+"""Whether targets got more requests than they could take.
+
+Some name limits, and some are cold after they have started again.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +11,7 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from gentianbank_standins.users_targets import ColdPeriod
     from gentianbank_standins.users_targets import Journal
     from gentianbank_standins.users_targets import LimitPeriod
     from gentianbank_standins.users_targets import TargetEvent
@@ -15,6 +19,8 @@
 # A target gets in the span no more than the limit allows times the factor,
 # and the slack.
 SPAN_S = 4.0
+# Span in which the requests to a cold target are counted.
+COLD_SPAN_S = 1.0
 FACTOR = 1.5
 SLACK = 5
 # The limit binds so long after the target first named it, and a node so long
@@ -39,7 +45,8 @@
     """
     lines = []
     for period in journal.limit_periods:
-        most = _most_in_a_span(_binding_arrivals(journal, processes, period))
+        times_s = _binding_arrivals(journal, processes, period)
+        most = _most_in_a_span(times_s, SPAN_S)
         if most > FACTOR * period.limit_per_s * SPAN_S + SLACK:
             lines.append(
                 f'{period.target_id} named a limit of {period.limit_per_s} a '
@@ -48,6 +55,20 @@
     return lines
 
 
+def overloaded_cold_targets(journal: Journal) -> list[str]:
+    """Return a line for each cold target that got too many requests."""
+    lines = []
+    for period in journal.cold_periods:
+        times_s = [event.time_s for event in _within(period, journal.arrivals)]
+        most = _most_in_a_span(times_s, COLD_SPAN_S)
+        if most > period.allowed_per_s:
+            lines.append(
+                f'{period.target_id} was cold and got {most} requests in '
+                f'{COLD_SPAN_S:g} s, {period.allowed_per_s:g} allowed'
+            )
+    return lines
+
+
 def _binding_arrivals(
     journal: Journal, processes: Mapping[str, str], period: LimitPeriod
 ) -> list[float]:
@@ -70,10 +91,10 @@
     return times_s
 
 
-def _most_in_a_span(times_s: list[float]) -> int:
+def _most_in_a_span(times_s: list[float], span_s: float) -> int:
     return max(
         (
-            sum(begin_s <= time_s < begin_s + SPAN_S for time_s in times_s)
+            sum(begin_s <= time_s < begin_s + span_s for time_s in times_s)
             for begin_s in times_s
         ),
         default=0,
@@ -81,7 +102,7 @@
 
 
 def _within(
-    period: LimitPeriod, events: list[TargetEvent]
+    period: LimitPeriod | ColdPeriod, events: list[TargetEvent]
 ) -> Iterator[TargetEvent]:
     for event in events:
         is_in_time = period.begin_s <= event.time_s < period.end_s
--- a/src/gentianbank_standins/soak/promises.py
+++ b/src/gentianbank_standins/soak/promises.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank_standins.soak.limits import exceeded_limits
+from gentianbank_standins.soak.limits import overloaded_cold_targets
 
 if TYPE_CHECKING:
     from gentianbank_standins.users_targets import Journal
@@ -90,6 +91,7 @@
             if not attempt.disturbed
         }
         lines += exceeded_limits(journal, processes)
+        lines += overloaded_cold_targets(journal)
         lines += self._unrecovered(calm_s)
         return lines
 
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -29,6 +29,11 @@
 STOP_S = 4.0
 SLOTS = 4
 WORK_MS = 40.0
+COLD_START_S = 1.0
+COLD_PER_S = 4.0
+COLD_SLACK = 5.0
+# Factor of the settings of the nodes, which they have by default.
+COLD_FACTOR = 1.5
 READ_TIMEOUT_MS = 1_500
 ORDER_TIMEOUT_MS = 2_000
 START_TIMEOUT_S = 60.0
@@ -68,7 +73,15 @@
     link: Link
     failure_domain: str
     sequence: int = 0
+    born: int = 1
     leaving: bool = False
+    restarting: bool = False
+
+    @property
+    def cold_left_ms(self) -> int:
+        """Return for how long the target is still cold."""
+        left_s = self.app.cold_until_s - asyncio.get_running_loop().time()
+        return max(0, round(left_s * _MS_PER_S))
 
 
 @dataclass
@@ -143,8 +156,8 @@
             'name': SERVICE,
             'healthPath': '/health',
             'maxConns': 300,
-            'coldStartS': 1,
-            'coldPerS': 20,
+            'coldStartS': COLD_START_S,
+            'coldPerS': COLD_PER_S,
         }
         document = {
             'version': self.version,
@@ -172,9 +185,9 @@
             'version': 'v1',
             'slots': SLOTS,
             'state': state,
-            'coldLeftMs': 0,
+            'coldLeftMs': target.cold_left_ms,
             'sequence': target.sequence,
-            'born': 1,
+            'born': target.born,
         }
         self.store.put(f'servers/{target.app.target_id}', entry)
 
@@ -235,7 +248,7 @@
             'regions': DOMAINS,
             'addresses': addresses,
             'store': {'address': link.address},
-            'bounds': {'stop_s': STOP_S, 'cold_slack': 50},
+            'bounds': {'stop_s': STOP_S, 'cold_slack': COLD_SLACK},
             'logging': {'json': True},
         }
         settings.write_text(yaml.safe_dump(document))
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -10,6 +10,9 @@
 
 QUEUE_PER_SLOT = 3
 HEALTH_PATH = '/health'
+# Chunks of an answer without end that are sent at once, and the pause then.
+ENDLESS_BATCH = 500
+ENDLESS_PAUSE_S = 0.005
 _MS_PER_S = 1_000
 
 
@@ -29,6 +32,8 @@
         Limit that answers name on the requests of all nodes; 0 for none.
     slowdown
         Slowdown in the load reports, in percent, as it is written.
+    endless_next
+        Requests that run, but whose answers go on until the caller closes.
     """
 
     slow_factor: float = 1.0
@@ -36,6 +41,7 @@
     refuse_next: int = 0
     limit_per_s: float = 0.0
     slowdown: str = '100'
+    endless_next: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +63,16 @@
     end_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdPeriod:
+    """Time in which a target was cold after it had started again."""
+
+    target_id: str
+    allowed_per_s: float
+    begin_s: float
+    end_s: float
+
+
 @dataclass
 class Journal:
     """What all targets have run.
@@ -73,6 +89,8 @@
         Requests that reached targets, and answers that named limits.
     limit_periods
         Times in which limits were named.
+    cold_periods
+        Times in which targets were cold.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -81,6 +99,7 @@
     arrivals: list[TargetEvent] = field(default_factory=list)
     limits_named: list[TargetEvent] = field(default_factory=list)
     limit_periods: list[LimitPeriod] = field(default_factory=list)
+    cold_periods: list[ColdPeriod] = field(default_factory=list)
 
 
 @dataclass
@@ -91,6 +110,8 @@
     ----------
     closed_s
         Time of the loop after which no request may come; 0 for never.
+    cold_until_s
+        Time of the loop until which the target is cold.
     """
 
     target_id: str
@@ -100,6 +121,7 @@
     journal: Journal
     faults: TargetFaults = field(default_factory=TargetFaults)
     closed_s: float = 0.0
+    cold_until_s: float = 0.0
     _waiting: int = 0
     _running: int = 0
     _free: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -111,7 +133,12 @@
         if body is None:
             return
         if scope['path'] == HEALTH_PATH:
-            await self._answer(send, 200, {'instance-id': self.target_id})
+            left_s = self.cold_until_s - asyncio.get_running_loop().time()
+            status = {
+                'instance-id': self.target_id,
+                'cold-ms': str(max(0, round(left_s * _MS_PER_S))),
+            }
+            await self._answer(send, 200, status)
             return
         request_id = headers.get('request-id', '')
         if headers.get('expect-instance') != self.target_id:
@@ -149,6 +176,10 @@
             if not work.result():
                 await self._reject(send, 503, request_id)
                 return
+            if self.faults.endless_next:
+                self.faults.endless_next -= 1
+                await self._answer_without_end(send, request_id, gone)
+                return
             cut = self.faults.lose_next > 0
             self.faults.lose_next -= cut
             stamp = f'{self.target_id}.{request_id}'
@@ -187,6 +218,27 @@
                 self._free.notify()
         return True
 
+    async def _answer_without_end(
+        self, send: Any, request_id: str, gone: asyncio.Task[None]
+    ) -> None:
+        """Send chunks of one byte until the caller closes."""
+        stamp = f'{self.target_id}.{request_id}'
+        headers = {'request-id': request_id, 'server-stamp': stamp}
+        head = [(k.encode(), v.encode()) for k, v in headers.items()]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': head}
+        )
+        while not gone.done():
+            for _ in range(ENDLESS_BATCH):
+                await send(
+                    {
+                        'type': 'http.response.body',
+                        'body': b'x',
+                        'more_body': True,
+                    }
+                )
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     async def _reject(self, send: Any, status: int, request_id: str) -> None:
         headers = {'request-id': request_id, 'not-executed': '1'}
         await self._answer(send, status, headers)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -7,7 +7,9 @@
 import pytest
 
 from gentianbank_standins.soak.limits import exceeded_limits
+from gentianbank_standins.soak.limits import overloaded_cold_targets
 from gentianbank_standins.soak.main import run_soak
+from gentianbank_standins.users_targets import ColdPeriod
 from gentianbank_standins.users_targets import Journal
 from gentianbank_standins.users_targets import LimitPeriod
 from gentianbank_standins.users_targets import TargetEvent
@@ -16,6 +18,15 @@
     from pathlib import Path
 
 DURATION_S = 8.0
+RESTARTS_S = 15.0
+RESTART_KINDS = (
+    'target restarted',
+    'target far',
+    'node paused',
+    'store silent',
+    'store cut off',
+)
+SPOILING_KINDS = ('target reports no number', 'target answers without end')
 LIMIT_KINDS = ('target limited', 'node stopped', 'store cut off')
 
 
@@ -33,6 +44,37 @@
     assert result.faults['target limited']
 
 
+@pytest.mark.parametrize('seed', [1])
+def test_soak_keeps_the_limit_of_targets_that_start_again(
+    tmp_path: Path, seed: int
+) -> None:
+    # Seed 1: a target that was down for 50 ms closed only idle connections.
+    result = run_soak(
+        seed, tmp_path, duration_s=RESTARTS_S, kinds=RESTART_KINDS
+    )
+    assert result.broken == ()
+    assert result.faults['target restarted']
+
+
+def test_soak_keeps_the_promises_under_spoiled_answers(tmp_path: Path) -> None:
+    result = run_soak(4, tmp_path, duration_s=DURATION_S, kinds=SPOILING_KINDS)
+    assert result.broken == ()
+    assert result.faults.keys() == set(SPOILING_KINDS)
+
+
+def test_soak_notices_too_many_requests_to_a_cold_target() -> None:
+    journal = Journal(cold_periods=[ColdPeriod('desk-1', 11.0, 1.0, 2.0)])
+    for number in range(12):
+        event = TargetEvent(1.0 + number / 20, 'desk-1', f'r-{number}')
+        journal.arrivals.append(event)
+        earlier = TargetEvent(0.5, 'desk-1', f'e-{number}')
+        journal.arrivals.append(earlier)
+    (line,) = overloaded_cold_targets(journal)
+    assert line == 'desk-1 was cold and got 12 requests in 1 s, 11 allowed'
+    journal.arrivals.pop(0)
+    assert not overloaded_cold_targets(journal)
+
+
 def test_soak_notices_a_limit_that_is_exceeded() -> None:
     journal = Journal(limit_periods=[LimitPeriod('desk-1', 2.5, 0.0, 9.0)])
     processes = {}
