--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -110,6 +110,17 @@
         raise NotImplementedError
 
 
+def update_of_one_target(**parts: bytes) -> LoadUpdate:
+    """Return a message about one request at ``desk-1``."""
+    return LoadUpdate(
+        targets=b'desk-1',
+        in_flight=b'\x01',
+        slowdowns=b'\x00',
+        objects=b'',
+        **parts,
+    )
+
+
 class InertNewsExchange(StoreCatchUp):
     """Exchange of store changes that does nothing."""
 
@@ -321,28 +332,13 @@
 )
 def test_malformed_limits_of_a_peer_are_ignored(limits: bytes) -> None:
     hub = Hub('vm-1', 'vm-2')
-    update = LoadUpdate(
-        targets=b'desk-1',
-        in_flight=b'\x01',
-        slowdowns=b'\x00',
-        objects=b'',
-        limits=limits,
-    )
+    update = update_of_one_target(limits=limits)
     hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
     assert hub.nodes['vm-1'].limit_per_s() is None
 
 
 def test_update_of_an_older_node_has_no_limits() -> None:
-    kind, values = cbor2.loads(
-        encode_message(
-            LoadUpdate(
-                targets=b'desk-1',
-                in_flight=b'\x01',
-                slowdowns=b'\x00',
-                objects=b'',
-            )
-        )
-    )
+    kind, values = cbor2.loads(encode_message(update_of_one_target()))
     decoded = decode_message(cbor2.dumps([kind, values[:4]]))
     assert decoded.is_ok()
 
@@ -403,26 +399,14 @@
 )
 def test_malformed_colds_of_a_peer_are_ignored(colds: bytes) -> None:
     hub = Hub('vm-1', 'vm-2')
-    update = LoadUpdate(
-        targets=b'desk-1',
-        in_flight=b'\x01',
-        slowdowns=b'\x00',
-        objects=b'',
-        colds=colds,
-    )
+    update = update_of_one_target(colds=colds)
     hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
     assert cold_left_ms(hub, 'vm-1') < 0
 
 
 def test_time_for_which_a_peer_calls_a_target_cold_is_limited() -> None:
     hub = Hub('vm-1', 'vm-2')
-    update = LoadUpdate(
-        targets=b'desk-1',
-        in_flight=b'\x01',
-        slowdowns=b'\x00',
-        objects=b'',
-        colds=struct.pack('>HI', 0, 2**32 - 1),
-    )
+    update = update_of_one_target(colds=struct.pack('>HI', 0, 2**32 - 1))
     hub.nodes['vm-1'].load_gossip.on_event(Received('vm-2', update))
     assert cold_left_ms(hub, 'vm-1') <= MAX_COLD_LEFT_MS
 
--- a/tests/steering/test_odd_entries.py
+++ b/tests/steering/test_odd_entries.py
@@ -12,22 +12,13 @@
 from tests.support.odd_entries import ODD_KEYS
 from tests.support.odd_entries import ODD_VALUES
 from tests.support.odd_entries import USABLE_VALUES
-from tests.support.store_copy import Copy
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from expression import Result
 
     from gentianbank.domain.errors import InvalidDocument
     from gentianbank.storage.store import StoredValue
-
-
-@pytest.fixture
-def copy() -> Iterator[Copy]:
-    made = Copy()
-    yield made
-    made.loop.end()
+    from tests.support.store_copy import Copy
 
 
 def check_that_it_follows(copy: Copy) -> None:
--- a/tests/steering/test_store_sync.py
+++ b/tests/steering/test_store_sync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import Any
-from typing import TYPE_CHECKING
 
 import pytest
 
@@ -14,16 +13,6 @@
 from tests.support.store_copy import Copy
 from tests.support.store_copy import GRACE_MS
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
-@pytest.fixture
-def copy() -> Iterator[Copy]:
-    made = Copy()
-    yield made
-    made.loop.end()
-
 
 def test_listing_applies_configuration_and_targets(copy: Copy) -> None:
     assert copy.cluster_view.table is not None
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -26,15 +26,20 @@
     return bool(request.param)
 
 
-def test_lines_go_to_standard_output_with_their_fields(is_json: bool) -> None:
+def run_code(code: str) -> str:
+    """Return what a process writes to standard output."""
     done = subprocess.run(
-        [sys.executable, '-c', CODE.format(json=is_json)],
+        [sys.executable, '-c', code],
         capture_output=True,
         text=True,
         check=True,
     )
     assert done.stderr == ''
-    lines = done.stdout.splitlines()
+    return done.stdout
+
+
+def test_lines_go_to_standard_output_with_their_fields(is_json: bool) -> None:
+    lines = run_code(CODE.format(json=is_json)).splitlines()
     assert len(lines) == 2
     if not is_json:
         assert lines[0].endswith('info target gone target=desk-1')
@@ -54,11 +59,4 @@
     is_json: bool,
 ) -> None:
     code = CODE.replace("'desk-1'", "'half \\ud800'")
-    done = subprocess.run(
-        [sys.executable, '-c', code.format(json=is_json)],
-        capture_output=True,
-        text=True,
-        check=True,
-    )
-    assert done.stderr == ''
-    assert 'half \\ud800' in done.stdout
+    assert 'half \\ud800' in run_code(code.format(json=is_json))
