End the suspicion of a target that runs but tells no status

Found on reading the change: a target whose health path is silent, or whose check ended with an unexpected error, stayed under the limit for cold targets until another connection to it was lost: an estimate that only its own failure could mend.

Change: a target that could be reached for as long as one is cold after its start, with no connection lost meanwhile, is warm. A check that fails unexpectedly is logged and repeated. A check whose own connection is lost counts as another loss.

--- a/src/gentianbank/policy/restart_suspicion.py
+++ b/src/gentianbank/policy/restart_suspicion.py
@@ -32,7 +32,8 @@
     """Suspicion that one target has started again.
 
     It begins when a connection to the target is lost or refused, and ends
-    when the target has told its status since then.
+    when the target has told its status since then. It also ends when the
+    target has been reachable since then for as long as one is cold.
 
     Parameters
     ----------
@@ -44,6 +45,7 @@
 
     since_ms: float | None = None
     told_ms: float = float('-inf')
+    _reached_ms: float | None = None
 
     @property
     def is_active(self) -> bool:
@@ -53,6 +55,20 @@
     def on_connection_lost(self, now_ms: float) -> None:
         """Record that a connection was lost or refused."""
         self.since_ms = now_ms
+        self._reached_ms = None
+
+    def on_reached(self, now_ms: float, cold_start_ms: float) -> None:
+        """Record that the target was reached, but told no status.
+
+        Parameters
+        ----------
+        cold_start_ms
+            Time for which a target is cold after its start.
+        """
+        if self._reached_ms is None:
+            self._reached_ms = now_ms
+        if now_ms - self._reached_ms >= cold_start_ms:
+            self.since_ms = None
 
     def on_status(self, asked_ms: float, now_ms: float) -> bool:
         """Record that the target told its status.
--- a/src/gentianbank/steering/restart_checks.py
+++ b/src/gentianbank/steering/restart_checks.py
@@ -11,6 +11,7 @@
 
 from gentianbank.platform import headers as wire
 from gentianbank.targets.http_headers import find_header
+from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
 from gentianbank.targets.transport import Unreachable
@@ -48,15 +49,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Unanswered:
-    """The target was not reached, or gave no whole answer.
+    """The target was reached, but gave no whole answer."""
 
-    Parameters
-    ----------
-    refused
-        Whether no connection could be opened.
-    """
 
-    refused: bool
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """No connection to the target could be opened."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The connection of the check was lost too."""
+
+
+CheckOutcome = Told | Unanswered | Refused | Lost
 
 
 class RestartChecks:
@@ -138,13 +144,30 @@
 
     async def _check(self, target: TargetLoad) -> None:
         asked_ms = self._clock()
-        match await self._ask(target):
+        try:
+            outcome = await self._ask(target)
+        except Exception:
+            # The check is repeated; without it the suspicion would not end.
+            self._on_check('failed')
+            logging.exception(
+                'status check failed',
+                extra={'target': target.registration.target_id},
+            )
+            target.on_unreachable(self._clock())
+            return
+        match outcome:
             case Told(status):
                 self._apply(target, status, asked_ms)
-            case Unanswered(refused):
-                self._on_check('refused' if refused else 'unanswered')
-                if refused:
-                    target.on_unreachable(self._clock())
+            case Refused():
+                self._on_check('refused')
+                target.on_unreachable(self._clock())
+            case Lost():
+                self._on_check('lost')
+                target.restart.on_connection_lost(self._clock())
+            case Unanswered():
+                self._on_check('unanswered')
+                cold_ms = self._cluster_view.cold_start_ms(target.registration)
+                target.restart.on_reached(self._clock(), cold_ms)
 
     def _apply(
         self, target: TargetLoad, status: TargetStatus, asked_ms: float
@@ -174,7 +197,7 @@
             },
         )
 
-    async def _ask(self, target: TargetLoad) -> Told | Unanswered:
+    async def _ask(self, target: TargetLoad) -> CheckOutcome:
         entry = target.registration
         request = TargetRequest(
             address=entry.address,
@@ -192,10 +215,13 @@
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
                 if not await _read_whole(answer):
-                    return Unanswered(refused=False)
+                    return Unanswered()
                 return Told(wire.decode_status(answer.headers))
-            case Result(error=error):
-                return Unanswered(refused=isinstance(error, Unreachable))
+            case Result(error=Unreachable()):
+                return Refused()
+            case Result(error=ConnectionLost()):
+                return Lost()
+        return Unanswered()
 
 
 def _is_status(headers: RawHeaders) -> bool:
--- a/tests/steering/test_restart_checks.py
+++ b/tests/steering/test_restart_checks.py
@@ -12,9 +12,11 @@
 from expression import Result
 import pytest
 
+from gentianbank.steering.restart_checks import CHECK_TIMEOUT_MS
 from gentianbank.steering.restart_checks import MAX_CHECKS
 from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import Unreachable
 from tests.support.steering import Caller
 from tests.support.steering import header
@@ -246,6 +248,77 @@
     path.run(body())
 
 
+@pytest.mark.parametrize(
+    'status',
+    [
+        Script(after_s=3_600.0),
+        Script(cut=True),
+        Script(failure=MaybeSent('no answer')),
+        Script(failure=NotSent('every connection is in use')),
+    ],
+    ids=['silent', 'cut', 'lost', 'no connection left'],
+)
+def test_suspicion_of_a_target_that_runs_ends_though_it_tells_no_status(
+    status: Script,
+) -> None:
+    path = Path(1)
+    path.transport.default = status
+    target = path.cluster_view.targets['desk-1']
+
+    async def body() -> None:
+        path.checks.on_connection_lost(target)
+        await asyncio.sleep(COLD_MS / 1_000)
+        assert target.restart.is_active
+        await asyncio.sleep(2 * CHECK_TIMEOUT_MS / 1_000)
+        assert not target.restart.is_active
+        await path.checks.close()
+
+    path.run(body())
+
+
+@pytest.mark.parametrize('failure', [REFUSED, RESET])
+def test_suspicion_of_a_target_whose_connections_end_does_not_end(
+    failure: SendError,
+) -> None:
+    path = Path(1)
+    path.transport.default = Script(failure=failure)
+    target = path.cluster_view.targets['desk-1']
+
+    async def body() -> None:
+        path.checks.on_connection_lost(target)
+        await asyncio.sleep(60.0)
+        assert target.restart.is_active
+        await path.checks.close()
+
+    path.run(body())
+
+
+def test_check_that_fails_unexpectedly_is_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    path, transport = build_path()
+    target = path.cluster_view.targets['desk-1']
+    send = transport.send
+    failures = [ZeroDivisionError(), OverflowError()]
+
+    async def fail_at_first(
+        request: TargetRequest,
+    ) -> Result[TargetAnswer, SendError]:
+        if failures:
+            raise failures.pop()
+        return await send(request)
+
+    monkeypatch.setattr(transport, 'send', fail_at_first)
+
+    async def body() -> None:
+        path.checks.on_connection_lost(target)
+        await asyncio.sleep(30.0)
+
+    path.run(body())
+    assert not target.restart.is_active
+    assert path.check_outcomes == ['failed', 'failed', 'warm']
+
+
 def test_checks_of_many_targets_are_limited() -> None:
     path = Path(3 * MAX_CHECKS)
     path.transport.default = Script(after_s=0.5)
