Leave no suspicion without a check that could end it

Found on reading: a connection lost in the iteration of the loop in which a check ends found the check still listed and began none; and the record of a target whose entry was gone for a while kept its suspicion, though its check had ended with the entry. Both targets then stayed under the limit for cold ones until another connection was lost.

Evidence: test_loss_just_as_a_check_ends_is_followed_by_another_check and test_target_whose_entry_was_gone_is_not_suspected_for_ever failed before.

--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -15,6 +15,7 @@
 from gentianbank.policy.fleet_limits import ColdRateLimit
 from gentianbank.policy.fleet_members import FleetMembers
 from gentianbank.policy.peer_loads import PeerLoads
+from gentianbank.policy.restart_suspicion import RestartSuspicion
 from gentianbank.policy.target_load import TargetLoad
 
 if TYPE_CHECKING:
@@ -197,6 +198,8 @@
         self.targets[entry.target_id] = known
         if not is_listed and not from_first_listing:
             known.cold_until_ms = now_ms + self.cold_start_ms(entry)
+            # Nobody asks a target without an entry, and it counts as cold.
+            known.restart = RestartSuspicion()
         known.registration = entry
         known.is_unconfirmed = False
         known.cold_until_ms = max(
--- a/src/gentianbank/steering/restart_checks.py
+++ b/src/gentianbank/steering/restart_checks.py
@@ -99,11 +99,12 @@
         """Suspect a target, and ask it unless that is under way already."""
         target.restart.on_connection_lost(self._clock())
         target_id = target.registration.target_id
-        if target_id in self._tasks:
+        running = self._tasks.get(target_id)
+        if running is not None and not running.done():
             return
         task = asyncio.create_task(self._check_until_told(target_id))
         self._tasks[target_id] = task
-        task.add_done_callback(lambda _: self._tasks.pop(target_id, None))
+        task.add_done_callback(lambda ended: self._forget(target_id, ended))
 
     def on_idle_connection_lost(self, address: str) -> None:
         """Suspect the target at an address, unless it was asked just now.
@@ -126,6 +127,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _forget(self, target_id: str, ended: asyncio.Task[None]) -> None:
+        if self._tasks.get(target_id) is ended:
+            del self._tasks[target_id]
+
     async def _check_until_told(self, target_id: str) -> None:
         """Ask a target until it has told its status or is gone."""
         while True:
--- a/tests/steering/test_restart_checks.py
+++ b/tests/steering/test_restart_checks.py
@@ -39,6 +39,8 @@
 # settings.
 COLD_ALLOWED = 7 * 1.5 + 5
 HEALTH_PATH = b'/health'
+# Iterations of the loop after a check in which another loss may come.
+LOOP_TURNS = 4
 RESET = ConnectionLost('reset')
 REFUSED = Unreachable('refused')
 
@@ -319,6 +321,46 @@
     assert path.check_outcomes == ['failed', 'failed', 'warm']
 
 
+def test_loss_just_as_a_check_ends_is_followed_by_another_check() -> None:
+    path, transport = build_path()
+    target = path.cluster_view.targets['desk-1']
+
+    async def body() -> None:
+        for turns in range(LOOP_TURNS):
+            path.checks.on_connection_lost(target)
+            while target.restart.is_active:
+                await asyncio.sleep(0)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            path.loop.jump(0.001)
+            path.checks.on_connection_lost(target)
+            await asyncio.sleep(1.0)
+            assert not target.restart.is_active
+
+    path.run(body())
+    assert transport.statuses == 2 * LOOP_TURNS
+
+
+def test_target_whose_entry_was_gone_is_not_suspected_for_ever() -> None:
+    path, _ = build_path()
+    target = path.cluster_view.targets['desk-1']
+
+    async def body() -> None:
+        target.restart.on_connection_lost(path.loop.now_ms())
+        path.cluster_view.remove_target('desk-1', path.loop.now_ms())
+        await asyncio.sleep(5.0)
+        path.cluster_view.put_target(
+            registration('desk-1'),
+            path.loop.now_ms(),
+            from_first_listing=False,
+        )
+        assert target.is_cold(path.loop.now_ms())
+        await asyncio.sleep(COLD_MS / 1_000)
+        assert not target.may_be_cold(path.loop.now_ms())
+
+    path.run(body())
+
+
 def test_checks_of_many_targets_are_limited() -> None:
     path = Path(3 * MAX_CHECKS)
     path.transport.default = Script(after_s=0.5)
