--- a/tests/steering/test_restart_checks.py
+++ b/tests/steering/test_restart_checks.py
@@ -13,6 +13,7 @@
 import pytest
 
 from gentianbank.steering.restart_checks import CHECK_TIMEOUT_MS
+from gentianbank.steering.restart_checks import MAX_BODY_BYTES
 from gentianbank.steering.restart_checks import MAX_CHECKS
 from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import MaybeSent
@@ -257,8 +258,9 @@
         Script(cut=True),
         Script(failure=MaybeSent('no answer')),
         Script(failure=NotSent('every connection is in use')),
+        Script(body=b'x' * (MAX_BODY_BYTES + 1)),
     ],
-    ids=['silent', 'cut', 'lost', 'no connection left'],
+    ids=['silent', 'cut', 'lost', 'no connection left', 'large'],
 )
 def test_suspicion_of_a_target_that_runs_ends_though_it_tells_no_status(
     status: Script,
