Tell other nodes only of cold targets that a status check found

Cause: a new peer was told of every cold target. What follows from an entry that came back each node counts from when it has read the entry, and the latest time of all nodes won, so that all targets stayed under the limit a second or two longer.

Evidence: test_cold_time_that_follows_from_an_entry_is_not_told failed before.

--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -58,6 +58,10 @@
         Time when this node learned of the target.
     cold_until_ms
         Time until which the target is cold and its rate limit holds.
+    restart_cold_until_ms
+        The part of it that follows from a restart that a status check found.
+        Nodes tell only that to each other: what follows from an entry each
+        node works out by itself, from when it has read the entry.
     in_flight
         Requests of this node in flight at the target.
     report, report_ms
@@ -90,6 +94,7 @@
     region: str
     known_since_ms: float
     cold_until_ms: float = float('-inf')
+    restart_cold_until_ms: float = float('-inf')
     in_flight: int = 0
     report: LoadReport | None = None
     report_ms: float = float('-inf')
@@ -260,6 +265,9 @@
         """
         was_known = cold_until_ms <= self.cold_until_ms + COLD_TOLERANCE_MS
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
+        self.restart_cold_until_ms = max(
+            self.restart_cold_until_ms, cold_until_ms
+        )
         if was_known:
             return
         self.known_since_ms = now_ms
@@ -272,7 +280,7 @@
         if not self._has_unsent_cold:
             return None
         self._has_unsent_cold = False
-        return self.cold_until_ms
+        return self.restart_cold_until_ms
 
     def clear_warm_objects(self) -> None:
         """Clear the warm objects, as the target comes back cold."""
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -103,7 +103,8 @@
         """Handle an event of a connection.
 
         A new peer gets the loads of all targets with requests in flight,
-        every limit that a target names, and which targets are cold.
+        every limit that a target names, and which targets have started
+        again.
         """
         match event:
             case Connected(vm):
@@ -209,14 +210,14 @@
         rows = []
         now_ms = self._clock()
         for target_id, target in self._cluster_view.targets.items():
-            is_cold = target.is_cold(now_ms)
+            is_cold = now_ms < target.restart_cold_until_ms
             if not (target.in_flight or target.limit.is_named or is_cold):
                 continue
             row = build_row(target, target_id)
             if target.limit.is_named:
                 row = replace(row, limit=target.limit.news)
             if is_cold:
-                row = replace(row, cold_until_ms=target.cold_until_ms)
+                row = replace(row, cold_until_ms=target.restart_cold_until_ms)
             rows.append(row)
         return rows
 
--- a/tests/steering/test_target_news.py
+++ b/tests/steering/test_target_news.py
@@ -153,6 +153,21 @@
     assert cold_left_ms(hub, 'vm-2') > 0
 
 
+def test_cold_time_that_follows_from_an_entry_is_not_told() -> None:
+    hub = Hub('vm-1')
+    target = hub.nodes['vm-1'].cluster_view.targets['desk-1']
+    target.cold_until_ms = hub.now_ms + COLD_MS
+    target.on_send(hub.now_ms, '')
+    hub.advance_ms(TICK_MS)
+    hub.nodes['vm-2'] = Node(hub, 'vm-2')
+    for node in hub.nodes.values():
+        for name in hub.nodes:
+            node.cluster_view.nodes[name] = entry(name)
+    hub.advance_ms(2_000.0)
+    assert hub.nodes['vm-2'].occupancy(hub) == 1
+    assert cold_left_ms(hub, 'vm-2') < 0
+
+
 @pytest.mark.parametrize(
     'colds',
     [struct.pack('>HI', 7, 5_000), struct.pack('>HI', 0, 5_000)[:-1]],
