--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -18,7 +18,7 @@
     from pathlib import Path
 
 DURATION_S = 8.0
-RESTARTS_S = 15.0
+LONG_S = 15.0
 RESTART_KINDS = (
     'target restarted',
     'target far',
@@ -49,15 +49,13 @@
     tmp_path: Path, seed: int
 ) -> None:
     # Seed 1: a target that was down for 50 ms closed only idle connections.
-    result = run_soak(
-        seed, tmp_path, duration_s=RESTARTS_S, kinds=RESTART_KINDS
-    )
+    result = run_soak(seed, tmp_path, duration_s=LONG_S, kinds=RESTART_KINDS)
     assert result.broken == ()
     assert result.faults['target restarted']
 
 
 def test_soak_keeps_the_promises_under_spoiled_answers(tmp_path: Path) -> None:
-    result = run_soak(4, tmp_path, duration_s=DURATION_S, kinds=SPOILING_KINDS)
+    result = run_soak(4, tmp_path, duration_s=LONG_S, kinds=SPOILING_KINDS)
     assert result.broken == ()
     assert result.faults.keys() == set(SPOILING_KINDS)
 
