--- a/src/gentianbank/cli/explain.py
+++ b/src/gentianbank/cli/explain.py
@@ -180,6 +180,8 @@
             if fields.get('busy'):
                 reason += f' ({fields["busy"]})'
             return reason + (f'; tried {tried}' if tried else '')
+        case 'failure passed on':
+            return f'failed by its target; tried {tried}'
         case 'caller left':
             reason = f'the caller left after {fields.get("held_ms")} ms'
             return reason + (f'; tried {tried}' if tried else '')
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.platform import headers as wire
+from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -39,6 +40,8 @@
         Whether the answer says when the caller may retry.
     attempts
         Number of targets that were tried.
+    evidence
+        What is known about whether the request has run.
     placement
         Result of the latest choice of a target.
     closes_connection
@@ -50,6 +53,7 @@
     cause: str
     may_retry_later: bool = False
     attempts: int = 0
+    evidence: RunEvidence = RunEvidence.NEVER_SENT
     placement: PlacementResult | None = None
     closes_connection: bool = False
 
@@ -118,6 +122,7 @@
             status=refusal.status,
             cause=refusal.cause,
             attempts=refusal.attempts,
+            evidence=refusal.evidence,
             placement=refusal.placement,
         )
         await exchange.answer(refusal.status, headers, refusal.cause.encode())
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -15,6 +15,7 @@
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.returning_callers import ReturningCallerDetector
+from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.policy.weighted_round_robin import WeightedRoundRobin
 from gentianbank.steering.answers import AnswerWriter
 from gentianbank.steering.answers import Refusal
@@ -77,6 +78,15 @@
     failed_answer: Delivered | None = None
     placement: PlacementResult | None = None
 
+    @property
+    def evidence(self) -> RunEvidence:
+        """Return what is known about whether the request has run."""
+        if self.may_have_run:
+            return RunEvidence.MAY_HAVE_RUN
+        if self.sent_count:
+            return RunEvidence.REJECTED
+        return RunEvidence.NEVER_SENT
+
     def record(self, outcome: Outcome, *, idempotent: bool) -> bool:
         """Record an attempt that gave no final answer.
 
@@ -369,6 +379,7 @@
             cause,
             may_retry_later=not history.may_have_run,
             attempts=len(history.targets),
+            evidence=history.evidence,
             placement=history.placement,
         )
         await self._replies.send_refusal(exchange, request, refusal)
--- a/src/gentianbank/steering/reporter.py
+++ b/src/gentianbank/steering/reporter.py
@@ -8,6 +8,7 @@
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.steering.request_log import AnswerEndedEarly
 from gentianbank.steering.request_log import AttemptFailed
+from gentianbank.steering.request_log import FailurePassedOn
 from gentianbank.steering.request_log import RequestAbandoned
 from gentianbank.steering.request_log import RequestAnswered
 from gentianbank.steering.request_log import RequestLog
@@ -18,6 +19,7 @@
 
     from gentianbank.policy.placement import Placement
     from gentianbank.policy.placement import PlacementResult
+    from gentianbank.policy.run_evidence import RunEvidence
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.sending import Cancelled
@@ -26,6 +28,7 @@
 
 ANSWERED = 'answered'
 NO_ROUTE = 'none'
+_MIN_FAILURE = 400
 
 
 class Reporter:
@@ -117,6 +120,7 @@
         status: int,
         cause: str,
         attempts: int,
+        evidence: RunEvidence,
         placement: PlacementResult | None,
     ) -> None:
         """Report that the node refused a request.
@@ -125,6 +129,8 @@
         ----------
         request
             The request; ``None`` if it has no route.
+        evidence
+            What is known about whether the request has run.
         placement
             Result of the latest choice of a target.
         """
@@ -137,6 +143,7 @@
                 status=status,
                 cause=cause,
                 attempts=attempts,
+                evidence=evidence.value,
                 held_ms=round(held_ms),
                 version=self._configuration_version,
                 store_age_ms=self._cluster_view.age_ms(self._clock()),
@@ -151,6 +158,15 @@
     def on_answer(self, request: CallerRequest, status: int) -> None:
         """Report that a target's answer is sent to the caller."""
         took_ms = self._clock() - request.received_ms
+        if status >= _MIN_FAILURE:
+            self._log.write(
+                FailurePassedOn(
+                    request=request.request_id.decode('latin-1'),
+                    route=request.route.name,
+                    status=status,
+                    held_ms=round(took_ms),
+                )
+            )
         self._record_final_answer(request, f'answered {status}', took_ms)
 
     def on_caller_gone(self, request_id: str, received_ms: float) -> None:
--- a/src/gentianbank/steering/request_log.py
+++ b/src/gentianbank/steering/request_log.py
@@ -111,6 +111,9 @@
     ----------
     attempts
         Number of targets that were tried.
+    evidence
+        What is known about whether the request has run: ``never-sent``,
+        ``rejected`` or ``may-have-run``.
     held_ms
         Time from the arrival of the request until the refusal.
     version
@@ -126,12 +129,23 @@
     status: int
     cause: str
     attempts: int
+    evidence: str
     held_ms: int
     version: int
     store_age_ms: int | None
     busy: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FailurePassedOn(RequestEvent):
+    """The caller gets a failure that a target answered with."""
+
+    message = 'failure passed on'
+    route: str
+    status: int
+    held_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestAbandoned(RequestEvent):
     """The caller left before it had an answer; its request was cancelled."""
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -16,7 +16,9 @@
 from gentianbank.cli.explain import render
 from gentianbank.cli.main import Commands
 from gentianbank.telemetry.logs import JsonFormatter
+from tests.support.steering import FAILED
 from tests.support.steering import LOST
+from tests.support.steering import ORDER_REQUEST
 from tests.support.steering import Path
 from tests.support.steering import SHED
 from tests.support.steering import SILENT
@@ -24,12 +26,6 @@
 if TYPE_CHECKING:
     from tests.support.steering import Script
 
-ORDER_REQUEST: dict[str, Any] = {
-    'path': '/order/1',
-    'method': 'POST',
-    'body': b'post',
-}
-
 
 def texts_of(caplog: pytest.LogCaptureFixture) -> list[str]:
     formatter = JsonFormatter('vm-1')
@@ -45,6 +41,10 @@
     [
         (LOST, '502: reset; tried desk-1: reset'),
         (SILENT, '504: no answer in time; tried desk-1: no answer in time'),
+        (
+            FAILED,
+            'failed by its target; tried desk-1: the target answered 500',
+        ),
         (SHED, '503: every target is busy; tried desk-1: the target answered'),
     ],
 )
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -15,6 +15,7 @@
 from tests.support.steering import header
 from tests.support.steering import LOST
 from tests.support.steering import ORDER
+from tests.support.steering import ORDER_REQUEST
 from tests.support.steering import Path
 from tests.support.steering import READ
 from tests.support.steering import REFUSED
@@ -23,11 +24,6 @@
 from tests.support.steering import SILENT
 from tests.support.steering import STAMP
 
-ORDER_REQUEST: dict[str, Any] = {
-    'path': '/order/1',
-    'method': 'POST',
-    'body': b'two posts',
-}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -74,6 +74,11 @@
     timeout_ms=2_000,
     priority=1,
 )
+ORDER_REQUEST: dict[str, Any] = {
+    'path': '/order/1',
+    'method': 'POST',
+    'body': b'two posts',
+}
 
 
 @dataclass(frozen=True)
