--- /dev/null
+++ b/tests/processes/test_true_refusals.py
@@ -0,0 +1,83 @@
+"""Real nodes over targets that fail orders after they have run them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gentianbank_standins.soak.world import SoakWorld
+from tests.support.raw_targets import Callers
+from tests.support.raw_targets import head
+from tests.support.raw_targets import raw_targets
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    from tests.support.raw_targets import Answer
+    from tests.support.raw_targets import RawRequest
+
+NODES = 2
+CALLERS = 20
+DURATION_S = 4.0
+SETTLE_S = 1.0
+NOT_RUN = 'Not-Executed: 1'
+EMPTY = 'Content-Length: 0'
+
+
+def failure(status: int) -> Answer:
+    """Return a fault that answers a status without saying "not run"."""
+
+    async def answer(request: RawRequest) -> AsyncIterator[bytes | None]:
+        stamp = f'Server-Stamp: {request.target_id}.{request.request_id}'
+        yield request.head(status, stamp, EMPTY)
+
+    return answer
+
+
+async def refuse_two(request: RawRequest) -> AsyncIterator[bytes | None]:
+    yield request.head(503, 'Request-Id: another', NOT_RUN, EMPTY)
+
+
+async def repeat_refusal(request: RawRequest) -> AsyncIterator[bytes | None]:
+    yield request.success()
+    await asyncio.sleep(0.02)
+    yield head(503, NOT_RUN, EMPTY)
+
+
+async def refuse_another(request: RawRequest) -> AsyncIterator[bytes | None]:
+    yield request.head(503, NOT_RUN, EMPTY, request_id='another')
+    yield request.success()
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        [failure(503), failure(429), failure(408), failure(421)],
+        [refuse_two, repeat_refusal, refuse_another],
+    ],
+    ids=['failures', 'refusals of others'],
+)
+def test_orders_that_ran_are_not_answered_as_not_run(
+    tmp_path: Path, faults: list[Answer]
+) -> None:
+    async def play() -> None:
+        world = SoakWorld(tmp_path, NODES, 0, seed=0)
+        try:
+            await world.start()
+            # One target without a fault keeps the service going.
+            async with raw_targets(world, None, *faults) as targets:
+                await asyncio.sleep(SETTLE_S)
+                callers = Callers(world)
+                await callers.send(CALLERS, DURATION_S)
+            runs, spoiled = targets[0].runs, targets[0].spoiled
+            assert spoiled
+            assert callers.untrue_refusals(runs) == {}
+            assert [name for name, count in runs.items() if count > 1] == []
+            assert 200 in callers.statuses.values()
+        finally:
+            await world.stop()
+
+    asyncio.run(play())
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -39,6 +39,13 @@
 TIMEOUT_S = 1.0
 LATE_S = 4.0
 WATCH_S = 0.1
+# Failures of requests that ran, none of which says that they did not.
+FAILURES_AFTER_RUN = {
+    '503 after run': 503,
+    '429 after run': 429,
+    '408 after run': 408,
+    '421 after run': 421,
+}
 
 
 class SilentMetrics(Metrics):
@@ -298,6 +305,18 @@
         if fault == 'repeated refusal':
             shed = [(b'request-not-run', b'true')]
             return Ok(FakeAnswer(503, shed, b'', False))
+        if fault in FAILURES_AFTER_RUN:
+            status = FAILURES_AFTER_RUN[fault]
+            return Ok(
+                FakeAnswer(status, [(b'x-request-id', echo)], b'', False)
+            )
+        if fault == 'refusal of two':
+            ids = [(b'x-request-id', echo), (b'x-request-id', b'another-id')]
+            refusal = [(b'request-not-run', b'true'), *ids]
+            return Ok(FakeAnswer(503, refusal, b'', False))
+        if fault == 'success not run':
+            head = [(b'request-not-run', b'true'), (b'x-request-id', echo)]
+            return Ok(FakeAnswer(200, head, b'', False))
         if fault == 'crossed answer':
             echo, token = b'another-id', 'another-token'
         answer = json.dumps({'token': token}).encode()
