Promise 'not run' on a target's word only, not on its status

Cause: a target ran the order and then failed with such a status; the node passed it on unchanged, and to the caller the status is a promise.

--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -18,7 +18,7 @@
 from gentianbank.dataplane.routing import Permit
 from gentianbank.policy.retry import MAX_ATTEMPTS
 from gentianbank.policy.retry import RetryBudget
-from gentianbank.targets.http_headers import find_header
+from gentianbank.policy.run_evidence import AnswerMeaning
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -282,20 +282,20 @@
         in_flight = http_headers.reported_in_flight(answer.headers)
         if in_flight is not None:
             self._routing.on_report(permit.target.name, in_flight)
-        echo = find_header(answer.headers, http_headers.REQUEST_ID)
-        if echo is not None and echo != attempt_id.encode():
-            await answer.close()
+        meaning = http_headers.judge(
+            answer.status, answer.headers, attempt_id.encode()
+        )
+        if meaning is AnswerMeaning.RESULT:
+            self._routing.on_answer(permit, self._clock() - sent_ms)
+            return Ok(answer)
+        await answer.close()
+        cause = f'the target answered {answer.status}'
+        if meaning is AnswerMeaning.REJECTION:
+            return Error(_Shed(cause))
+        if meaning is AnswerMeaning.NAMES_OTHERS:
             self._routing.on_failure(permit)
             self._metrics.on_crossed(permit.service)
-            return Error(MaybeSent('the answer is to another request'))
-        if find_header(answer.headers, http_headers.NOT_RUN) == b'true':
-            await answer.close()
-            if echo is None:
-                # It may be an earlier answer that is sent once more.
-                return Error(MaybeSent('the refusal names no request'))
-            return Error(_Shed(f'the target answered {answer.status}'))
-        self._routing.on_answer(permit, self._clock() - sent_ms)
-        return Ok(answer)
+        return Error(MaybeSent(f'{cause}: {meaning.value}'))
 
     async def _pace_body(
         self, source: _SingleUseBody, request: Request, permit: Permit
--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -5,10 +5,12 @@
 import json
 from typing import TYPE_CHECKING
 
+from gentianbank.policy.run_evidence import judge_answer
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
+    from gentianbank.policy.run_evidence import AnswerMeaning
     from gentianbank.targets.transport import RawHeaders
 
 REQUEST_ID = b'x-request-id'
@@ -81,6 +83,24 @@
     ]
 
 
+def judge(
+    status: int, headers: RawHeaders, attempt_id: bytes
+) -> AnswerMeaning:
+    """Return what the head of a target's answer means for an attempt.
+
+    A target need not name the attempt, unless it says that it did not run:
+    that may be an earlier answer that is sent once more.
+    """
+    says_not_run = find_header(headers, NOT_RUN) == b'true'
+    named = find_header(headers, REQUEST_ID)
+    return judge_answer(
+        status,
+        says_not_run=says_not_run,
+        names_request=named == attempt_id
+        or (named is None and not says_not_run),
+    )
+
+
 def reported_in_flight(headers: RawHeaders) -> int | None:
     """Return the requests in flight that a target reports, if it does.
 
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -13,11 +13,13 @@
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.policy.restart_suspicion import TargetStatus
+from gentianbank.policy.run_evidence import judge_answer
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
     from gentianbank.domain.request_limit import LimitStatement
+    from gentianbank.policy.run_evidence import AnswerMeaning
     from gentianbank.targets.transport import RawHeaders
 
 REQUEST_ID = b'request-id'
@@ -105,9 +107,22 @@
     ]
 
 
-def says_not_run(status: int, headers: RawHeaders) -> bool:
-    """Tell whether the answer means that the request did not run."""
-    return is_misdirected(status) or find_header(headers, _NOT_RUN) is not None
+def judge(status: int, headers: RawHeaders) -> AnswerMeaning:
+    """Return what the head of a target's answer means for its request."""
+    return judge_answer(
+        status,
+        says_not_run=find_header(headers, _NOT_RUN) is not None,
+        names_request=bool(find_header(headers, REQUEST_ID)),
+    )
+
+
+def may_answer(headers: RawHeaders, request_id: bytes) -> bool:
+    """Tell whether an answer may be meant for a request.
+
+    One that names another request is not; one that names none may be.
+    """
+    named = find_header(headers, REQUEST_ID)
+    return named is None or named == request_id
 
 
 def is_misdirected(status: int) -> bool:
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.platform import headers as wire
+from gentianbank.policy.run_evidence import check_promise
 from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
@@ -57,6 +58,9 @@
     placement: PlacementResult | None = None
     closes_connection: bool = False
 
+    def __post_init__(self) -> None:
+        check_promise(self.status, self.evidence)
+
 
 class AnswerWriter:
     """Sends final answers to callers.
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -13,6 +13,9 @@
 from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
 from gentianbank.policy.placement import ROUND_TRIP_MS
+from gentianbank.policy.run_evidence import AnswerMeaning
+from gentianbank.policy.run_evidence import check_promise
+from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import BodyConnectionLostError
 from gentianbank.targets.transport import ConnectionLost
@@ -63,6 +66,9 @@
     body: bytes
     unread: TargetAnswer | None = None
 
+    def __post_init__(self) -> None:
+        check_promise(self.status, RunEvidence.MAY_HAVE_RUN)
+
     @property
     def cause(self) -> str:
         """Return a description with the status of the answer."""
@@ -168,8 +174,7 @@
         left_ms = request.deadline_ms - self._clock()
 
         def owns_answer(headers: RawHeaders) -> bool:
-            echo = find_header(headers, wire.REQUEST_ID)
-            return echo is None or echo == request.request_id
+            return wire.may_answer(headers, request.request_id)
 
         return TargetRequest(
             address=target.registration.address,
@@ -200,11 +205,12 @@
         """Read the answer and record the load and health of the target."""
         target = placed.target
         status, headers = answer.status, answer.headers
-        if request.request_id and not find_header(headers, wire.REQUEST_ID):
+        meaning = wire.judge(status, headers)
+        if meaning is AnswerMeaning.NAMES_OTHERS:
             # It may be an earlier answer that is sent once more.
             await answer.close()
             target.on_broken(self._clock())
-            return Broken('the answer names no request')
+            return _unusable(status, meaning)
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
@@ -225,12 +231,16 @@
         if not complete and status not in _SUCCESS_STATUSES:
             await answer.close()
             return Broken('the failure of the target is too large')
-        if wire.says_not_run(status, headers):
+        if meaning is AnswerMeaning.REJECTION:
             if wire.is_misdirected(status):
                 target.on_misdirected(self._clock())
             else:
                 target.on_answer(failed=False)
             return Rejected(f'the target answered {status}')
+        if meaning is not AnswerMeaning.RESULT:
+            target.on_answer(failed=True)
+            await answer.close()
+            return _unusable(status, meaning)
         target.on_answer(failed=status >= _MIN_SERVER_ERROR)
         if status in _SUCCESS_STATUSES:
             if not _has_target_headers(headers):
@@ -310,6 +320,10 @@
     return b''.join(chunks), True
 
 
+def _unusable(status: int, meaning: AnswerMeaning) -> Broken:
+    return Broken(f'the target answered {status}: {meaning.value}')
+
+
 def _has_target_headers(headers: RawHeaders) -> bool:
     """Return whether a success has the headers of a target's own answer.
 
--- a/tests/dataplane/test_at_most_once.py
+++ b/tests/dataplane/test_at_most_once.py
@@ -18,11 +18,14 @@
 
 from gentianbank import requests as requests_module
 from gentianbank.dataplane import attempts as attempts_module
+from gentianbank.dataplane import headers as http_headers
 from gentianbank.dataplane import outcomes as outcomes_module
 from gentianbank.dataplane.attempts import RetryingSender
 from gentianbank.dataplane.outcomes import KeyAdmission
 from gentianbank.domain import outcome as outcome_module
 from gentianbank.domain.outcome import OutcomeTable
+from gentianbank.policy.run_evidence import AnswerMeaning
+from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 from tests.support.machines import check_machine
 from tests.support.machines import check_mutant
 from tests.support.world import Reply
@@ -49,6 +52,7 @@
     'refused connection',
     'crossed answer',
     'cut answer',
+    '503 after run',
 )
 TARGET_FAULTS = (
     '',
@@ -58,6 +62,7 @@
     'late run',
     'crossed answer',
     'cut answer',
+    '503 after run',
 )
 VIOLATIONS = r'ran more than once|called not run, but ran'
 OCCURRED_FAULTS: Counter[str] = Counter()
@@ -190,7 +195,7 @@
         if task.cancelled():
             return
         reply = task.result()
-        if reply.outcome == 'not-run':
+        if reply.outcome == 'not-run' or reply.status in NOT_RUN_STATUSES:
             if self.world.targets.executed[name]:
                 self.violations.append(f'called not run, but ran: {name}')
             # While another attempt with this key is open, the key may still
@@ -277,6 +282,13 @@
     check_mutant(AtMostOnce, VIOLATIONS)
 
 
+def test_proof_catches_statuses_that_are_taken_for_evidence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(http_headers, 'judge', lambda *_: AnswerMeaning.RESULT)
+    check_mutant(AtMostOnce, VIOLATIONS)
+
+
 def test_proof_catches_not_run_before_the_key_is_admitted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/dataplane/test_run_evidence.py
+++ b/tests/dataplane/test_run_evidence.py
@@ -14,11 +14,6 @@
     from collections.abc import Iterator
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-UNPROVED_REFUSALS = (
-    *FAILURES_AFTER_RUN,
-    'refusal of two',
-    'success not run',
-)
 
 
 @pytest.fixture
@@ -30,20 +25,19 @@
 
 
 @pytest.mark.parametrize('key', ['', 'order-1'])
-@pytest.mark.parametrize('fault', UNPROVED_REFUSALS)
-def test_order_that_ran_is_never_answered_as_not_run(
+@pytest.mark.parametrize('fault', FAILURES_AFTER_RUN)
+def test_order_that_ran_is_never_answered_with_the_targets_promise(
     world: World, fault: str, key: str
 ) -> None:
-    world.targets.fault = fault
-    reply = ask(world, 'POST', key)
-    assert world.targets.executed['post'] == 1
-    assert reply.status == 502
-    assert reply.outcome == 'unknown'
-    # The outcome of the key stays unknown, and the order is not sent again.
-    world.targets.fault = ''
-    if key:
-        assert ask(world, 'POST', key).outcome == 'unknown'
-        assert world.targets.executed['post'] == 1
+    check_unknown_outcome(world, fault, key)
+
+
+@pytest.mark.parametrize('key', ['', 'order-1'])
+@pytest.mark.parametrize('fault', ['refusal of two', 'success not run'])
+def test_order_is_sent_only_once_after_a_refusal_that_proves_nothing(
+    world: World, fault: str, key: str
+) -> None:
+    check_unknown_outcome(world, fault, key)
 
 
 @pytest.mark.parametrize('fault', ['shed', 'refused connection'])
@@ -60,6 +54,18 @@
     assert reply.outcome == 'unknown'
 
 
+def check_unknown_outcome(world: World, fault: str, key: str) -> None:
+    """Check the replies to an order that ran once and had no answer."""
+    world.targets.fault = fault
+    reply = ask(world, 'POST', key)
+    assert world.targets.executed['post'] == 1
+    assert (reply.status, reply.outcome) == (502, 'unknown')
+    if key:
+        world.targets.fault = ''
+        assert ask(world, 'POST', key).outcome == 'unknown'
+        assert world.targets.executed['post'] == 1
+
+
 def ask(world: World, method: str, key: str) -> Reply:
     task = world.submit(
         'vm-1', method, '/services/ordering/orders', key, b'post'
--- a/tests/dataplane/test_whole_answers.py
+++ b/tests/dataplane/test_whole_answers.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 import pytest
 
-from gentianbank.dataplane import attempts
+from gentianbank.dataplane import headers as http_headers
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
 from tests.support import fakes
@@ -136,7 +136,7 @@
     def find_no_request_id(headers: Any, name: bytes) -> bytes | None:
         return None if name == b'x-request-id' else find_header(headers, name)
 
-    monkeypatch.setattr(attempts, 'find_header', find_no_request_id)
+    monkeypatch.setattr(http_headers, 'find_header', find_no_request_id)
     check_mutant(WholeAnswers, 'answer of another request', steps=20)
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -12,6 +12,7 @@
 from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
 from gentianbank.platform.headers import BodyFraming
+from gentianbank.policy.run_evidence import AnswerMeaning
 
 
 @pytest.mark.parametrize(
@@ -80,17 +81,24 @@
 @pytest.mark.parametrize(
     ('status', 'headers', 'expected'),
     [
-        (503, [(b'Not-Executed', b'1')], True),
-        (400, [(b'not-executed', b'1')], True),
-        (421, [], True),
-        (503, [], False),
-        (500, [], False),
+        (503, [(b'Not-Executed', b'1')], AnswerMeaning.REJECTION),
+        (400, [(b'not-executed', b'1')], AnswerMeaning.REJECTION),
+        (421, [(b'Not-Executed', b'1')], AnswerMeaning.REJECTION),
+        (421, [], AnswerMeaning.UNPROVED),
+        (503, [], AnswerMeaning.UNPROVED),
+        (429, [], AnswerMeaning.UNPROVED),
+        (408, [], AnswerMeaning.UNPROVED),
+        (500, [], AnswerMeaning.RESULT),
+        (200, [], AnswerMeaning.RESULT),
     ],
 )
-def test_not_run_needs_the_header_or_a_421(
-    status: int, headers: list[tuple[bytes, bytes]], expected: bool
+def test_rejection_needs_the_header(
+    status: int, headers: list[tuple[bytes, bytes]], expected: AnswerMeaning
 ) -> None:
-    assert wire.says_not_run(status, headers) is expected
+    named = [(b'Request-Id', b'r-1'), *headers]
+    assert wire.judge(status, named) is expected
+    unnamed = wire.judge(status, headers)
+    assert unnamed is AnswerMeaning.NAMES_OTHERS
 
 
 def test_request_has_the_expected_target_and_the_time_left() -> None:
--- a/tests/processes/test_true_refusals.py
+++ b/tests/processes/test_true_refusals.py
@@ -5,8 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import pytest
-
+from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 from gentianbank_standins.soak.world import SoakWorld
 from tests.support.raw_targets import Callers
 from tests.support.raw_targets import head
@@ -52,22 +51,25 @@
     yield request.success()
 
 
-@pytest.mark.parametrize(
-    'faults',
-    [
-        [failure(503), failure(429), failure(408), failure(421)],
-        [refuse_two, repeat_refusal, refuse_another],
-    ],
-    ids=['failures', 'refusals of others'],
-)
-def test_orders_that_ran_are_not_answered_as_not_run(
-    tmp_path: Path, faults: list[Answer]
+def test_orders_that_a_target_failed_after_a_run_are_not_called_not_run(
+    tmp_path: Path,
+) -> None:
+    check_orders(tmp_path, [failure(s) for s in sorted(NOT_RUN_STATUSES)])
+
+
+def test_orders_that_a_target_refused_with_others_are_not_called_not_run(
+    tmp_path: Path,
 ) -> None:
+    check_orders(tmp_path, [refuse_two, repeat_refusal, refuse_another])
+
+
+def check_orders(folder: Path, faults: list[Answer]) -> None:
+    """Play orders; one target without a fault keeps the service going."""
+
     async def play() -> None:
-        world = SoakWorld(tmp_path, NODES, 0, seed=0)
+        world = SoakWorld(folder, NODES, 0, seed=0)
         try:
             await world.start()
-            # One target without a fault keeps the service going.
             async with raw_targets(world, None, *faults) as targets:
                 await asyncio.sleep(SETTLE_S)
                 callers = Callers(world)
--- a/tests/support/raw_targets.py
+++ b/tests/support/raw_targets.py
@@ -12,6 +12,7 @@
 
 import httpx
 
+from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 from gentianbank_standins.fleet import Ports
 from gentianbank_standins.soak.world import HOST
 from gentianbank_standins.soak.world import SERVICE
@@ -21,8 +22,6 @@
 WORK_S = 0.01
 OBJECTS = 30
 SLOTS = 6
-# Statuses that promise that the request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _HEALTH_PATH = b'/health'
 _MS_PER_S = 1_000
 
