Believe a rejection only if it names its request alone and does not contradict itself

Now an answer has to name exactly its request, and one that says both counts as one that may have run. Tests of both fronts and of real processes failed before.

--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -7,6 +7,7 @@
 
 from gentianbank.policy.run_evidence import judge_answer
 from gentianbank.targets.http_headers import find_header
+from gentianbank.targets.http_headers import header_values
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
@@ -92,12 +93,12 @@
     that may be an earlier answer that is sent once more.
     """
     says_not_run = find_header(headers, NOT_RUN) == b'true'
-    named = find_header(headers, REQUEST_ID)
+    named = header_values(headers, REQUEST_ID)
     return judge_answer(
         status,
         says_not_run=says_not_run,
-        names_request=named == attempt_id
-        or (named is None and not says_not_run),
+        says_run=False,
+        names_request=named == [attempt_id] or not (named or says_not_run),
     )
 
 
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -15,6 +15,7 @@
 from gentianbank.policy.restart_suspicion import TargetStatus
 from gentianbank.policy.run_evidence import judge_answer
 from gentianbank.targets.http_headers import find_header
+from gentianbank.targets.http_headers import header_values
 from gentianbank.targets.http_headers import HOP_BY_HOP
 
 if TYPE_CHECKING:
@@ -107,22 +108,26 @@
     ]
 
 
-def judge(status: int, headers: RawHeaders) -> AnswerMeaning:
-    """Return what the head of a target's answer means for its request."""
+def judge(
+    status: int, headers: RawHeaders, request_id: bytes
+) -> AnswerMeaning:
+    """Return what the head of a target's answer means for a request."""
     return judge_answer(
         status,
         says_not_run=find_header(headers, _NOT_RUN) is not None,
-        names_request=bool(find_header(headers, REQUEST_ID)),
+        says_run=find_header(headers, STAMP) is not None,
+        names_request=header_values(headers, REQUEST_ID) == [request_id],
     )
 
 
 def may_answer(headers: RawHeaders, request_id: bytes) -> bool:
     """Tell whether an answer may be meant for a request.
 
-    One that names another request is not; one that names none may be.
+    One that names only other requests is not; one that names none, or this
+    one among others, may be.
     """
-    named = find_header(headers, REQUEST_ID)
-    return named is None or named == request_id
+    named = header_values(headers, REQUEST_ID)
+    return not named or request_id in named
 
 
 def is_misdirected(status: int) -> bool:
--- a/src/gentianbank/policy/run_evidence.py
+++ b/src/gentianbank/policy/run_evidence.py
@@ -7,6 +7,7 @@
 # To a caller these statuses promise that its request has not run and never
 # will. They are said on evidence only.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+_MIN_FAILURE = 400
 
 
 class RunEvidence(enum.Enum):
@@ -28,11 +29,12 @@
     RESULT = 'it is the result of the request'
     REJECTION = 'the target did not run the request'
     NAMES_OTHERS = 'it does not name this request alone'
+    CONTRADICTION = 'it says both that the request ran and that it did not'
     UNPROVED = 'the target does not say that it did not run the request'
 
 
 def judge_answer(
-    status: int, *, says_not_run: bool, names_request: bool
+    status: int, *, says_not_run: bool, says_run: bool, names_request: bool
 ) -> AnswerMeaning:
     """Decide what an answer means; unless it is a rejection, it may have run.
 
@@ -43,12 +45,16 @@
     ----------
     says_not_run
         Whether the target states that it did not run the request.
+    says_run
+        Whether the answer has what only a run adds to it.
     names_request
         Whether the answer names this request and no other.
     """
     if not names_request:
         return AnswerMeaning.NAMES_OTHERS
     if says_not_run:
+        if says_run or status < _MIN_FAILURE:
+            return AnswerMeaning.CONTRADICTION
         return AnswerMeaning.REJECTION
     if status in NOT_RUN_STATUSES:
         return AnswerMeaning.UNPROVED
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -205,7 +205,7 @@
         """Read the answer and record the load and health of the target."""
         target = placed.target
         status, headers = answer.status, answer.headers
-        meaning = wire.judge(status, headers)
+        meaning = wire.judge(status, headers, request.request_id)
         if meaning is AnswerMeaning.NAMES_OTHERS:
             # It may be an earlier answer that is sent once more.
             await answer.close()
--- a/src/gentianbank/targets/http_headers.py
+++ b/src/gentianbank/targets/http_headers.py
@@ -23,6 +23,11 @@
 )
 
 
+def header_values(headers: RawHeaders, name: bytes) -> list[bytes]:
+    """Return all values of a header, by its lower-case name."""
+    return [value for key, value in headers if key.lower() == name]
+
+
 def find_header(headers: RawHeaders, name: bytes) -> bytes | None:
     """Return the first value of a header, by its lower-case name."""
     for key, value in headers:
--- a/tests/dataplane/test_at_most_once.py
+++ b/tests/dataplane/test_at_most_once.py
@@ -18,13 +18,12 @@
 
 from gentianbank import requests as requests_module
 from gentianbank.dataplane import attempts as attempts_module
-from gentianbank.dataplane import headers as http_headers
 from gentianbank.dataplane import outcomes as outcomes_module
 from gentianbank.dataplane.attempts import RetryingSender
 from gentianbank.dataplane.outcomes import KeyAdmission
 from gentianbank.domain import outcome as outcome_module
 from gentianbank.domain.outcome import OutcomeTable
-from gentianbank.policy.run_evidence import AnswerMeaning
+from gentianbank.policy import run_evidence
 from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 from tests.support.machines import check_machine
 from tests.support.machines import check_mutant
@@ -53,6 +52,8 @@
     'crossed answer',
     'cut answer',
     '503 after run',
+    'refusal of two',
+    'success not run',
 )
 TARGET_FAULTS = (
     '',
@@ -63,6 +64,8 @@
     'crossed answer',
     'cut answer',
     '503 after run',
+    'refusal of two',
+    'success not run',
 )
 VIOLATIONS = r'ran more than once|called not run, but ran'
 OCCURRED_FAULTS: Counter[str] = Counter()
@@ -285,7 +288,7 @@
 def test_proof_catches_statuses_that_are_taken_for_evidence(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(http_headers, 'judge', lambda *_: AnswerMeaning.RESULT)
+    monkeypatch.setattr(run_evidence, 'NOT_RUN_STATUSES', frozenset())
     check_mutant(AtMostOnce, VIOLATIONS)
 
 
--- a/tests/dataplane/test_whole_answers.py
+++ b/tests/dataplane/test_whole_answers.py
@@ -16,7 +16,6 @@
 import pytest
 
 from gentianbank.dataplane import headers as http_headers
-from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
 from tests.support import fakes
 from tests.support.machines import check_machine
@@ -133,10 +132,7 @@
 def test_proof_catches_answers_that_are_not_compared(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def find_no_request_id(headers: Any, name: bytes) -> bytes | None:
-        return None if name == b'x-request-id' else find_header(headers, name)
-
-    monkeypatch.setattr(http_headers, 'find_header', find_no_request_id)
+    monkeypatch.setattr(http_headers, 'header_values', lambda *_: [])
     check_mutant(WholeAnswers, 'answer of another request', steps=20)
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -90,15 +90,22 @@
         (408, [], AnswerMeaning.UNPROVED),
         (500, [], AnswerMeaning.RESULT),
         (200, [], AnswerMeaning.RESULT),
+        (200, [(b'Not-Executed', b'1')], AnswerMeaning.CONTRADICTION),
+        (
+            503,
+            [(b'Not-Executed', b'1'), (b'Server-Stamp', b'stamp')],
+            AnswerMeaning.CONTRADICTION,
+        ),
     ],
 )
 def test_rejection_needs_the_header(
     status: int, headers: list[tuple[bytes, bytes]], expected: AnswerMeaning
 ) -> None:
     named = [(b'Request-Id', b'r-1'), *headers]
-    assert wire.judge(status, named) is expected
-    unnamed = wire.judge(status, headers)
-    assert unnamed is AnswerMeaning.NAMES_OTHERS
+    assert wire.judge(status, named, b'r-1') is expected
+    for other in (headers, [*named, (b'Request-Id', b'r-2')]):
+        meaning = wire.judge(status, other, b'r-1')
+        assert meaning is AnswerMeaning.NAMES_OTHERS
 
 
 def test_request_has_the_expected_target_and_the_time_left() -> None:
