Refuse a read as not run only if none of its attempts may have run

On the own interface a read whose first attempt had no answer was sent again and, when the second was rejected or reached no target, refused with 503 and the outcome 'not-run': only the last attempt counted. Both cases of test_read_that_may_have_run_once_is_not_refused_as_not_run failed before.

--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -134,12 +134,13 @@
         source = _SingleUseBody(body) if body is not None else None
         retries = self._retries.setdefault(request.service_name, RetryBudget())
         retries.on_request()
+        may_have_run = False
         while True:
             match await self._acquire_permit(request, set(tried)):
                 case Result(tag='ok', ok=permit):
                     tried.append(permit.target.name)
                 case Result(error=refusal):
-                    return Error(refusal)
+                    return Error(_refuse_truly(refusal, may_have_run))
             match await self._send_attempt(
                 request, source, key, permit, len(tried)
             ):
@@ -147,6 +148,7 @@
                     return Ok(OpenAnswer(answer, permit, self._routing))
                 case Result(error=failure):
                     self._routing.release(permit)
+            may_have_run |= isinstance(failure, MaybeSent)
             may_retry = (
                 self._is_retry_safe(request, failure)
                 and not (source and source.started)
@@ -154,7 +156,8 @@
                 and self._clock() < request.end_ms
             )
             if not may_retry or not retries.try_spend():
-                return Error(_refusal_after(failure))
+                refusal = _refusal_after(failure)
+                return Error(_refuse_truly(refusal, may_have_run))
             self._metrics.on_retry(request.service_name)
 
     async def _acquire_permit(
@@ -326,6 +329,14 @@
             yield chunk
 
 
+def _refuse_truly(refusal: Refusal, may_have_run: bool) -> Refusal:
+    """Return the refusal after all attempts, of which one may have run."""
+    if refusal.kind.may_have_run or not may_have_run:
+        return refusal
+    cause = f'{refusal.cause}; an earlier attempt may have run'
+    return Refusal(RefusalKind.OUTCOME_UNKNOWN, cause)
+
+
 def _refusal_after(failure: _AttemptFailure) -> Refusal:
     match failure:
         case NotSent(cause):
