--- a/tests/support/raw_targets.py
+++ b/tests/support/raw_targets.py
@@ -69,7 +69,7 @@
     Parameters
     ----------
     fault
-        Answers every fourth request; ``None`` for no fault.
+        Answers one in ``fault_period`` requests; ``None`` for no fault.
     runs
         How often each request ran, over all targets.
     spoiled
@@ -81,6 +81,7 @@
     fault: Answer | None
     runs: Counter[str]
     spoiled: set[str]
+    fault_period: int = 4
     _count: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -137,7 +138,7 @@
         self.runs[request.request_id] += 1
         await asyncio.sleep(WORK_S)
         self._count += 1
-        if self.fault is None or self._count % 4:
+        if self.fault is None or self._count % self.fault_period:
             writer.write(request.success())
             return True
         self.spoiled.add(request.request_id)
@@ -164,7 +165,7 @@
 
 @contextlib.asynccontextmanager
 async def raw_targets(
-    world: SoakWorld, *faults: Answer | None
+    world: SoakWorld, *faults: Answer | None, slots: int = SLOTS
 ) -> AsyncIterator[list[RawTarget]]:
     """Run a target for each fault, registered in the store of a world."""
     ports = Ports(world.seed + 1)
@@ -177,20 +178,20 @@
             target = RawTarget(name, ports.address(name), fault, runs, spoiled)
             await target.start()
             targets.append(target)
-            world.store.put(f'servers/{name}', _entry(target))
+            world.store.put(f'servers/{name}', _entry(target, slots))
         yield targets
     finally:
         for target in targets:
             await target.stop()
 
 
-def _entry(target: RawTarget) -> dict[str, object]:
+def _entry(target: RawTarget, slots: int) -> dict[str, object]:
     return {
         'service': SERVICE,
         'address': target.address,
         'zone': 'east-1',
         'version': 'v1',
-        'slots': SLOTS,
+        'slots': slots,
         'state': 'ready',
         'coldLeftMs': 0,
         'sequence': 1,
