Give up a connection whose answers to other requests are too long

Cause: such an answer is skipped, and only the deadline ended that; answers to others were counted, their bytes were not. Now the connection ends after 256 KiB of them: reads go to another target, orders are answered 502 at once. test_orders_are_answered_in_time_while_answers_to_others_do_not_end failed before. The time limit is tested with a body that stays below the new bound.

--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -42,6 +42,8 @@
 RECENT_USE_S = 1.0
 # Answers to other requests that are skipped before a connection is aborted.
 MAX_SKIPPED_ANSWERS = 4
+# Bytes of bodies of such answers, which may have no end.
+MAX_SKIPPED_BYTES = 256 * 1024
 # Interim answers (1xx) before an answer; a target in trouble may send them
 # without end.
 MAX_INTERIM_ANSWERS = 16
@@ -192,6 +194,7 @@
         self._pool = pool
         self._parser = _new_parser()
         self._work = ParsingWork(pool.turns)
+        self._skipped_bytes = 0
 
     async def exchange_heads(self, request: TargetRequest) -> h11.Response:
         """Send a request and return the head of its answer.
@@ -211,6 +214,7 @@
             headers=request.headers,
         )
         self._work = ParsingWork(self._pool.turns)
+        self._skipped_bytes = 0
         data = self._parser.send(head)
         assert data is not None
         if request.body is None or isinstance(request.body, bytes):
@@ -346,8 +350,10 @@
         head, body
             The request whose answer is still awaited.
         """
-        while await self.next_chunk() is not None:
-            pass
+        while (chunk := await self.next_chunk()) is not None:
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError('too many bytes of others')
         unread, ended = self._parser.trailing_data
         if ended:
             raise h11.RemoteProtocolError('closed after a foreign answer')
