Bound what a node holds of answers that callers do not read

Cause: up to 1 MiB of each answer was read ahead, joined, and handed to the server at once, which kept a second copy; a connection buffered another 512 KiB.

Now answers share 24 MiB of read-ahead (16 KiB of each are free of it), beyond which a success is streamed; parts are dropped as they are sent, the server is never handed more than one part ahead, and connections receive 32 KiB at a time.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -242,6 +242,7 @@
             self._cluster_view,
             self._placer,
             lambda: self._proxy.in_flight,
+            lambda: self._proxy.read_ahead_bytes,
             self._loop_delay,
             now_ms,
         )
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -21,6 +21,7 @@
     cluster_view: ClusterView,
     placer: Placer,
     in_flight: Callable[[], int],
+    read_ahead_bytes: Callable[[], int],
     loop_delay: LoopDelay,
     clock: Callable[[], float],
 ) -> list[Gauge]:
@@ -30,6 +31,8 @@
     ----------
     in_flight
         Returns the number of requests in flight.
+    read_ahead_bytes
+        Returns the bytes of answers that are held for callers.
     clock
         Returns the monotonic time in milliseconds.
     """
@@ -83,6 +86,11 @@
             'Requests that are being served.',
             lambda: float(in_flight()),
         ),
+        Gauge(
+            'answers.read_ahead',
+            'Bytes of answers that are held for callers.',
+            lambda: float(read_ahead_bytes()),
+        ),
         Gauge(
             'memory.peak',
             'Bytes.',
--- /dev/null
+++ b/src/gentianbank/steering/answer_body.py
@@ -0,0 +1,98 @@
+"""Body of a target's answer, read ahead as far as memory allows."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gentianbank.policy.buffer_budget import BufferBudget
+    from gentianbank.targets.transport import TargetAnswer
+
+# Bodies up to this size are read completely before they are sent on, so that
+# a retry can still replace an answer that ends early.
+MAX_READ_AHEAD_BYTES = 1024 * 1024
+# What all requests of a node may have read ahead together.
+READ_AHEAD_BUDGET_BYTES = 24 * 1024 * 1024
+# A body up to this size is read whether or not any of that is left.
+UNBUDGETED_BYTES = 16 * 1024
+
+
+class AnswerBody:
+    """A body of which a part is held until it is sent on.
+
+    Parameters
+    ----------
+    budget
+        Bytes that all requests together may read ahead.
+
+    Attributes
+    ----------
+    size_bytes
+        Bytes that have been read ahead.
+    is_complete
+        Whether that is the whole body.
+    """
+
+    def __init__(self, answer: TargetAnswer, budget: BufferBudget) -> None:
+        self.size_bytes = 0
+        self.is_complete = False
+        self._answer = answer
+        self._budget = budget
+        self._chunks = answer.chunks()
+        self._parts: deque[bytes] = deque()
+        self._taken_bytes = 0
+
+    async def read_ahead(self) -> None:
+        """Read until the body ends or no more may be held.
+
+        Raises
+        ------
+        TruncatedBodyError
+            If the body ends early.
+        """
+        async for chunk in self._chunks:
+            self._parts.append(chunk)
+            self.size_bytes += len(chunk)
+            if not self._may_read_on():
+                return
+        self.is_complete = True
+        await self._answer.close()
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Return the parts of the body; each is dropped once it is used.
+
+        Raises
+        ------
+        TruncatedBodyError
+            If the body ends early.
+        """
+        while self._parts:
+            yield self._parts.popleft()
+        self._give_back()
+        if not self.is_complete:
+            async for chunk in self._chunks:
+                yield chunk
+
+    async def close(self) -> None:
+        """Drop what is held, and abandon an unfinished answer; idempotent."""
+        self._parts.clear()
+        self._give_back()
+        await self._answer.close()
+
+    def _may_read_on(self) -> bool:
+        if self.size_bytes > MAX_READ_AHEAD_BYTES:
+            return False
+        more_bytes = self.size_bytes - UNBUDGETED_BYTES - self._taken_bytes
+        if more_bytes <= 0:
+            return True
+        if not self._budget.try_take(more_bytes):
+            return False
+        self._taken_bytes += more_bytes
+        return True
+
+    def _give_back(self) -> None:
+        self._budget.give_back(self._taken_bytes)
+        self._taken_bytes = 0
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -20,7 +20,6 @@
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Delivered
-    from gentianbank.targets.transport import RawHeaders
 
 RETRY_AFTER_MIN_MS = 150.0
 RETRY_AFTER_MAX_MS = 600.0
@@ -87,15 +86,32 @@
     async def send_answer(
         self, exchange: Exchange, request: CallerRequest, answer: Delivered
     ) -> None:
-        """Send a target's answer to the caller."""
+        """Send a target's answer to the caller.
+
+        If the target's answer ends early, the answer to the caller is left
+        unfinished. The server then closes the connection, by which the
+        caller detects that the answer is incomplete.
+        """
         self._reporter.on_answer(request, answer.status)
         headers = wire.for_caller(answer.headers)
         if self._is_stopping():
             headers.append((b'connection', b'close'))
-        if answer.unread is None:
-            await exchange.answer(answer.status, headers, answer.body)
-            return
-        await self._stream_answer(exchange, answer, headers)
+        body = answer.body
+        length = find_header(answer.headers, b'content-length')
+        if body.is_complete:
+            length = str(body.size_bytes).encode()
+        if length is not None:
+            headers.append((b'content-length', length))
+        try:
+            await exchange.start(answer.status, headers)
+            async for part in body.parts():
+                await exchange.write(part)
+            await exchange.finish()
+        except TruncatedBodyError as error:
+            request_id = exchange.header(wire.REQUEST_ID) or ''
+            self._reporter.on_answer_ended_early(request_id, str(error))
+        finally:
+            await body.close()
 
     async def send_refusal(
         self,
@@ -131,31 +147,6 @@
         )
         await exchange.answer(refusal.status, headers, refusal.cause.encode())
 
-    async def _stream_answer(
-        self, exchange: Exchange, answer: Delivered, headers: RawHeaders
-    ) -> None:
-        """Stream a large answer to the caller.
-
-        If the target's answer ends early, the answer to the caller is left
-        unfinished. The server then closes the connection, by which the
-        caller detects that the answer is incomplete.
-        """
-        assert answer.unread is not None
-        content_length = find_header(answer.headers, b'content-length')
-        if content_length is not None:
-            headers.append((b'content-length', content_length))
-        try:
-            await exchange.start(answer.status, headers)
-            await exchange.write(answer.body)
-            async for chunk in answer.unread.chunks():
-                await exchange.write(chunk)
-            await exchange.finish()
-        except TruncatedBodyError as error:
-            request_id = exchange.header(wire.REQUEST_ID) or ''
-            self._reporter.on_answer_ended_early(request_id, str(error))
-        finally:
-            await answer.unread.close()
-
     def _retry_after_value(self, request: CallerRequest | None) -> bytes:
         wait_ms = random.uniform(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
         if request is not None:
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import field
 import functools
 from typing import TYPE_CHECKING
 
@@ -65,8 +66,8 @@
         Attempts whose connection failed.
     may_have_run
         Whether a target may have run the request.
-    failed_answer
-        Latest failure that a target answered with.
+    failed_answers
+        Failures that targets answered with, the latest last.
     placement
         Result of the latest choice of a target.
     """
@@ -75,7 +76,7 @@
     sent_count: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
-    failed_answer: Delivered | None = None
+    failed_answers: list[Delivered] = field(default_factory=list)
     placement: PlacementResult | None = None
 
     @property
@@ -103,9 +104,14 @@
             return True
         self.may_have_run = True
         if isinstance(outcome, Delivered):
-            self.failed_answer = outcome
+            self.failed_answers.append(outcome)
         return idempotent
 
+    async def close(self) -> None:
+        """Drop the failures that were not passed on."""
+        for answer in self.failed_answers:
+            await answer.body.close()
+
 
 class Proxy:
     """Forwards callers' requests to targets.
@@ -157,6 +163,11 @@
                 bounds.retry_window_s * _MS_PER_S,
             )
 
+    @property
+    def read_ahead_bytes(self) -> int:
+        """Return the bytes of answers that are read ahead of the callers."""
+        return self._sender.read_ahead.used_bytes
+
     def refuse_new_requests(self) -> None:
         """Refuse all requests that arrive from now on."""
         self._refuses_new_requests = True
@@ -251,6 +262,18 @@
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
         history = _AttemptHistory([])
+        try:
+            await self._send_with_retries(exchange, request, body, history)
+        finally:
+            await history.close()
+
+    async def _send_with_retries(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        body: RequestBody,
+        history: _AttemptHistory,
+    ) -> None:
         while True:
             now_ms = self._clock()
             placement = self._placer.choose(
@@ -364,9 +387,9 @@
         a refusal: 503 if no target has run the request, 504 if its time is
         up, and 502 otherwise.
         """
-        if history.failed_answer is not None:
+        if history.failed_answers:
             await self._replies.send_answer(
-                exchange, request, history.failed_answer
+                exchange, request, history.failed_answers[-1]
             )
             return
         status = 502
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -12,10 +12,13 @@
 from gentianbank.domain.load_report import UnreadableReport
 from gentianbank.domain.request_limit import UnreadableLimit
 from gentianbank.platform import headers as wire
+from gentianbank.policy.buffer_budget import BufferBudget
 from gentianbank.policy.placement import ROUND_TRIP_MS
 from gentianbank.policy.run_evidence import AnswerMeaning
 from gentianbank.policy.run_evidence import check_promise
 from gentianbank.policy.run_evidence import RunEvidence
+from gentianbank.steering.answer_body import AnswerBody
+from gentianbank.steering.answer_body import READ_AHEAD_BUDGET_BYTES
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import BodyConnectionLostError
 from gentianbank.targets.transport import ConnectionLost
@@ -39,9 +42,6 @@
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
 
-# Answers up to this size are read completely before they are sent on, so
-# that a retry can still replace an answer that ends early.
-MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_MS = 300.0
 _MIN_SERVER_ERROR = 500
 _MS_PER_S = 1_000
@@ -55,16 +55,12 @@
     Parameters
     ----------
     body
-        The whole body, or the part of a large one that was read.
-    unread
-        Answer from which the rest of a large body is read; ``None`` if
-        ``body`` is whole.
+        The body, of which a part may not have been read yet.
     """
 
     status: int
     headers: RawHeaders
-    body: bytes
-    unread: TargetAnswer | None = None
+    body: AnswerBody
 
     def __post_init__(self) -> None:
         check_promise(self.status, RunEvidence.MAY_HAVE_RUN)
@@ -120,6 +116,7 @@
         self._checks = checks
         self._transport = transport
         self._clock = clock
+        self.read_ahead = BufferBudget(READ_AHEAD_BUDGET_BYTES)
 
     async def send(
         self,
@@ -214,37 +211,38 @@
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
-        buffered = b''
+        body = AnswerBody(answer, self.read_ahead)
         try:
             left_ms = request.deadline_ms - self._clock()
             async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
-                buffered, complete = await _read_buffered(answer)
+                await body.read_ahead()
         except (TruncatedBodyError, TimeoutError) as error:
-            await answer.close()
+            await body.close()
             target.on_broken(self._clock())
             if isinstance(error, BodyConnectionLostError):
                 self._checks.on_connection_lost(target)
             return Broken(f'the answer was cut short: {error}')
         except BaseException:
-            await answer.close()
+            await body.close()
             raise
-        if not complete and status not in _SUCCESS_STATUSES:
-            await answer.close()
+        if not body.is_complete and status not in _SUCCESS_STATUSES:
+            await body.close()
             return Broken('the failure of the target is too large')
         if meaning is AnswerMeaning.REJECTION:
             if wire.is_misdirected(status):
                 target.on_misdirected(self._clock())
             else:
                 target.on_answer(failed=False)
+            await body.close()
             return Rejected(f'the target answered {status}')
         if meaning is not AnswerMeaning.RESULT:
             target.on_answer(failed=True)
-            await answer.close()
+            await body.close()
             return _unusable(status, meaning)
         target.on_answer(failed=status >= _MIN_SERVER_ERROR)
         if status in _SUCCESS_STATUSES:
             if not _has_target_headers(headers):
-                await answer.close()
+                await body.close()
                 return Broken("the answer is not the target's own")
             work_ms = self._clock() - sent_ms - ROUND_TRIP_MS
             # After a wait in the target's queue the time is not that of the
@@ -254,11 +252,10 @@
                 slowdown = load.slowdown if load else 1.0
                 times.on_answer(
                     max(0.0, work_ms) / slowdown,
-                    len(buffered),
+                    body.size_bytes,
                     warm=placed.warm,
                 )
-        unread = None if complete else answer
-        return Delivered(status, headers, buffered, unread)
+        return Delivered(status, headers, body)
 
     def _record_load(
         self, target: TargetLoad, headers: RawHeaders
@@ -304,22 +301,6 @@
             )
 
 
-async def _read_buffered(answer: TargetAnswer) -> tuple[bytes, bool]:
-    """Return the body of an answer, and whether it is complete.
-
-    A body of more than ``MAX_BUFFERED_ANSWER_BYTES`` is read only in part.
-    """
-    chunks = []
-    size = 0
-    async for chunk in answer.chunks():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_ANSWER_BYTES:
-            return b''.join(chunks), False
-    await answer.close()
-    return b''.join(chunks), True
-
-
 def _unusable(status: int, meaning: AnswerMeaning) -> Broken:
     return Broken(f'the target answered {status}: {meaning.value}')
 
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
 
 # Reading pauses while more than this is buffered.
-RECEIVE_BUFFER_BYTES = 256 * 1024
+RECEIVE_BUFFER_BYTES = 32 * 1024
 # The connection ends when sent data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
@@ -18,7 +18,12 @@
 KEEPALIVE_PROBES = 2
 
 
-class TargetStream(asyncio.Protocol):
+# Bytes are received here and taken out at once, so that one buffer serves all
+# connections of the event loop.
+_RECEIVED = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+
+
+class TargetStream(asyncio.BufferedProtocol):
     """Asyncio protocol that reads and writes with flow control.
 
     An idle connection closes when bytes arrive, since they belong to no
@@ -120,8 +125,11 @@
         self._transport = transport
         _set_options(transport.get_extra_info('socket'))
 
-    def data_received(self, data: bytes) -> None:
-        self._buffer += data
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _RECEIVED
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._buffer += _RECEIVED[:nbytes]
         if len(self._buffer) > RECEIVE_BUFFER_BYTES:
             self._transport.pause_reading()
         self._wake()
