End connections of callers that take nothing for 15 s

A caller that stopped reading kept its answer, its target's slot and its memory for as long as it stayed (users: the same after 25 s). Connections of callers on both fronts now have a timeout for unacknowledged data, as those to targets have; the kernel counts each acknowledgement, so that slow readers stay. test_connection_ends_when_its_caller_stops_reading failed with the timeout off (20 s without an end).

--- a/src/gentianbank/nodes/own.py
+++ b/src/gentianbank/nodes/own.py
@@ -35,6 +35,7 @@
 from gentianbank.dataplane.lookups import Lookups
 from gentianbank.dataplane.outcomes import KeyAdmission
 from gentianbank.dataplane.routing import Routing
+from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
 from gentianbank.domain.addresses import parse_address
@@ -271,6 +272,7 @@
             address.host,
             address.port,
             loop='asyncio',
+            http=CallerProtocol,
             lifespan='off',
             log_config=None,
             access_log=False,
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -17,6 +17,7 @@
 from expression import Result
 import uvicorn
 
+from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
 from gentianbank.domain.addresses import parse_address
@@ -322,7 +323,7 @@
         listen.host,
         listen.port,
         loop='asyncio',
-        http='httptools',
+        http=CallerProtocol,
         ws='none',
         lifespan='off',
         log_config=None,
