--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -89,6 +89,7 @@
                     pass
                 case Result(error=failure):
                     return Error(failure)
+        written_bytes = connection.stream.written_bytes
         try:
             async with asyncio.timeout(
                 request.headers_timeout_ms / _MS_PER_S
@@ -96,7 +97,9 @@
                 head = await connection.exchange_heads(request)
         except h11.LocalProtocolError as error:
             connection.abort()
-            return Error(NotSent(f'the request cannot be sent: {error}'))
+            nothing_sent = connection.stream.written_bytes == written_bytes
+            failure_type = NotSent if nothing_sent else MaybeSent
+            return Error(failure_type(f'the request is invalid: {error}'))
         except TimeoutError:
             connection.abort()
             # The operating system reports an unresponsive connection by a
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -33,10 +33,18 @@
     ----------
     on_closed
         Called once, when the connection has ended.
+
+    Attributes
+    ----------
+    is_idle
+        Whether no request uses the connection.
+    written_bytes
+        Bytes that were queued for sending since the connection began.
     """
 
     def __init__(self, on_closed: Callable[[], None]) -> None:
         self.is_idle = False
+        self.written_bytes = 0
         self._on_closed = on_closed
         self._transport: asyncio.Transport
         self._buffer = bytearray()
@@ -73,6 +81,7 @@
 
     def write(self, data: bytes) -> None:
         """Queue bytes for sending."""
+        self.written_bytes += len(data)
         self._transport.write(data)
 
     async def drain(self) -> None:
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from expression import Result
+import h11
 import pytest
 
 from gentianbank.targets import pool as pool_module
@@ -437,6 +438,31 @@
     run_with_server([[HANG]], test)
 
 
+def test_error_after_bytes_were_written_does_not_count_as_never_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def fail(*_: Any) -> None:
+        raise h11.LocalProtocolError('too late')
+
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        monkeypatch.setattr(pool_module._Connection, '_read_own_head', fail)
+        sent = await pool.send(build_request(server.address))
+        assert isinstance(sent.error, MaybeSent)
+
+    run_with_server([[HANG]], test)
+
+
+def test_invalid_head_counts_as_never_sent() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        headers = [(b'host', b'h'), (b'request-id', b'a\nb')]
+        request = build_request(server.address, headers=headers)
+        sent = await pool.send(request)
+        assert isinstance(sent.error, NotSent)
+        assert server.heads == []
+
+    run_with_server([[HANG]], test)
+
+
 def test_foreign_answer_during_a_body_ends_the_connection() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         upload = build_upload(server.address, endless_body(), 10**12)
