Send a rejected request again over another connection

On the platform a request keeps its id when it is sent again. Where a target has started again under a new id at its address, the second attempt may go over the connection on which the first was rejected, and a late copy of that rejection then reads as the answer: the order is called not run while it runs. Attempts on the own interface have ids of their own. test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry failed before.

--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -189,6 +189,7 @@
             ),
             connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
             headers_timeout_ms=left_ms,
+            request_id=request.request_id,
             owns_answer=owns_answer,
         )
 
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -82,7 +82,7 @@
     async def send(
         self, request: TargetRequest
     ) -> Result[TargetAnswer, SendError]:
-        connection = self._take_idle(request.address)
+        connection = self._take_idle(request)
         if connection is None:
             match await self._connect(request):
                 case Result(tag='ok', ok=connection):
@@ -122,13 +122,22 @@
         connection.stream.is_idle = True
         self._idle.setdefault(connection.address, []).append(connection)
 
-    def _take_idle(self, address: str) -> _Connection | None:
-        """Take the most recently used connection that is still usable."""
-        connections = self._idle.get(address, [])
+    def _take_idle(self, request: TargetRequest) -> _Connection | None:
+        """Take the most recently used connection that is still usable.
+
+        One on which this request was rejected before is not: a copy of the
+        rejection may follow, and could not be told from the answer.
+        """
+        connections = self._idle.get(request.address, [])
         now_s = time.monotonic()
         while connections:
             connection = connections.pop()
-            if connection.stream.is_usable and now_s < connection.idle_until_s:
+            is_usable = (
+                connection.stream.is_usable
+                and now_s < connection.idle_until_s
+                and not connection.has_answered(request)
+            )
+            if is_usable:
                 connection.stream.is_idle = False
                 return connection
             connection.stream.close()
@@ -198,6 +207,7 @@
         self._parser = _new_parser()
         self._work = ParsingWork(pool.turns)
         self._skipped_bytes = 0
+        self._request_id = b''
 
     async def exchange_heads(self, request: TargetRequest) -> h11.Response:
         """Send a request and return the head of its answer.
@@ -218,6 +228,7 @@
         )
         self._work = ParsingWork(self._pool.turns)
         self._skipped_bytes = 0
+        self._request_id = request.request_id
         data = self._parser.send(head)
         assert data is not None
         if request.body is None or isinstance(request.body, bytes):
@@ -292,6 +303,12 @@
             break
         return b''.join(parts)
 
+    def has_answered(self, request: TargetRequest) -> bool:
+        """Return whether the latest answer was one to the same request."""
+        return bool(request.request_id) and (
+            request.request_id == self._request_id
+        )
+
     @property
     def is_lost_after_use(self) -> bool:
         """Return whether the connection was lost soon after its last use."""
--- a/src/gentianbank/targets/transport.py
+++ b/src/gentianbank/targets/transport.py
@@ -67,6 +67,9 @@
     headers_timeout_ms
         Time limit for sending the request and receiving the head of the
         answer.
+    request_id
+        Id by which targets name the request in their answers; empty if each
+        attempt has an id of its own.
     owns_answer
         Returns, given the headers of an answer, whether it belongs to this
         request; others are skipped. ``None`` accepts every answer.
@@ -80,6 +83,7 @@
     max_connections: int
     connect_timeout_ms: float
     headers_timeout_ms: float
+    request_id: bytes = b''
     owns_answer: Callable[[RawHeaders], bool] | None = None
 
 
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -115,20 +115,18 @@
     writer.transport.abort()
 
 
-def build_request(
-    address: str, request_id: str = 'r-1', **changes: Any
-) -> Any:
+def build_request(address: str, name: str = 'r-1', **changes: Any) -> Any:
     """Return a request that accepts only the answer with its request id."""
 
     def owns_answer(headers: list[tuple[bytes, bytes]]) -> bool:
         names = {name.lower(): value for name, value in headers}
-        return names.get(b'request-id') == request_id.encode()
+        return names.get(b'request-id') == name.encode()
 
     fields: dict[str, Any] = {
         'address': address,
         'method': 'GET',
         'path': b'/a?b=c',
-        'headers': [(b'host', b'h'), (b'request-id', request_id.encode())],
+        'headers': [(b'host', b'h'), (b'request-id', name.encode())],
         'body': None,
         'max_connections': 8,
         'connect_timeout_ms': 2_000,
@@ -282,6 +280,18 @@
     run_with_server([[refusal('r-1'), late + answer('r-2')]], test)
 
 
+def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        for status in (503, 200):
+            request = build_request(server.address, request_id=b'r-1')
+            sent = await pool.send(request)
+            assert sent.ok.status == status
+            await read_body(sent)
+
+    late = refusal('r-1') + answer('r-1')
+    run_with_server([[refusal('r-1'), late], [answer('r-1')]], test)
+
+
 def test_answer_whose_head_is_cut_at_any_byte_is_no_answer() -> None:
     whole = answer('r-1')
     cuts = range(whole.index(b'\r\n\r\n') + 4)
