Doubt a rejection that has further bytes right behind it

The refusal alone was read, and the connection then closed for the bytes behind it. Now such a refusal proves nothing; the order is answered 502. Bytes that come later cannot be seen. Tests on both fronts and with real processes failed before.

--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -23,6 +23,7 @@
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetRequest
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,6 +40,9 @@
 
 # A request whose deadline leaves less time than this is not queued.
 MIN_QUEUE_WAIT_MS = 1.0
+# Bytes and time for the body of an answer that says "not run".
+MAX_REJECTION_BYTES = 16 * 1024
+REJECTION_TIMEOUT_S = 0.1
 _MS_PER_S = 1_000
 
 
@@ -291,10 +295,14 @@
         if meaning is AnswerMeaning.RESULT:
             self._routing.on_answer(permit, self._clock() - sent_ms)
             return Ok(answer)
-        await answer.close()
         cause = f'the target answered {answer.status}'
         if meaning is AnswerMeaning.REJECTION:
+            await _read_to_end(answer)
+            if answer.is_followed:
+                self._routing.on_failure(permit)
+                return Error(MaybeSent(f'{cause}, and more bytes behind it'))
             return Error(_Shed(cause))
+        await answer.close()
         if meaning is AnswerMeaning.NAMES_OTHERS:
             self._routing.on_failure(permit)
             self._metrics.on_crossed(permit.service)
@@ -329,6 +337,22 @@
             yield chunk
 
 
+async def _read_to_end(answer: TargetAnswer) -> None:
+    """Read a short answer, to see whether further bytes follow it."""
+    size_bytes = 0
+    try:
+        async with asyncio.timeout(REJECTION_TIMEOUT_S):
+            async for chunk in answer.chunks():
+                size_bytes += len(chunk)
+                if size_bytes > MAX_REJECTION_BYTES:
+                    break
+    except (TruncatedBodyError, TimeoutError):
+        # The head has said what the answer means.
+        pass
+    finally:
+        await answer.close()
+
+
 def _refuse_truly(refusal: Refusal, may_have_run: bool) -> Refusal:
     """Return the refusal after all attempts, of which one may have run."""
     if refusal.kind.may_have_run or not may_have_run:
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -229,6 +229,11 @@
         if not body.is_complete and status not in _SUCCESS_STATUSES:
             await body.close()
             return Broken('the failure of the target is too large')
+        if meaning is AnswerMeaning.REJECTION and answer.is_followed:
+            # The bytes behind it may be the result of the request.
+            target.on_broken(self._clock())
+            await body.close()
+            return Broken('further bytes follow the rejection')
         if meaning is AnswerMeaning.REJECTION:
             if wire.is_misdirected(status):
                 target.on_misdirected(self._clock())
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -309,6 +309,12 @@
             request.request_id == self._request_id
         )
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not parsed."""
+        unparsed, _ = self._parser.trailing_data
+        return bool(unparsed) or self.stream.has_unread_bytes
+
     @property
     def is_lost_after_use(self) -> bool:
         """Return whether the connection was lost soon after its last use."""
@@ -325,11 +331,10 @@
         head
             Head of the answer, which may state the idle timeout.
         """
-        trailing, _ = self._parser.trailing_data
         reusable = (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
-            and not trailing
+            and not self.has_unread_bytes
             and self.stream.is_usable
         )
         if not reusable:
@@ -430,6 +435,7 @@
             failure = BodyConnectionLostError if lost else TruncatedBodyError
             raise failure(_describe(error)) from error
         self._open = False
+        self.is_followed = self._connection.has_unread_bytes
         self._connection.finish(self._head)
 
     async def close(self) -> None:
--- a/src/gentianbank/targets/stream.py
+++ b/src/gentianbank/targets/stream.py
@@ -69,6 +69,11 @@
             or self._transport.get_write_buffer_size()
         )
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes were received that nobody has read."""
+        return bool(self._buffer)
+
     @property
     def was_lost(self) -> bool:
         """Return whether the peer or the network ended the connection."""
--- a/src/gentianbank/targets/transport.py
+++ b/src/gentianbank/targets/transport.py
@@ -88,10 +88,17 @@
 
 
 class TargetAnswer(ABC):
-    """An answer whose body has not been read yet."""
+    """An answer whose body has not been read yet.
+
+    Attributes
+    ----------
+    is_followed
+        Whether further bytes had arrived behind the answer when it ended.
+    """
 
     status: int
     headers: RawHeaders
+    is_followed: bool = False
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/tests/dataplane/test_run_evidence.py
+++ b/tests/dataplane/test_run_evidence.py
@@ -15,6 +15,12 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
+UNPROVED_REFUSALS = (
+    'refusal of two',
+    'success not run',
+    'answer behind refusal',
+)
+
 
 @pytest.fixture
 def world() -> Iterator[World]:
@@ -33,7 +39,7 @@
 
 
 @pytest.mark.parametrize('key', ['', 'order-1'])
-@pytest.mark.parametrize('fault', ['refusal of two', 'success not run'])
+@pytest.mark.parametrize('fault', UNPROVED_REFUSALS)
 def test_order_is_sent_only_once_after_a_refusal_that_proves_nothing(
     world: World, fault: str, key: str
 ) -> None:
--- a/tests/processes/test_true_refusals.py
+++ b/tests/processes/test_true_refusals.py
@@ -46,6 +46,10 @@
     yield head(503, NOT_RUN, EMPTY)
 
 
+async def refuse_first(request: RawRequest) -> AsyncIterator[bytes | None]:
+    yield request.head(503, NOT_RUN, EMPTY) + request.success()
+
+
 async def refuse_another(request: RawRequest) -> AsyncIterator[bytes | None]:
     yield request.head(503, NOT_RUN, EMPTY, request_id='another')
     yield request.success()
@@ -60,7 +64,10 @@
 def test_orders_that_a_target_refused_with_others_are_not_called_not_run(
     tmp_path: Path,
 ) -> None:
-    check_orders(tmp_path, [refuse_two, repeat_refusal, refuse_another])
+    check_orders(
+        tmp_path,
+        [refuse_two, refuse_first, repeat_refusal, refuse_another],
+    )
 
 
 def check_orders(folder: Path, faults: list[Answer]) -> None:
--- a/tests/steering/test_run_evidence.py
+++ b/tests/steering/test_run_evidence.py
@@ -99,6 +99,14 @@
     assert reply.status == 502
 
 
+def test_refusal_with_an_answer_behind_it_does_not_say_not_run() -> None:
+    path = Path()
+    path.transport.default = replace(SHED, followed=True)
+    reply = path.ask(**ORDER_REQUEST)
+    assert len(path.transport.requests) == 1
+    assert reply.status == 502
+
+
 def test_success_that_says_not_run_is_sent_only_once() -> None:
     path = Path()
     path.transport.default = Script(headers=(STAMP, (b'not-executed', b'1')))
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -314,6 +314,11 @@
             ids = [(b'x-request-id', echo), (b'x-request-id', b'another-id')]
             refusal = [(b'request-not-run', b'true'), *ids]
             return Ok(FakeAnswer(503, refusal, b'', False))
+        if fault == 'answer behind refusal':
+            head = [(b'request-not-run', b'true'), (b'x-request-id', echo)]
+            refusal_answer = FakeAnswer(503, head, b'', False)
+            refusal_answer.is_followed = True
+            return Ok(refusal_answer)
         if fault == 'success not run':
             head = [(b'request-not-run', b'true'), (b'x-request-id', echo)]
             return Ok(FakeAnswer(200, head, b'', False))
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -93,6 +93,7 @@
     cut: bool = False
     request_id: bytes | None = None
     names_request: bool = True
+    followed: bool = False
 
 
 SHED = Script(status=503, headers=((b'not-executed', b'1'),), after_s=0.002)
@@ -108,6 +109,7 @@
     def __init__(self, script: Script, request_id: bytes) -> None:
         self._script = script
         self._unread = script.body
+        self.is_followed = script.followed
         self.status = script.status
         echo = script.request_id or request_id
         self.headers: RawHeaders = [*script.headers]
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -280,6 +280,16 @@
     run_with_server([[refusal('r-1'), late + answer('r-2')]], test)
 
 
+@pytest.mark.parametrize('behind', [b'', answer('r-1'), b'noise'])
+def test_bytes_behind_an_answer_are_noticed(behind: bytes) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_request(server.address))
+        await read_body(sent)
+        assert sent.ok.is_followed is bool(behind)
+
+    run_with_server([[refusal('r-1') + behind]], test)
+
+
 def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         for status in (503, 200):
