Reject a request without exactly one id instead of sending it

Targets reject a request without an id (400), and none of their answers could be told from one to another request: such an order was sent to target after target and then refused with 503. It is now rejected at once. test_request_without_one_id_is_rejected_and_not_sent failed before.

--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -31,6 +31,7 @@
 from gentianbank.steering.sending import Delivered
 from gentianbank.steering.sending import NotReached
 from gentianbank.steering.sending import Rejected
+from gentianbank.targets.http_headers import header_values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -208,6 +209,11 @@
             refusal = Refusal(503, 'the route cannot be read')
             await self._replies.send_refusal(exchange, None, refusal)
             return
+        if not _has_one_id(exchange):
+            # No answer of a target could be told from one to another request.
+            refusal = Refusal(400, 'the request must have one request id')
+            await self._replies.send_refusal(exchange, None, refusal)
+            return
         service_turns = self._service_turns.setdefault(
             route.name, WeightedRoundRobin()
         )
@@ -414,6 +420,11 @@
     )
 
 
+def _has_one_id(exchange: Exchange) -> bool:
+    ids = header_values(exchange.raw_headers, wire.REQUEST_ID)
+    return len(ids) == 1 and bool(ids[0])
+
+
 def _declared_bytes(exchange: Exchange) -> int:
     length = exchange.header(b'content-length') or '0'
     return int(length) if length.isdecimal() else 0
--- a/tests/steering/test_run_evidence.py
+++ b/tests/steering/test_run_evidence.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.support.steering import Caller
 from tests.support.steering import FAILED
 from tests.support.steering import header
 from tests.support.steering import LOST
@@ -107,6 +108,20 @@
     assert reply.status == 502
 
 
+@pytest.mark.parametrize('ids', [(), (b'',), (b'r-1', b'r-2')])
+def test_request_without_one_id_is_rejected_and_not_sent(
+    ids: tuple[bytes, ...],
+) -> None:
+    path = Path()
+    caller = Caller(path.loop, **ORDER_REQUEST)
+    others = [h for h in caller.scope['headers'] if h[0] != b'request-id']
+    named = [(b'request-id', name) for name in ids]
+    caller.scope['headers'] = others + named
+    path.run(path.proxy.serve(caller.exchange()))
+    assert caller.reply.status == 400
+    assert path.transport.requests == []
+
+
 def test_success_that_says_not_run_is_sent_only_once() -> None:
     path = Path()
     path.transport.default = Script(headers=(STAMP, (b'not-executed', b'1')))
