Take no promise of 'not run' from an older peer's outcomes, and soak it

On the own interface outcomes are handed over between nodes and replayed. One of a peer that still counts a target's 503 as the answer of a run would be replayed as a promise; it now counts as unknown.

--- a/src/gentianbank/control/wire_outcomes.py
+++ b/src/gentianbank/control/wire_outcomes.py
@@ -11,6 +11,7 @@
 from gentianbank.domain.outcome import Outcome
 from gentianbank.domain.outcome import Pending
 from gentianbank.domain.outcome import Unknown
+from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 
 MAX_CAUSE_LENGTH = 1_000
 
@@ -50,6 +51,9 @@
             headers = tuple(
                 Header(header.name, header.value) for header in wire.headers
             )
+            if wire.status in NOT_RUN_STATUSES:
+                # An older peer took such a status for an answer of the run.
+                return Unknown(f'the target answered {wire.status}')
             body = wire.body if wire.has_body else None
             return Answered(wire.status, headers, body)
         case 'not-run':
--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -9,6 +9,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 from gentianbank_standins.soak.links import LinkState
 from gentianbank_standins.soak.world import COLD_FACTOR
 from gentianbank_standins.soak.world import COLD_PER_S
@@ -289,6 +290,15 @@
     _target(world, fault).app.faults.endless_next = FEW_REQUESTS
 
 
+@register_fault('target fails what ran')
+async def fail_after_run(world: SoakWorld, fault: Fault) -> None:
+    """Let a target answer requests that ran by a promise of "not run"."""
+    faults = _target(world, fault).app.faults
+    statuses = sorted(NOT_RUN_STATUSES)
+    faults.failure_status = statuses[fault.subject % len(statuses)]
+    faults.fail_next = FEW_REQUESTS
+
+
 @register_fault('target far', 0.5)
 async def delay_target(world: SoakWorld, fault: Fault) -> None:
     """Let bytes to and from a target take longer."""
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -34,6 +34,9 @@
         Slowdown in the load reports, in percent, as it is written.
     endless_next
         Requests that run, but whose answers go on until the caller closes.
+    fail_next
+        Requests that run and are answered ``failure_status``, which does not
+        say that they did not.
     """
 
     slow_factor: float = 1.0
@@ -42,6 +45,8 @@
     limit_per_s: float = 0.0
     slowdown: str = '100'
     endless_next: int = 0
+    fail_next: int = 0
+    failure_status: int = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +188,11 @@
             cut = self.faults.lose_next > 0
             self.faults.lose_next -= cut
             stamp = f'{self.target_id}.{request_id}'
+            if self.faults.fail_next:
+                self.faults.fail_next -= 1
+                head = {'request-id': request_id, 'server-stamp': stamp}
+                await self._answer(send, self.faults.failure_status, head)
+                return
             await self._answer(
                 send,
                 200,
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -60,6 +60,16 @@
     assert result.faults.keys() == set(SPOILING_KINDS)
 
 
+def test_soak_keeps_refusals_true_where_targets_fail_what_ran(
+    tmp_path: Path,
+) -> None:
+    kinds = ('target fails what ran', 'target rejects')
+    result = run_soak(7, tmp_path, duration_s=DURATION_S, kinds=kinds)
+    assert result.broken == ()
+    assert result.faults['target fails what ran']
+    assert result.seen['502'] > 0
+
+
 def test_soak_notices_too_many_requests_to_a_cold_target() -> None:
     journal = Journal(cold_periods=[ColdPeriod('desk-1', 11.0, 1.0, 2.0)])
     for number in range(12):
