End answers whose callers do not read first when there are too many

The slot of a target counts until an answer is read ahead, so nothing bounded the number of answers that callers do not read: at about 0.2 MB each besides the shared read-ahead, a thousand within the 15 s of their timeout would take the memory of a small VM. Beyond 200 large answers at a time the one without progress for longest, and for 2 s at least, is ended; callers that read are kept. Also splits the reading of an answer into its steps.

--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -45,6 +45,11 @@
         self._parts: deque[bytes] = deque()
         self._taken_bytes = 0
 
+    @property
+    def is_small(self) -> bool:
+        """Return whether the whole body is held and takes little memory."""
+        return self.is_complete and self.size_bytes <= UNBUDGETED_BYTES
+
     async def read_ahead(self) -> None:
         """Read until the body ends or no more may be held.
 
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -9,6 +9,8 @@
 from gentianbank.platform import headers as wire
 from gentianbank.policy.run_evidence import check_promise
 from gentianbank.policy.run_evidence import RunEvidence
+from gentianbank.steering.streams import CallerStalledError
+from gentianbank.steering.streams import Streams
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -17,6 +19,7 @@
 
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.policy.placement import PlacementResult
+    from gentianbank.steering.answer_body import AnswerBody
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Delivered
@@ -82,15 +85,17 @@
         self._reporter = reporter
         self._is_stopping = is_stopping
         self._clock = clock
+        self._streams = Streams(clock)
 
     async def send_answer(
         self, exchange: Exchange, request: CallerRequest, answer: Delivered
     ) -> None:
         """Send a target's answer to the caller.
 
-        If the target's answer ends early, the answer to the caller is left
-        unfinished. The server then closes the connection, by which the
-        caller detects that the answer is incomplete.
+        If the target's answer ends early, or the caller does not read while
+        too many others wait, the answer to the caller is left unfinished.
+        The server then closes the connection, by which the caller detects
+        that the answer is incomplete.
         """
         self._reporter.on_answer(request, answer.status)
         headers = wire.for_caller(answer.headers)
@@ -104,10 +109,12 @@
             headers.append((b'content-length', length))
         try:
             await exchange.start(answer.status, headers)
-            async for part in body.parts():
-                await exchange.write(part)
-            await exchange.finish()
-        except TruncatedBodyError as error:
+            if body.is_small:
+                await _write(exchange, body)
+            else:
+                async with self._streams.open() as on_progress:
+                    await _write(exchange, body, on_progress)
+        except (TruncatedBodyError, CallerStalledError) as error:
             request_id = exchange.header(wire.REQUEST_ID) or ''
             self._reporter.on_answer_ended_early(request_id, str(error))
         finally:
@@ -153,3 +160,14 @@
             left_ms = request.caller_deadline_ms - self._clock()
             wait_ms = min(wait_ms, left_ms * MAX_RETRY_AFTER_FRACTION)
         return f'{max(0.0, wait_ms) / _MS_PER_S:.3f}'.encode()
+
+
+async def _write(
+    exchange: Exchange,
+    body: AnswerBody,
+    on_progress: Callable[[], None] = lambda: None,
+) -> None:
+    async for part in body.parts():
+        await exchange.write(part)
+        on_progress()
+    await exchange.finish()
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -213,12 +213,29 @@
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
         body = AnswerBody(answer, self.read_ahead)
+        unusable: Rejected | Broken | None
+        unusable = await self._read_ahead(request, target, status, body)
+        unusable = unusable or self._check_answer(answer, meaning, target)
+        if unusable is not None:
+            await body.close()
+            return unusable
+        if status in _SUCCESS_STATUSES:
+            self._record_time(request, placed, load, sent_ms, body.size_bytes)
+        return Delivered(status, headers, body)
+
+    async def _read_ahead(
+        self,
+        request: CallerRequest,
+        target: TargetLoad,
+        status: int,
+        body: AnswerBody,
+    ) -> Broken | None:
+        """Read the body as far as it may be held; return what went wrong."""
+        left_ms = request.deadline_ms - self._clock()
         try:
-            left_ms = request.deadline_ms - self._clock()
             async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
                 await body.read_ahead()
         except (TruncatedBodyError, TimeoutError) as error:
-            await body.close()
             target.on_broken(self._clock())
             if isinstance(error, BodyConnectionLostError):
                 self._checks.on_connection_lost(target)
@@ -227,41 +244,52 @@
             await body.close()
             raise
         if not body.is_complete and status not in _SUCCESS_STATUSES:
-            await body.close()
             return Broken('the failure of the target is too large')
+        return None
+
+    def _check_answer(
+        self, answer: TargetAnswer, meaning: AnswerMeaning, target: TargetLoad
+    ) -> Rejected | Broken | None:
+        """Record the health of the target; return why it is no result."""
+        status = answer.status
         if meaning is AnswerMeaning.REJECTION and answer.is_followed:
             # The bytes behind it may be the result of the request.
             target.on_broken(self._clock())
-            await body.close()
             return Broken('further bytes follow the rejection')
         if meaning is AnswerMeaning.REJECTION:
             if wire.is_misdirected(status):
                 target.on_misdirected(self._clock())
             else:
                 target.on_answer(failed=False)
-            await body.close()
             return Rejected(f'the target answered {status}')
         if meaning is not AnswerMeaning.RESULT:
             target.on_answer(failed=True)
-            await body.close()
             return _unusable(status, meaning)
         target.on_answer(failed=status >= _MIN_SERVER_ERROR)
-        if status in _SUCCESS_STATUSES:
-            if not _has_target_headers(headers):
-                await body.close()
-                return Broken("the answer is not the target's own")
-            work_ms = self._clock() - sent_ms - ROUND_TRIP_MS
-            # After a wait in the target's queue the time is not that of the
-            # work alone.
-            if not placed.wait_ms:
-                times = self._placer.route_times(request.route)
-                slowdown = load.slowdown if load else 1.0
-                times.on_answer(
-                    max(0.0, work_ms) / slowdown,
-                    body.size_bytes,
-                    warm=placed.warm,
-                )
-        return Delivered(status, headers, body)
+        is_success = status in _SUCCESS_STATUSES
+        if is_success and not _has_target_headers(answer.headers):
+            return Broken("the answer is not the target's own")
+        return None
+
+    def _record_time(
+        self,
+        request: CallerRequest,
+        placed: Placement,
+        load: LoadReport | None,
+        sent_ms: float,
+        size_bytes: int,
+    ) -> None:
+        """Record the work time and size of a success.
+
+        After a wait in the target's queue the time is not that of the work
+        alone.
+        """
+        if placed.wait_ms:
+            return
+        work_ms = max(0.0, self._clock() - sent_ms - ROUND_TRIP_MS)
+        slowdown = load.slowdown if load else 1.0
+        times = self._placer.route_times(request.route)
+        times.on_answer(work_ms / slowdown, size_bytes, warm=placed.warm)
 
     def _record_load(
         self, target: TargetLoad, headers: RawHeaders
