Take no answer with both a length and chunks

Standard parsers let chunks win; the connection now ends, as after bytes that are no answer. test_answer_with_a_length_and_chunks_is_no_answer failed before.

--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -360,6 +360,7 @@
         for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                _check_framing(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError('the target closed')
@@ -462,6 +463,13 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
+def _check_framing(head: h11.Response) -> None:
+    """Reject an answer whose end its two framing headers put differently."""
+    names = {name for name, _ in head.headers}
+    if {b'content-length', b'transfer-encoding'} <= names:
+        raise h11.RemoteProtocolError('both a length and chunks')
+
+
 def _idle_timeout_s(head: h11.Response) -> float:
     for name, value in head.headers:
         if name != b'keep-alive':
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -290,6 +290,18 @@
     run_with_server([[refusal('r-1') + behind]], test)
 
 
+def test_answer_with_a_length_and_chunks_is_no_answer() -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_request(server.address))
+        assert isinstance(sent.error, MaybeSent)
+
+    both = refusal('r-1').replace(
+        b'Content-Length: 0\r\n\r\n',
+        b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    )
+    run_with_server([[both]], test)
+
+
 def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         for status in (503, 200):
