Give callers of slow links more time before their answers are ended

What a caller takes shows only when the kernel has room again, which on a slow link comes in large steps: 2 s without progress can be a caller that reads. 400 streams of about 0.2 MB with the shared read-ahead still fit the smallest VM.

--- a/src/gentianbank/policy/stalled_streams.py
+++ b/src/gentianbank/policy/stalled_streams.py
@@ -9,9 +9,9 @@
     from collections.abc import Mapping
 
 # Beyond this number of answers, those whose callers do not read are ended.
-MAX_STREAMS = 200
+MAX_STREAMS = 400
 # A caller that has taken nothing for so long does not read.
-STALLED_MS = 2_000.0
+STALLED_MS = 5_000.0
 
 Stream = TypeVar('Stream')
 
