--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -127,7 +127,8 @@
     one among others, may be.
     """
     named = header_values(headers, REQUEST_ID)
-    return not named or request_id in named
+    parts = [part.strip() for value in named for part in value.split(b',')]
+    return not named or request_id in named or request_id in parts
 
 
 def is_misdirected(status: int) -> bool:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -108,6 +108,26 @@
         assert meaning is AnswerMeaning.NAMES_OTHERS
 
 
+@pytest.mark.parametrize(
+    ('named', 'expected'),
+    [
+        ((), True),
+        ((b'r-1',), True),
+        ((b'r-2', b'r-1'), True),
+        ((b'r-2, r-1',), True),
+        ((b'r-2',), False),
+        ((b'r-2', b'r-3'), False),
+        ((b'r-10',), False),
+    ],
+)
+def test_answer_that_names_only_others_is_for_others(
+    named: tuple[bytes, ...], expected: bool
+) -> None:
+    headers = [(b'Request-Id', name) for name in named]
+    assert wire.may_answer(headers, b'r-1') is expected
+    assert wire.may_answer([(b'Request-Id', b'a,b')], b'a,b')
+
+
 def test_request_has_the_expected_target_and_the_time_left() -> None:
     received = [
         (b'host', b'shop.example'),
