Move effects and the queue of member records out of the control state

No change in behaviour: the state machine of the spread and the tests of the agent are as before; the queue has two tests of its own. Nodes on the users' platform load neither of the three modules.

--- a/src/gentianbank/control/agent.py
+++ b/src/gentianbank/control/agent.py
@@ -21,22 +21,22 @@
 from absl import logging
 from expression import Result
 
+from gentianbank.control.effects import Effect
+from gentianbank.control.effects import FetchBodies
+from gentianbank.control.effects import Install
+from gentianbank.control.effects import Send
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import Disconnected
 from gentianbank.control.peers import PeerEvent
 from gentianbank.control.peers import Received
 from gentianbank.control.peers import Unreachable
-from gentianbank.control.state import ControlState
-from gentianbank.control.state import Effect
-from gentianbank.control.state import FetchBodies
-from gentianbank.control.state import Install
-from gentianbank.control.state import Send
 from gentianbank.domain import revision as revisions
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
     from gentianbank.control.peers import PeerConnections
+    from gentianbank.control.state import ControlState
     from gentianbank.domain.revision import Head
     from gentianbank.domain.revision import Snapshot
     from gentianbank.storage.revisions import RevisionStore
--- a/src/gentianbank/control/state.py
+++ b/src/gentianbank/control/state.py
@@ -13,6 +13,10 @@
 
 from gentianbank.control.assembly import ChangeLog
 from gentianbank.control.assembly import RevisionAssembly
+from gentianbank.control.effects import Effect
+from gentianbank.control.effects import FetchBodies
+from gentianbank.control.effects import Install
+from gentianbank.control.effects import Send
 from gentianbank.control.messages import Bodies
 from gentianbank.control.messages import BodyRequest
 from gentianbank.control.messages import ChangeSet
@@ -23,6 +27,7 @@
 from gentianbank.control.messages import RegionDigest
 from gentianbank.control.messages import RegionDigests
 from gentianbank.control.messages import RevisionRequest
+from gentianbank.control.record_queue import RecordQueue
 from gentianbank.domain.member import DOWN
 from gentianbank.domain.member import LEAVING
 from gentianbank.domain.member import Member
@@ -41,32 +46,6 @@
 PROBE_INTERVAL_MS = 5_000
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message to a connected peer."""
-
-    vm: str
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class FetchBodies:
-    """Read configuration bodies from the store."""
-
-    digests: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Install:
-    """Validate a complete revision and put it in force."""
-
-    revision: int
-    bodies: dict[str, bytes] = field(repr=False)
-
-
-Effect = Send | FetchBodies | Install
-
-
 @dataclass(slots=True)
 class _PeerState:
     """What is known of a connected peer.
@@ -89,17 +68,6 @@
     digest_mismatches: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _QueuedRecord:
-    """A member record to gossip, and the peer that it came from.
-
-    The source is ``None`` if the record was made on this node.
-    """
-
-    record: Member
-    source: str | None
-
-
 @dataclass(slots=True)
 class ControlState:
     """Members and configuration as one node knows them.
@@ -123,7 +91,7 @@
     _change_log: ChangeLog = field(default_factory=ChangeLog)
     _assembly: RevisionAssembly | None = None
     _rejected_revision: int = 0
-    _queued_records: dict[str, _QueuedRecord] = field(default_factory=dict)
+    _record_queue: RecordQueue = field(default_factory=RecordQueue)
     _link_plan: topology.LinkPlan | None = None
     _link_plan_digest: int = 0
     _next_heartbeat_ms: float = 0
@@ -263,7 +231,7 @@
         for vm, heard_ms in list(self._lost_peers_last_heard_ms.items()):
             if now_ms - heard_ms > SUSPECT_TIMEOUT_MS:
                 del self._lost_peers_last_heard_ms[vm]
-                self._queue_records(self.members.mark_down(vm), None)
+                self._record_queue.add(self.members.mark_down(vm), None)
         effects += self._send_records()
         if now_ms >= self._next_heartbeat_ms:
             self._next_heartbeat_ms = now_ms + HEARTBEAT_INTERVAL_MS
@@ -375,7 +343,7 @@
 
     def _publish_own_record(self, record: Member) -> list[Effect]:
         self.me = replace(record, version=self.me.version + 1)
-        self._queue_records(self.members.merge([self.me]), None)
+        self._record_queue.add(self.members.merge([self.me]), None)
         return self._send_records()
 
     def _heartbeat(self) -> Heartbeat:
@@ -391,24 +359,11 @@
             )
         )
 
-    def _queue_records(
-        self, records: list[Member], source: str | None
-    ) -> None:
-        """Queue records for gossip at the next tick."""
-        for record in records:
-            self._queued_records[record.vm] = _QueuedRecord(record, source)
-
     def _send_records(self) -> list[Effect]:
-        """Send the queued records to all peers but their sources."""
-        queued, self._queued_records = list(self._queued_records.values()), {}
-        effects: list[Effect] = []
-        for vm in self._peers if queued else ():
-            records = tuple(
-                item.record for item in queued if item.source != vm
-            )
-            if records:
-                effects.append(Send(vm, MemberRecords(members=records)))
-        return effects
+        return [
+            Send(vm, MemberRecords(members=records))
+            for vm, records in self._record_queue.take_for(self._peers).items()
+        ]
 
     def _on_heartbeat(
         self, vm: str, peer: _PeerState, message: Heartbeat, now_ms: float
@@ -433,7 +388,7 @@
         return effects
 
     def _on_records(self, vm: str, message: MemberRecords) -> list[Effect]:
-        self._queue_records(self.members.merge(message.members), vm)
+        self._record_queue.add(self.members.merge(message.members), vm)
         held = self.members.get(self.me.vm)
         if held is not None and held.order > self.me.order:
             return self._refute(held)
