Take no answer whose head could not be sent on to a caller

A status above 599 or a control character in a header passed the parser, and the server then failed while it wrote the head: the caller's connection was closed without an answer. Such heads are now no answer, so that reads go to another target and orders are answered 502. test_orders_whose_answer_cannot_be_sent_on_are_answered failed before (orders without an answer).

--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from typing import TYPE_CHECKING
 
@@ -48,7 +49,9 @@
 # without end.
 MAX_INTERIM_ANSWERS = 16
 MAX_HEAD_BYTES = 64 * 1024
+MAX_STATUS = 599
 _MS_PER_S = 1_000
+_CONTROL_CHARACTERS = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError)
 # States of the parser after the end of an answer.
 _ENDED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -360,7 +363,7 @@
         for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                _check_framing(event)
+                _check_head(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError('the target closed')
@@ -463,11 +466,22 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
-def _check_framing(head: h11.Response) -> None:
-    """Reject an answer whose end its two framing headers put differently."""
+def _check_head(head: h11.Response) -> None:
+    """Reject a head that the parser takes, but that is no valid answer.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If two headers may disagree on where the body ends, or if the head
+        could not be sent on to a caller.
+    """
     names = {name for name, _ in head.headers}
     if {b'content-length', b'transfer-encoding'} <= names:
         raise h11.RemoteProtocolError('both a length and chunks')
+    if head.status_code > MAX_STATUS:
+        raise h11.RemoteProtocolError(f'no status: {head.status_code}')
+    if any(_CONTROL_CHARACTERS.search(value) for _, value in head.headers):
+        raise h11.RemoteProtocolError('control character in a header')
 
 
 def _idle_timeout_s(head: h11.Response) -> float:
--- a/tests/processes/test_true_refusals.py
+++ b/tests/processes/test_true_refusals.py
@@ -36,6 +36,22 @@
     return answer
 
 
+async def answer_unknown_status(
+    request: RawRequest,
+) -> AsyncIterator[bytes | None]:
+    yield request.head(999, EMPTY)
+
+
+async def answer_control_character(
+    request: RawRequest,
+) -> AsyncIterator[bytes | None]:
+    yield request.head(500, 'X-Cause: a\x01b', EMPTY)
+
+
+async def answer_odd_name(request: RawRequest) -> AsyncIterator[bytes | None]:
+    yield request.head(500, 'X{Cause}: b', EMPTY)
+
+
 async def refuse_two(request: RawRequest) -> AsyncIterator[bytes | None]:
     yield request.head(503, 'Request-Id: another', NOT_RUN, EMPTY)
 
@@ -70,6 +86,13 @@
     )
 
 
+def test_orders_whose_answer_cannot_be_sent_on_are_answered(
+    tmp_path: Path,
+) -> None:
+    faults = [answer_unknown_status, answer_control_character, answer_odd_name]
+    check_orders(tmp_path, [*faults])
+
+
 def check_orders(folder: Path, faults: list[Answer]) -> None:
     """Play orders; one target without a fault keeps the service going."""
 
@@ -85,6 +108,7 @@
             assert spoiled
             assert callers.untrue_refusals(runs) == {}
             assert [name for name, count in runs.items() if count > 1] == []
+            assert set(callers.statuses.values()) <= {200, 500, 502, 503}
             assert 200 in callers.statuses.values()
         finally:
             await world.stop()
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -302,6 +302,25 @@
     run_with_server([[both]], test)
 
 
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        (b'200 OK', b'600 OK'),
+        (b'200 OK', b'999 OK'),
+        (b'Request-Id', b'X-Cause: a\x01b\r\nRequest-Id'),
+        (b'Request-Id', b'X-Cause: a\x7fb\r\nRequest-Id'),
+    ],
+)
+def test_head_that_cannot_be_sent_on_is_no_answer(
+    old: bytes, new: bytes
+) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_request(server.address))
+        assert isinstance(sent.error, MaybeSent)
+
+    run_with_server([[answer('r-1').replace(old, new)]], test)
+
+
 def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         for status in (503, 200):
