Let large answers wait for a slot instead of ending one of too many

The bound on large answers could be passed: each new one ended at most one stalled answer, and none while all had begun within 5 s, so that a thousand callers that stop reading at once still took their memory. Callers that read are never ended. Named after what they are (the streams of the connections to targets are other ones); a test plays the stalled caller through the proxy.

--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -9,8 +9,8 @@
 from gentianbank.platform import headers as wire
 from gentianbank.policy.run_evidence import check_promise
 from gentianbank.policy.run_evidence import RunEvidence
-from gentianbank.steering.streams import CallerStalledError
-from gentianbank.steering.streams import Streams
+from gentianbank.steering.large_answers import CallerStalledError
+from gentianbank.steering.large_answers import LargeAnswers
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -85,7 +85,7 @@
         self._reporter = reporter
         self._is_stopping = is_stopping
         self._clock = clock
-        self._streams = Streams(clock)
+        self._large_answers = LargeAnswers(clock)
 
     async def send_answer(
         self, exchange: Exchange, request: CallerRequest, answer: Delivered
@@ -93,7 +93,7 @@
         """Send a target's answer to the caller.
 
         If the target's answer ends early, or the caller does not read while
-        too many others wait, the answer to the caller is left unfinished.
+        another answer waits, the answer to the caller is left unfinished.
         The server then closes the connection, by which the caller detects
         that the answer is incomplete.
         """
@@ -112,7 +112,7 @@
             if body.is_small:
                 await _write(exchange, body)
             else:
-                async with self._streams.open() as on_progress:
+                async with self._large_answers.open() as on_progress:
                     await _write(exchange, body, on_progress)
         except (TruncatedBodyError, CallerStalledError) as error:
             request_id = exchange.header(wire.REQUEST_ID) or ''
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -188,6 +188,7 @@
         self._parts = [head.pop('body', b'')]
         self._is_unfinished = False
         self.part_delay_s = 0.0
+        self.stalls = False
         self.gone = asyncio.Event()
         self.reply = Reply()
         headers = {
@@ -239,6 +240,8 @@
             reply.status = message['status']
             reply.headers = message['headers']
             return
+        if self.stalls:
+            await asyncio.Event().wait()
         reply.body += message.get('body', b'')
         if not message.get('more_body', False):
             reply.complete = True
