Avoid a target that another one answers for, whatever its answer proves

Since a 421 needs the target's word to count as not run, one without it no longer told the node that the address belongs to another target: each further order went there and was answered 502. The case without the header of test_target_that_another_one_answers_for_is_avoided_for_a_while failed before. Also plays answers when no read-ahead is left, and renames its budget.

--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -167,7 +167,7 @@
     @property
     def read_ahead_bytes(self) -> int:
         """Return the bytes of answers that are read ahead of the callers."""
-        return self._sender.read_ahead.used_bytes
+        return self._sender.read_ahead_budget.used_bytes
 
     def refuse_new_requests(self) -> None:
         """Refuse all requests that arrive from now on."""
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -116,7 +116,7 @@
         self._checks = checks
         self._transport = transport
         self._clock = clock
-        self.read_ahead = BufferBudget(READ_AHEAD_BUDGET_BYTES)
+        self.read_ahead_budget = BufferBudget(READ_AHEAD_BUDGET_BYTES)
 
     async def send(
         self,
@@ -212,7 +212,7 @@
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
-        body = AnswerBody(answer, self.read_ahead)
+        body = AnswerBody(answer, self.read_ahead_budget)
         unusable: Rejected | Broken | None
         unusable = await self._read_ahead(request, target, status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
@@ -256,16 +256,14 @@
             # The bytes behind it may be the result of the request.
             target.on_broken(self._clock())
             return Broken('further bytes follow the rejection')
+        if wire.is_misdirected(status):
+            target.on_misdirected(self._clock())
+        else:
+            target.on_answer(failed=_is_failure(status, meaning))
         if meaning is AnswerMeaning.REJECTION:
-            if wire.is_misdirected(status):
-                target.on_misdirected(self._clock())
-            else:
-                target.on_answer(failed=False)
             return Rejected(f'the target answered {status}')
         if meaning is not AnswerMeaning.RESULT:
-            target.on_answer(failed=True)
             return _unusable(status, meaning)
-        target.on_answer(failed=status >= _MIN_SERVER_ERROR)
         is_success = status in _SUCCESS_STATUSES
         if is_success and not _has_target_headers(answer.headers):
             return Broken("the answer is not the target's own")
@@ -335,6 +333,13 @@
             )
 
 
+def _is_failure(status: int, meaning: AnswerMeaning) -> bool:
+    """Return whether an answer counts against the health of its target."""
+    if meaning is AnswerMeaning.RESULT:
+        return status >= _MIN_SERVER_ERROR
+    return meaning is not AnswerMeaning.REJECTION
+
+
 def _unusable(status: int, meaning: AnswerMeaning) -> Broken:
     return Broken(f'the target answered {status}: {meaning.value}')
 
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -382,7 +382,9 @@
         while (chunk := await self.next_chunk()) is not None:
             self._skipped_bytes += len(chunk)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                raise h11.RemoteProtocolError('too many bytes of others')
+                raise h11.RemoteProtocolError(
+                    'too long answers to other requests'
+                )
         unread, ended = self._parser.trailing_data
         if ended:
             raise h11.RemoteProtocolError('closed after a foreign answer')
--- a/tests/steering/test_answer_body.py
+++ b/tests/steering/test_answer_body.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gentianbank.policy.buffer_budget import BufferBudget
+from gentianbank.steering import sending
 from gentianbank.steering.answer_body import AnswerBody
 from gentianbank.steering.answer_body import MAX_READ_AHEAD_BYTES
 from gentianbank.steering.answer_body import UNBUDGETED_BYTES
@@ -101,6 +102,27 @@
     assert budget.used_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ('script', 'status'),
+    [
+        (Script(body=b'x' * 200_000), 200),
+        (Script(status=500, body=b'x' * 200_000), 502),
+        (Script(status=500, body=b'x' * UNBUDGETED_BYTES), 500),
+    ],
+    ids=['success', 'large failure', 'small failure'],
+)
+def test_answer_without_any_budget_is_passed_on_as_it_comes(
+    monkeypatch: pytest.MonkeyPatch, script: Script, status: int
+) -> None:
+    monkeypatch.setattr(sending, 'READ_AHEAD_BUDGET_BYTES', 0)
+    path = Path()
+    path.transport.default = script
+    reply = path.ask()
+    assert reply.status == status
+    assert status == 502 or reply.body == script.body
+    assert reply.complete
+
+
 @pytest.mark.parametrize(
     'script',
     [
--- a/tests/steering/test_proxy.py
+++ b/tests/steering/test_proxy.py
@@ -326,6 +326,17 @@
     assert addresses.count(first) == 1
 
 
+@pytest.mark.parametrize('headers', [(), ((b'not-executed', b'1'),)])
+def test_target_that_another_one_answers_for_is_avoided_for_a_while(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> None:
+    path = Path(targets=1)
+    path.transport.default = Script(status=421, headers=headers)
+    path.ask(**ORDER_REQUEST)
+    (target,) = path.cluster_view.targets.values()
+    assert target.is_suspect(path.loop.now_ms())
+
+
 def test_draining_target_gets_nothing() -> None:
     path = Path()
     for name in ('desk-1', 'desk-2'):
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -671,7 +671,7 @@
     async def test(pool: ConnectionPool, server: Server) -> None:
         sent = await pool.send(build_request(server.address))
         assert isinstance(sent.error, MaybeSent)
-        assert 'too many bytes of others' in sent.error.cause
+        assert 'too long answers to other requests' in sent.error.cause
 
     foreign = answer('r-0', 'x' * (pool_module.MAX_SKIPPED_BYTES + 1))
     run_with_server([[foreign + HANG]], test)
