Bound the requests that wait for a node that does not read

Messages between nodes had a bounded outbox, requests for outcomes and loans had none: those that timed out stayed queued until the connection ended. A request beyond a thousand now fails at once, as one on a closed connection does. Found on reading for bytes that are kept for a peer that does not read.

--- a/src/gentianbank/transport/channel.py
+++ b/src/gentianbank/transport/channel.py
@@ -18,6 +18,10 @@
     from websockets.asyncio.client import ClientConnection
 
 
+# Requests that wait to be written; those that were given up count as well.
+MAX_OUTBOX_REQUESTS = 1_000
+
+
 class RequestChannel:
     """Matches replies to requests by the request id.
 
@@ -29,7 +33,7 @@
         self.closed = False
         self._request_ids = itertools.count(1)
         self._pending_replies: dict[int, asyncio.Future[RequestOrReply]] = {}
-        self._outbox: asyncio.Queue[bytes] = asyncio.Queue()
+        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(MAX_OUTBOX_REQUESTS)
 
     async def request(self, message: RequestOrReply) -> RequestOrReply:
         """Send a request and wait for its reply.
@@ -37,10 +41,12 @@
         Raises
         ------
         ConnectionError
-            If the channel closes first.
+            If the channel closes first, or the other node does not read.
         """
         if self.closed:
             raise ConnectionError('the channel is closed')
+        if self._outbox.full():
+            raise ConnectionError('the other node does not read')
         correlation_id = next(self._request_ids)
         future: asyncio.Future[RequestOrReply] = asyncio.Future()
         self._pending_replies[correlation_id] = future
