--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -14,7 +14,7 @@
 import h11
 import pytest
 
-from gentianbank.targets import pool as pool_module
+from gentianbank.targets import connection as connection_module
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
@@ -224,7 +224,7 @@
 def test_idle_connection_lost_soon_after_its_use_is_reported(
     last: bytes, wait_s: float, is_lost: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(pool_module, 'RECENT_USE_S', 0.2)
+    monkeypatch.setattr(connection_module, 'RECENT_USE_S', 0.2)
     lost: list[str] = []
 
     async def test(pool: ConnectionPool, server: Server) -> None:
@@ -496,7 +496,9 @@
         raise h11.LocalProtocolError('too late')
 
     async def test(pool: ConnectionPool, server: Server) -> None:
-        monkeypatch.setattr(pool_module._Connection, '_read_own_head', fail)
+        monkeypatch.setattr(
+            connection_module.TargetConnection, '_read_own_head', fail
+        )
         sent = await pool.send(build_request(server.address))
         assert isinstance(sent.error, MaybeSent)
 
@@ -673,5 +675,5 @@
         assert isinstance(sent.error, MaybeSent)
         assert 'too long answers to other requests' in sent.error.cause
 
-    foreign = answer('r-0', 'x' * (pool_module.MAX_SKIPPED_BYTES + 1))
+    foreign = answer('r-0', 'x' * (connection_module.MAX_SKIPPED_BYTES + 1))
     run_with_server([[foreign + HANG]], test)
