--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from dataclasses import field
 import functools
 from typing import TYPE_CHECKING
 
@@ -16,10 +14,10 @@
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.returning_callers import ReturningCallerDetector
-from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.policy.weighted_round_robin import WeightedRoundRobin
 from gentianbank.steering.answers import AnswerWriter
 from gentianbank.steering.answers import Refusal
+from gentianbank.steering.attempt_history import AttemptHistory
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
 from gentianbank.steering.placer import PlacementRequest
@@ -29,8 +27,6 @@
 from gentianbank.steering.sending import AttemptSender
 from gentianbank.steering.sending import Cancelled
 from gentianbank.steering.sending import Delivered
-from gentianbank.steering.sending import NotReached
-from gentianbank.steering.sending import Rejected
 from gentianbank.targets.http_headers import header_values
 
 if TYPE_CHECKING:
@@ -39,7 +35,6 @@
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.route_table import CallerLimits
     from gentianbank.domain.steering_settings import Bounds
-    from gentianbank.policy.placement import PlacementResult
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.reporter import Reporter
@@ -47,73 +42,10 @@
     from gentianbank.steering.sending import Outcome
     from gentianbank.targets.transport import TargetTransport
 
-# After this many failed connections a request is not retried.
-MAX_CONNECT_FAILURES = 3
 _MS_PER_S = 1_000
 _MIN_SERVER_ERROR = 500
 
 
-@dataclass(slots=True)
-class _AttemptHistory:
-    """Attempts of a request so far.
-
-    Parameters
-    ----------
-    targets
-        Ids of the targets that were tried.
-    sent_count
-        Attempts whose request may have reached a target.
-    connect_failures
-        Attempts whose connection failed.
-    may_have_run
-        Whether a target may have run the request.
-    failed_answers
-        Failures that targets answered with, the latest last.
-    placement
-        Result of the latest choice of a target.
-    """
-
-    targets: list[str]
-    sent_count: int = 0
-    connect_failures: int = 0
-    may_have_run: bool = False
-    failed_answers: list[Delivered] = field(default_factory=list)
-    placement: PlacementResult | None = None
-
-    @property
-    def evidence(self) -> RunEvidence:
-        """Return what is known about whether the request has run."""
-        if self.may_have_run:
-            return RunEvidence.MAY_HAVE_RUN
-        if self.sent_count:
-            return RunEvidence.REJECTED
-        return RunEvidence.NEVER_SENT
-
-    def record(self, outcome: Outcome, *, idempotent: bool) -> bool:
-        """Record an attempt that gave no final answer.
-
-        Returns
-        -------
-        bool
-            Whether a retry is safe.
-        """
-        if isinstance(outcome, NotReached):
-            self.connect_failures += 1
-            return self.connect_failures < MAX_CONNECT_FAILURES
-        self.sent_count += 1
-        if isinstance(outcome, Rejected):
-            return True
-        self.may_have_run = True
-        if isinstance(outcome, Delivered):
-            self.failed_answers.append(outcome)
-        return idempotent
-
-    async def close(self) -> None:
-        """Drop the failures that were not passed on."""
-        for answer in self.failed_answers:
-            await answer.body.close()
-
-
 class Proxy:
     """Forwards callers' requests to targets.
 
@@ -267,7 +199,7 @@
         """Send a request to targets until one answers or no retry is left."""
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
-        history = _AttemptHistory([])
+        history = AttemptHistory()
         try:
             await self._send_with_retries(exchange, request, body, history)
         finally:
@@ -278,7 +210,7 @@
         exchange: Exchange,
         request: CallerRequest,
         body: RequestBody,
-        history: _AttemptHistory,
+        history: AttemptHistory,
     ) -> None:
         while True:
             now_ms = self._clock()
@@ -332,7 +264,7 @@
         return outcome
 
     def _claim_retry(
-        self, request: CallerRequest, history: _AttemptHistory
+        self, request: CallerRequest, history: AttemptHistory
     ) -> bool:
         """Return whether the limits allow a retry, and count it if so.
 
@@ -353,7 +285,7 @@
         return True
 
     def _placement_request(
-        self, request: CallerRequest, history: _AttemptHistory
+        self, request: CallerRequest, history: AttemptHistory
     ) -> PlacementRequest:
         now_ms = self._clock()
         return PlacementRequest(
@@ -384,7 +316,7 @@
         self,
         exchange: Exchange,
         request: CallerRequest,
-        history: _AttemptHistory,
+        history: AttemptHistory,
         cause: str,
     ) -> None:
         """Send the final answer of a request that did not succeed.
