--- a/src/gentianbank/policy/answer_slots.py
+++ b/src/gentianbank/policy/answer_slots.py
@@ -11,7 +11,7 @@
     from collections.abc import Mapping
 
 # So many fit the memory of the smallest VM, whether or not callers read them.
-MAX_LARGE_ANSWERS = 400
+MAX_LARGE_ANSWERS = 300
 # A caller that has taken nothing for so long is not expected to read on.
 STALLED_MS = 5_000.0
 
