Tell callers apart by workspace and ask for their keys

Cause: a configuration with workspaces was read as if it had none. Keys were passed on to targets, unknown keys were served, and the home regions of a workspace did not bind. Change: the configuration's workspaces are decoded, each request is attributed by the digest of its key, targets get the workspace's name instead of the key, and the homes of route and workspace bind together. An unknown key is refused with 401 only by a node whose copy of the configuration is current. Copies of the configuration that leave the adapter hold digests in place of keys. Without workspaces nothing changes.

--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from gentianbank.domain.errors import FieldError
+    from gentianbank.domain.workspaces import WorkspaceTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,8 @@
         Whether requests with the same affinity key prefer the same target.
     home_regions
         Regions that may serve the route; empty for all.
+    public
+        Whether requests need no key, where there are workspaces.
     """
 
     name: str
@@ -56,6 +59,7 @@
     max_attempts: int
     sticky: bool
     home_regions: frozenset[str]
+    public: bool = False
 
     @property
     def kind(self) -> str:
@@ -113,6 +117,9 @@
     ----------
     hosts
         Routes of each host in lower case, the longest prefix first.
+    workspaces
+        Workspaces among which callers are told apart; ``None`` if they are
+        not.
     problems
         Parts of the document that are left out, or that are read in their
         strictest sense because a word is not known.
@@ -122,6 +129,7 @@
     hosts: dict[str, tuple[Route | UnusableRoute, ...]]
     services: dict[str, ServicePolicy]
     limits: CallerLimits
+    workspaces: WorkspaceTable | None = None
     problems: tuple[FieldError, ...] = ()
     _lowest_priority_by_service: dict[str, int] = field(
         init=False, compare=False
--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -77,6 +77,11 @@
         Time for the graceful shutdown, until the process is killed.
     max_cache_s
         Longest time for which callers may cache the answer of a look-up.
+    strict_revocation
+        Whether a node stops honoring keys once its copy of the configuration
+        has not been confirmed for ``revoke_ms``.
+    revoke_ms
+        Time within which a withdrawn key must stop working.
     lapse_grace_ms
         Time after an outage of the store for which a node keeps targets
         whose entries are gone. Their leases may have ended only because of
@@ -91,6 +96,8 @@
     max_region_shift: float = schema.number(0, 1, default=0.15)
     stop_s: float = schema.number(0, 600, default=6)
     max_cache_s: float = schema.number(0, 600, default=5)
+    strict_revocation: bool = schema.flag(default=False)
+    revoke_ms: float = schema.number(0, 600_000, default=5_000)
     lapse_grace_ms: float = schema.number(0, 60_000, default=2_000)
 
 
--- a/src/gentianbank/platform/documents.py
+++ b/src/gentianbank/platform/documents.py
@@ -18,6 +18,7 @@
 from gentianbank.domain.route_table import SplitPart
 from gentianbank.domain.route_table import UnusableRoute
 from gentianbank.platform import fields
+from gentianbank.platform.workspace_documents import decode_workspaces
 
 if TYPE_CHECKING:
     from gentianbank.domain.errors import FieldError
@@ -67,12 +68,14 @@
     services = _decode_services(raw_services, problems)
     hosts = _decode_hosts(raw_hosts, services, problems)
     limits = _decode_limits(document, problems)
+    workspaces = decode_workspaces(document, problems)
     return Ok(
         RouteTable(
             version=version,
             hosts=hosts,
             services=services,
             limits=limits,
+            workspaces=workspaces,
             problems=tuple(problems),
         )
     )
@@ -186,6 +189,7 @@
         max_attempts=max(1, int(raw.number('maxAttempts', 1))),
         sticky=raw.flag('sticky', default=False),
         home_regions=frozenset(raw.texts('homeRegions')),
+        public=raw.flag('public', default=False),
     )
     if raw.errors:
         return UnusableRoute(prefix)
--- a/src/gentianbank/platform/fields.py
+++ b/src/gentianbank/platform/fields.py
@@ -119,6 +119,11 @@
         self.reject(name, f'expected texts, got {show(values)}')
         return ()
 
+    def values(self, name: str) -> list[Any] | None:
+        """Return a list as it is; ``None`` if the field is no list."""
+        value = self._raw.get(name)
+        return value if isinstance(value, list) else None
+
     def nested(self, name: str) -> Fields:
         """Return a reader for the fields of a nested object."""
         return Fields(self._raw.get(name), f'{self._path}{name}.')
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -12,6 +12,7 @@
 from gentianbank.domain.request_limit import NamedLimit
 from gentianbank.domain.request_limit import NoLimit
 from gentianbank.domain.request_limit import UnreadableLimit
+from gentianbank.platform.credentials import AUTHORIZATION
 from gentianbank.policy.restart_suspicion import TargetStatus
 from gentianbank.policy.run_evidence import judge_answer
 from gentianbank.targets.http_headers import find_header
@@ -29,6 +30,7 @@
 STAMP = b'server-stamp'
 EXPECTED_TARGET = b'expect-instance'
 RETRY_AFTER = b'retry-after'
+WORKSPACE = b'tenant'
 CONTENT_ENCODING = b'content-encoding'
 _LOAD_REPORT = b'server-load'
 _TARGET_ID = b'instance-id'
@@ -49,9 +51,24 @@
     EXPECTED_TARGET,
     b'content-length',
 }
+_IDENTITY_HEADERS = frozenset((AUTHORIZATION, WORKSPACE))
 _DROPPED_FROM_ANSWER = _CONNECTION_HEADERS | {b'content-length', _LOAD_REPORT}
 
 
+@dataclass(frozen=True, slots=True)
+class CallerIdentity:
+    """What a target is told of the caller.
+
+    Parameters
+    ----------
+    workspace
+        Name of the caller's workspace; empty for none. It replaces whatever
+        name and key the caller sent.
+    """
+
+    workspace: str = ''
+
+
 @dataclass(frozen=True, slots=True)
 class BodyFraming:
     """How the body of a request is framed.
@@ -75,6 +92,7 @@
     target_id: str,
     time_left_ms: float,
     body: BodyFraming,
+    identity: CallerIdentity | None = None,
 ) -> RawHeaders:
     """Return the headers of a request to a target.
 
@@ -84,11 +102,17 @@
         Time after which the target may stop working on the request.
     body
         Framing of the body to the target.
+    identity
+        What the target is told of the caller; ``None`` without workspaces.
     """
     dropped = _REPLACED_IN_REQUEST | _headers_named_by_connection(received)
+    if identity is not None:
+        dropped |= _IDENTITY_HEADERS
     headers = [pair for pair in received if pair[0].lower() not in dropped]
     headers.append((TIME_LEFT, str(max(1, int(time_left_ms))).encode()))
     headers.append((EXPECTED_TARGET, target_id.encode()))
+    if identity is not None and identity.workspace:
+        headers.append((WORKSPACE, identity.workspace.encode()))
     if body.size_bytes is not None:
         headers.append((b'content-length', str(body.size_bytes).encode()))
     elif body.chunked:
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -15,6 +15,8 @@
 from expression import Result
 
 from gentianbank.domain.errors import StoreUnavailable
+from gentianbank.platform.credentials import without_keys
+from gentianbank.platform.documents import CONFIGURATION_KEY
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import LeaseExpired
@@ -268,7 +270,10 @@
         # Another client wrote invalid base64. An empty value fails only the
         # decoding of this entry and not of the whole listing.
         value = b''
-    return StoredValue(str(raw['key']), value, int(raw['revision']))
+    key = str(raw['key'])
+    if key == CONFIGURATION_KEY:
+        value = without_keys(value)
+    return StoredValue(key, value, int(raw['revision']))
 
 
 def _decode_event(raw: dict[str, Any]) -> StoredValue | Removal:
--- a/src/gentianbank/steering/caller_request.py
+++ b/src/gentianbank/steering/caller_request.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.route_table import Route
+    from gentianbank.domain.workspaces import Workspace
+    from gentianbank.policy.attribution import Attributed
     from gentianbank.policy.returning_callers import ReturningCallerDetector
 
 # Also assumed for callers that do not say how much time they have left.
@@ -35,6 +37,10 @@
         Time when the caller stops waiting.
     was_refused_before
         Whether the caller seems to retry a request that was refused.
+    identity
+        What targets are told of the caller; ``None`` without workspaces.
+    workspace
+        Workspace of the caller; ``None`` without one.
     """
 
     request_id: bytes
@@ -45,6 +51,20 @@
     deadline_ms: float
     caller_deadline_ms: float
     was_refused_before: bool
+    identity: wire.CallerIdentity | None = None
+    workspace: Workspace | None = None
+
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Return the regions that may serve the request; ``None`` for all.
+
+        Where both the route and the workspace have home regions, both bind.
+        """
+        homes = [self.route.home_regions]
+        if self.workspace is not None:
+            homes.append(self.workspace.home_regions)
+        limited = [regions for regions in homes if regions]
+        return frozenset.intersection(*limited) if limited else None
 
 
 def read_request(
@@ -53,6 +73,7 @@
     service: str,
     patience: ReturningCallerDetector,
     now_ms: float,
+    caller: Attributed | None = None,
 ) -> CallerRequest:
     """Build the request from its headers.
 
@@ -61,6 +82,8 @@
     patience
         Longest time that earlier callers of the route had left; a caller
         with clearly less seems to retry.
+    caller
+        Workspace of the caller; ``None`` if callers are not told apart.
     """
     patience_ms = _parse_time_left_ms(exchange.header(wire.TIME_LEFT))
     key = exchange.header(wire.OBJECT) if route.sticky else None
@@ -77,9 +100,18 @@
             patience_ms < MAX_TIME_LEFT_MS
             and patience.is_returning(patience_ms)
         ),
+        identity=_identity(caller),
+        workspace=caller.workspace if caller else None,
     )
 
 
+def _identity(caller: Attributed | None) -> wire.CallerIdentity | None:
+    if caller is None:
+        return None
+    workspace = caller.workspace
+    return wire.CallerIdentity(workspace.name if workspace else '')
+
+
 def _parse_time_left_ms(text: str | None) -> float:
     if text is None or not text.isdecimal():
         return MAX_TIME_LEFT_MS
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -69,6 +69,8 @@
         Nodes among which limits for all nodes together are divided.
     store_answered_ms
         Time when the store last answered; ``None`` before that.
+    is_store_reachable
+        Whether the last call to the store succeeded.
     peer_loads
         Requests that other nodes have in flight at targets.
     changed_loads
@@ -89,6 +91,7 @@
     generation: int = 0
     members: FleetMembers = field(default_factory=FleetMembers)
     store_answered_ms: float | None = None
+    is_store_reachable: bool = True
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
     disconnected_peers: set[str] = field(default_factory=set)
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -25,6 +25,7 @@
 
     from gentianbank.domain.route_table import Route
     from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.domain.workspaces import Workspace
     from gentianbank.policy.placement import PlacementResult
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.cluster_view import ClusterView
@@ -59,6 +60,10 @@
         Value whose hash spreads requests without an object over targets.
     was_refused_before
         Whether the caller seems to retry a request that was refused.
+    allowed_regions
+        Regions that may serve the request; ``None`` for all.
+    workspace
+        Workspace of the caller; ``None`` without one.
     """
 
     route: Route
@@ -69,6 +74,8 @@
     tried_targets: frozenset[str]
     spread_key: bytes
     was_refused_before: bool = False
+    allowed_regions: frozenset[str] | None = None
+    workspace: Workspace | None = None
 
 
 class Placer:
@@ -136,7 +143,7 @@
     def choose(self, request: PlacementRequest) -> PlacementResult:
         """Choose the target of a request.
 
-        Only the home regions of the route are used, if it has any. The
+        Only the allowed regions of the request are used, if it has any. The
         planned region comes first. Other regions follow if it has no
         target, or if it is full and few requests have overflowed lately.
         Targets of this region that name a limit may be used whatever has
@@ -157,8 +164,8 @@
             planned_region,
             *(r for r in self._regions if r != planned_region),
         ]
-        allowed_regions = request.route.home_regions
-        if allowed_regions:
+        allowed_regions = request.allowed_regions
+        if allowed_regions is not None:
             regions = [name for name in regions if name in allowed_regions]
         first_failure: PlacementResult = NoUsableTarget()
         for region in regions:
@@ -209,7 +216,7 @@
             region=self._region,
             failure_domain=self._failure_domain,
             times=self.route_times(request.route),
-            urgent=self._is_urgent(request.route, request.service),
+            urgent=self._is_urgent(request),
             was_refused_before=request.was_refused_before,
             objective_left_ms=request.objective_left_ms,
             time_left_ms=request.time_left_ms,
@@ -219,14 +226,21 @@
             return NoCapacity()
         return placement
 
-    def _is_urgent(self, route: Route, service: str) -> bool:
-        """Return whether the service has routes of lower priority.
+    def _is_urgent(self, request: PlacementRequest) -> bool:
+        """Return whether there are workspaces or routes of lower priority.
 
-        A lower priority has a larger number.
+        The priority of the workspace goes before that of the route. A lower
+        priority has a larger number.
         """
         table = self._cluster_view.table
-        lowest = table.lowest_priority(service) if table else route.priority
-        return route.priority < lowest
+        if table is None:
+            return False
+        workspace = request.workspace
+        if workspace is not None and table.workspaces is not None:
+            lowest = table.workspaces.lowest_priority
+            if workspace.priority != lowest:
+                return workspace.priority < lowest
+        return request.route.priority < table.lowest_priority(request.service)
 
     def _ranked_targets(
         self, request: PlacementRequest, region: str
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -18,6 +18,7 @@
 from gentianbank.steering.answers import AnswerWriter
 from gentianbank.steering.answers import Refusal
 from gentianbank.steering.attempt_history import AttemptHistory
+from gentianbank.steering.caller_checks import CallerChecks
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
 from gentianbank.steering.placer import PlacementRequest
@@ -80,6 +81,7 @@
         self._reporter = reporter
         self._replies = AnswerWriter(reporter, is_stopping, clock)
         self._sender = AttemptSender(placer, transport, checks, clock)
+        self._caller_checks = CallerChecks(cluster_view, bounds, clock)
         self._service_turns: dict[str, WeightedRoundRobin] = {}
         self._patience: dict[str, ReturningCallerDetector] = {}
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -89,6 +91,7 @@
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
         self._bounds = bounds
+        self._caller_checks.apply_bounds(bounds)
         for budget in self._retry_budgets.values():
             budget.apply(
                 bounds.retry_ratio,
@@ -146,6 +149,10 @@
             refusal = Refusal(400, 'the request must have one request id')
             await self._replies.send_refusal(exchange, None, refusal)
             return
+        caller = self._caller_checks.check(exchange, table, route)
+        if isinstance(caller, Refusal):
+            await self._replies.send_refusal(exchange, None, caller)
+            return
         service_turns = self._service_turns.setdefault(
             route.name, WeightedRoundRobin()
         )
@@ -153,7 +160,9 @@
         patience = self._patience.setdefault(
             route.name, ReturningCallerDetector()
         )
-        request = read_request(exchange, route, service, patience, now_ms)
+        request = read_request(
+            exchange, route, service, patience, now_ms, caller
+        )
         if _declared_bytes(exchange) > table.limits.max_body_bytes:
             refusal = Refusal(413, 'body too large')
             await self._replies.send_refusal(exchange, request, refusal)
@@ -298,6 +307,8 @@
             tried_targets=frozenset(history.targets),
             spread_key=request.request_id,
             was_refused_before=request.was_refused_before,
+            allowed_regions=request.allowed_regions,
+            workspace=request.workspace,
         )
 
     def _retry_budget(self, service: str) -> SharedRetryBudget:
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -182,6 +182,7 @@
                 target_id=target.registration.target_id,
                 time_left_ms=left_ms,
                 body=body.framing,
+                identity=request.identity,
             ),
             body=body.content(),
             max_connections=self._placer.quotas.max_connections_per_target(
--- a/src/gentianbank/steering/store_sync.py
+++ b/src/gentianbank/steering/store_sync.py
@@ -175,6 +175,7 @@
     def _on_store_answer(self) -> None:
         now_ms = self._clock()
         self._cluster_view.store_answered_ms = now_ms
+        self._cluster_view.is_store_reachable = True
         if self._down_since_ms is None:
             return
         logging.info(
@@ -187,6 +188,7 @@
     async def _on_failure(self, error: StoreUnavailable) -> None:
         if self._down_since_ms is None:
             self._down_since_ms = self._clock()
+            self._cluster_view.is_store_reachable = False
             logging.warning('store lost', extra={'cause': error.cause})
         self._retry_requested.clear()
         with contextlib.suppress(TimeoutError):
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -265,7 +265,7 @@
         loop: VirtualLoop | None = None,
         transport: ScriptedTargets | None = None,
         running_ms: float = RUNNING_MS,
-        **bounds: float,
+        **bounds: Any,
     ) -> None:
         self.vm = vm
         self.failure_domain = failure_domain
