Serve requests that are sent ahead side by side

Change: requests that may be repeated run side by side and are answered in order; one that may run only once waits until no earlier answer is owed.

--- a/src/gentianbank/dataplane/exchange.py
+++ b/src/gentianbank/dataplane/exchange.py
@@ -8,20 +8,40 @@
 from collections.abc import Callable
 from collections.abc import MutableMapping
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from gentianbank.policy.buffer_budget import Budget
     from gentianbank.targets.transport import RawHeaders
 
 ASGIMessage = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[ASGIMessage]]
 SendMessage = Callable[[ASGIMessage], Awaitable[None]]
+# Name of the ASGI extension by which the server passes a request's turn.
+TURN_EXTENSION = 'gentianbank.turn'
 
 
 class CallerDisconnectedError(Exception):
     """The caller closed the connection before the exchange ended."""
 
 
+class Turn(Protocol):
+    """Place of a request among those of its connection."""
+
+    def try_begin(self, *, runs_once: bool) -> bool:
+        """Return whether the request may be passed on now."""
+
+    async def wait_begin(self) -> bool:
+        """Wait until the request may be passed on; false if it is dropped."""
+
+    async def wait_answer(self) -> bool:
+        """Wait until its answer is next; false if it is dropped."""
+
+    def answer_budget(self, budget: Budget) -> Budget:
+        """Return the budget for the part of its answer that is held."""
+
+
 class Exchange:
     """Reads one request from a caller and writes the answer to it.
 
@@ -44,6 +64,9 @@
         self._receive = receive
         self._send = send
         self._body_read = False
+        self._turn: Turn | None = (scope.get('extensions') or {}).get(
+            TURN_EXTENSION
+        )
 
     def header(self, name: bytes) -> str | None:
         """Return the value of a header, by its lower-case name."""
@@ -83,6 +106,52 @@
             if message['type'] == 'http.disconnect':
                 return
 
+    def try_begin(self, *, runs_once: bool) -> bool:
+        """Return whether the request may be passed on to a target now.
+
+        Parameters
+        ----------
+        runs_once
+            Whether the request may run only once. If so, it waits until no
+            earlier answer is owed on its connection.
+        """
+        return self._turn is None or self._turn.try_begin(runs_once=runs_once)
+
+    async def wait_begin(self) -> None:
+        """Wait until the request may be passed on to a target.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the connection ends or closes first.
+        """
+        if self._turn is None:
+            return
+        if not await self._turn.wait_begin():
+            raise CallerDisconnectedError
+
+    async def wait_answer(self) -> None:
+        """Wait until all earlier answers on the connection are sent.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the connection ends or closes first.
+        """
+        if self._turn is None:
+            return
+        if not await self._turn.wait_answer():
+            raise CallerDisconnectedError
+
+    def answer_budget(self, budget: Budget) -> Budget:
+        """Return the budget for the part of the answer that is held.
+
+        It is smaller than the given one while an earlier answer is owed.
+        """
+        return (
+            budget if self._turn is None else self._turn.answer_budget(budget)
+        )
+
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head of the answer."""
         self.answer_started = True
--- a/src/gentianbank/dataplane/server.py
+++ b/src/gentianbank/dataplane/server.py
@@ -7,18 +7,21 @@
 from typing import TYPE_CHECKING
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from gentianbank.dataplane.pipelining import PipeliningProtocol
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterator
 
+    from gentianbank.dataplane.pipelining import AheadNode
+
 # A connection ends when its caller takes none of what was sent for so long.
 # One that reads slowly is not affected.
 STALL_TIMEOUT_MS = 15_000
 
 
-class CallerProtocol(HttpToolsProtocol):
+class CallerProtocol(PipeliningProtocol):
     """Connection of a caller, which ends when the caller stops reading."""
 
     def connection_made(  # type: ignore[override]
@@ -31,6 +34,15 @@
         )
 
 
+def caller_protocol(limits: AheadNode) -> type[CallerProtocol]:
+    """Return a protocol whose callers may send requests ahead."""
+
+    class AheadProtocol(CallerProtocol):
+        ahead = limits
+
+    return AheadProtocol
+
+
 class HttpServer(uvicorn.Server):
     """Uvicorn server that leaves signal handling to the daemon."""
 
--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -101,6 +101,29 @@
     lapse_grace_ms: float = schema.number(0, 60_000, default=2_000)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestsAhead:
+    """Limits of requests that callers send before earlier answers.
+
+    Parameters
+    ----------
+    max_per_connection
+        Requests of a connection that are in progress; 1 for one at a time.
+    max_per_node
+        Requests of all connections that are in progress while an earlier
+        answer is owed.
+    held_bytes_per_connection, held_bytes_per_node
+        Bytes of answers that wait for an earlier one.
+    """
+
+    max_per_connection: int = schema.integer(1, 1_000, default=16)
+    max_per_node: int = schema.integer(0, 100_000, default=512)
+    held_bytes_per_connection: int = schema.integer(
+        0, 1 << 30, default=1 << 20
+    )
+    held_bytes_per_node: int = schema.integer(0, 1 << 30, default=16 << 20)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SteeringSettings:
     """Settings of one node.
@@ -118,4 +141,7 @@
     addresses: SteeringAddresses = schema.nested(SteeringAddresses)
     store: SteeringStore = schema.nested(SteeringStore)
     bounds: Bounds = schema.nested(Bounds, default=Bounds())
+    ahead: RequestsAhead = schema.nested(
+        RequestsAhead, default=RequestsAhead()
+    )
     logging: Logging = schema.nested(Logging, default=Logging())
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -17,6 +17,8 @@
 from expression import Result
 import uvicorn
 
+from gentianbank.dataplane.pipelining import AheadNode
+from gentianbank.dataplane.server import caller_protocol
 from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
@@ -27,6 +29,8 @@
 from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
+from gentianbank.policy.answer_order import AheadCount
+from gentianbank.policy.buffer_budget import BufferBudget
 from gentianbank.policy.graceful_shutdown import ShutdownSchedule
 from gentianbank.steering.apps import LookupApp
 from gentianbank.steering.apps import MetricsApp
@@ -51,6 +55,7 @@
     from pathlib import Path
 
     from gentianbank.domain.errors import InvalidDocument
+    from gentianbank.domain.steering_settings import RequestsAhead
     from gentianbank.steering.apps import App
 
 # Longer than callers reuse idle connections, so that no request arrives on a
@@ -156,7 +161,9 @@
             clock=now_ms,
         )
         self._caller_server = _build_server(
-            addresses.callers, ProxyApp(self._proxy)
+            addresses.callers,
+            ProxyApp(self._proxy),
+            caller_protocol(_build_ahead_node(settings.ahead)),
         )
         readiness = ReadinessApp(self._cluster_view, self._stop.is_set)
         lookups = LookupApp(
@@ -316,14 +323,25 @@
     await SteeringNode(path, settings).run()
 
 
-def _build_server(address: str, app: App) -> HttpServer:
+def _build_ahead_node(limits: RequestsAhead) -> AheadNode:
+    return AheadNode(
+        max_per_connection=limits.max_per_connection,
+        held_bytes_per_connection=limits.held_bytes_per_connection,
+        count=AheadCount(limits.max_per_node),
+        held=BufferBudget(limits.held_bytes_per_node),
+    )
+
+
+def _build_server(
+    address: str, app: App, protocol: type[CallerProtocol] = CallerProtocol
+) -> HttpServer:
     listen = parse_address(address)
     config = uvicorn.Config(
         app,
         listen.host,
         listen.port,
         loop='asyncio',
-        http=CallerProtocol,
+        http=protocol,
         ws='none',
         lifespan='off',
         log_config=None,
--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from gentianbank.policy.buffer_budget import BufferBudget
+    from gentianbank.policy.buffer_budget import Budget
     from gentianbank.targets.transport import TargetAnswer
 
 # Bodies up to this size are read completely before they are sent on, so that
@@ -36,7 +36,7 @@
         Whether that is the whole body.
     """
 
-    def __init__(self, answer: TargetAnswer, budget: BufferBudget) -> None:
+    def __init__(self, answer: TargetAnswer, budget: Budget) -> None:
         self.size_bytes = 0
         self.is_complete = False
         self._answer = answer
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -23,6 +23,7 @@
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Delivered
+    from gentianbank.targets.transport import RawHeaders
 
 RETRY_AFTER_MIN_MS = 150.0
 RETRY_AFTER_MAX_MS = 600.0
@@ -97,18 +98,11 @@
         The server then closes the connection, by which the caller detects
         that the answer is incomplete.
         """
-        self._reporter.on_answer(request, answer.status)
-        headers = wire.for_caller(answer.headers)
-        if self._is_stopping():
-            headers.append((b'connection', b'close'))
         body = answer.body
-        length = find_header(answer.headers, b'content-length')
-        if body.is_complete:
-            length = str(body.size_bytes).encode()
-        if length is not None:
-            headers.append((b'content-length', length))
         try:
-            await exchange.start(answer.status, headers)
+            await exchange.wait_answer()
+            self._reporter.on_answer(request, answer.status)
+            await exchange.start(answer.status, self._build_headers(answer))
             if body.is_small:
                 await _write(exchange, body)
             else:
@@ -120,6 +114,17 @@
         finally:
             await body.close()
 
+    def _build_headers(self, answer: Delivered) -> RawHeaders:
+        headers = wire.for_caller(answer.headers)
+        if self._is_stopping():
+            headers.append((b'connection', b'close'))
+        length = find_header(answer.headers, b'content-length')
+        if answer.body.is_complete:
+            length = str(answer.body.size_bytes).encode()
+        if length is not None:
+            headers.append((b'content-length', length))
+        return headers
+
     async def send_refusal(
         self,
         exchange: Exchange,
@@ -133,6 +138,7 @@
         request
             The request; ``None`` if it has no route.
         """
+        await exchange.wait_answer()
         headers = [(b'content-type', b'text/plain')]
         request_id = exchange.header(wire.REQUEST_ID) or ''
         if request_id:
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -206,6 +206,8 @@
         self, exchange: Exchange, request: CallerRequest, body: RequestBody
     ) -> None:
         """Send a request to targets until one answers or no retry is left."""
+        if not await self._wait_begin(exchange, request):
+            return
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
         history = AttemptHistory()
@@ -214,6 +216,30 @@
         finally:
             await history.close()
 
+    async def _wait_begin(
+        self, exchange: Exchange, request: CallerRequest
+    ) -> bool:
+        """Wait for earlier requests of the connection; false if refused.
+
+        The wait counts against the deadline of the request, since its caller
+        waits no longer.
+        """
+        if exchange.try_begin(runs_once=not request.route.idempotent):
+            return True
+        left_ms = request.deadline_ms - self._clock()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
+                await exchange.wait_begin()
+        except TimeoutError:
+            cause = 'earlier requests of the connection took too long'
+            refusal = Refusal(503, cause, may_retry_later=True)
+            await self._replies.send_refusal(exchange, request, refusal)
+            return False
+        if self._refuses_new_requests:
+            await self._refuse_as_stopping(exchange, request)
+            return False
+        return True
+
     async def _send_with_retries(
         self,
         exchange: Exchange,
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -147,8 +147,11 @@
         )
         match await self._transport.send(target_request):
             case Result(tag='ok', ok=answer):
+                answer_body = AnswerBody(
+                    answer, exchange.answer_budget(self.read_ahead_budget)
+                )
                 return await self._read_answer(
-                    request, answer, placed, sent_ms
+                    request, answer, answer_body, placed, sent_ms
                 )
             case Result(error=NotSent(cause) as error):
                 target.on_unreachable(self._clock())
@@ -198,6 +201,7 @@
         self,
         request: CallerRequest,
         answer: TargetAnswer,
+        body: AnswerBody,
         placed: Placement,
         sent_ms: float,
     ) -> Outcome:
@@ -213,7 +217,6 @@
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
-        body = AnswerBody(answer, self.read_ahead_budget)
         unusable: Rejected | Broken | None
         unusable = await self._read_ahead(request, target, status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
