--- a/tests/dataplane/test_pipelining.py
+++ b/tests/dataplane/test_pipelining.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 import logging
+from typing import TYPE_CHECKING
 
 import pytest
 
 from gentianbank.dataplane import pipelining
-from gentianbank.dataplane.pipelining import AheadNode
 from tests.support.pipelines import ahead_node
 from tests.support.pipelines import Connection
 from tests.support.pipelines import MAX_PER_CONNECTION
@@ -16,6 +15,11 @@
 from tests.support.pipelines import ScriptedApp
 from tests.support.virtual_loop import VirtualLoop
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from gentianbank.dataplane.pipelining import AheadNode
+
 FLOOD = 20_000
 
 
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
+from typing import TYPE_CHECKING
 
 import httptools
 import uvicorn
@@ -19,7 +19,11 @@
 from gentianbank.dataplane.pipelining import PipeliningProtocol
 from gentianbank.policy.answer_order import AheadCount
 from gentianbank.policy.buffer_budget import BufferBudget
-from tests.support.virtual_loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.support.virtual_loop import VirtualLoop
 
 MAX_PER_CONNECTION = 4
 HELD_BYTES = 1 << 20
