Reduce the cost of connections with one request at a time

Change: a request that is alone begins and is answered without a wait, and the scope no longer keeps the turn in a reference cycle.

--- a/src/gentianbank/dataplane/exchange.py
+++ b/src/gentianbank/dataplane/exchange.py
@@ -35,6 +35,9 @@
     async def wait_begin(self) -> bool:
         """Wait until the request may be passed on; false if it is dropped."""
 
+    def try_answer(self) -> bool:
+        """Return whether its answer may be sent now."""
+
     async def wait_answer(self) -> bool:
         """Wait until its answer is next; false if it is dropped."""
 
@@ -138,7 +141,7 @@
         CallerDisconnectedError
             If the connection ends or closes first.
         """
-        if self._turn is None:
+        if self._turn is None or self._turn.try_answer():
             return
         if not await self._turn.wait_answer():
             raise CallerDisconnectedError
--- a/src/gentianbank/dataplane/pipelining.py
+++ b/src/gentianbank/dataplane/pipelining.py
@@ -67,7 +67,7 @@
 
     protocol: PipeliningProtocol = field(kw_only=True)
     cycle: Any = field(kw_only=True)
-    _waiters: list[asyncio.Future[None]] = field(default_factory=list)
+    _waiters: tuple[asyncio.Future[None], ...] = ()
 
     @property
     def is_dropped(self) -> bool:
@@ -76,8 +76,10 @@
 
     def try_begin(self, *, runs_once: bool) -> bool:
         """Return whether the request may be passed on now."""
-        self.protocol.order.wait(self, runs_once=runs_once)
-        self.protocol.begin_requests()
+        order = self.protocol.order
+        order.wait(self, runs_once=runs_once)
+        if not order.begin_alone(self):
+            self.protocol.begin_requests()
         return self.phase is Phase.BEGUN and not self.is_dropped
 
     async def wait_begin(self) -> bool:
@@ -86,12 +88,18 @@
             await self._wait()
         return not self.is_dropped
 
-    async def wait_answer(self) -> bool:
-        """Wait until its answer is next; false if it is dropped."""
+    def try_answer(self) -> bool:
+        """Return whether its answer may be sent now."""
         order = self.protocol.order
         order.answer(self)
-        if not order.is_turn(self):
-            self.protocol.begin_requests()
+        return order.is_turn(self) and not self.is_dropped
+
+    async def wait_answer(self) -> bool:
+        """Wait until its answer is next; false if it is dropped."""
+        if self.try_answer():
+            return True
+        # If it has not begun, it holds back those behind it no longer.
+        self.protocol.begin_requests()
         return await self.wait_first()
 
     async def wait_first(self) -> bool:
@@ -120,11 +128,11 @@
 
     async def _wait(self) -> None:
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
+        self._waiters += (waiter,)
         try:
             await waiter
         finally:
-            self._waiters.remove(waiter)
+            self._waiters = tuple(w for w in self._waiters if w is not waiter)
 
 
 class HeldFlow(FlowControl):
@@ -377,7 +385,11 @@
             # Uvicorn answers 500 or closes, which earlier answers precede.
             await self._wait_unless_started()
             raise
-        await self._wait_unless_started()
+        else:
+            await self._wait_unless_started()
+        finally:
+            # The scope is referenced by the cycle, and so by the turn.
+            turn.cycle.scope.pop('extensions', None)
 
     async def _wait_unless_started(self) -> None:
         if not self._turn.cycle.response_started:
@@ -392,9 +404,10 @@
     async def _send(self, message: ASGIMessage) -> None:
         turn = self._turn
         if message['type'] == 'http.response.start':
-            if not await turn.wait_answer():
+            if not turn.try_answer() and not await turn.wait_answer():
                 return
-            await turn.cycle.flow.drain()
+            if turn.cycle.flow.write_paused:
+                await turn.cycle.flow.drain()
             message = self._decide_close(message)
         await turn.cycle.send(message)
 
@@ -402,8 +415,9 @@
         """Let only the last answer say that the connection closes."""
         turn, order = self._turn, self._turn.protocol.order
         headers = message['headers']
-        if any(_closes(name, value) for name, value in headers):
-            turn.protocol.close_after_begun()
+        for name, value in headers:
+            if name == b'connection' and _closes(name, value):
+                turn.protocol.close_after_begun()
         if not order.is_closing:
             return message
         if order.last is turn:
--- a/src/gentianbank/policy/answer_order.py
+++ b/src/gentianbank/policy/answer_order.py
@@ -121,6 +121,13 @@
         request.runs_once = runs_once
         request.phase = Phase.WAITING
 
+    def begin_alone(self, request: Request) -> bool:
+        """Begin a waiting request if no other is owed; else return false."""
+        if len(self._owed) != 1 or self._owed[0] is not request:
+            return False
+        request.phase = Phase.BEGUN
+        return True
+
     def answer(self, request: Request) -> None:
         """Note that a request is to be answered.
 
