--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -26,6 +26,7 @@
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
 from gentianbank.steering.sending import AttemptSender
+from gentianbank.steering.sending import Broken
 from gentianbank.steering.sending import Cancelled
 from gentianbank.steering.sending import Delivered
 from gentianbank.targets.http_headers import header_values
@@ -44,6 +45,8 @@
     from gentianbank.targets.transport import TargetTransport
 
 _MS_PER_S = 1_000
+# Targets close a connection on which an answer is left unread for longer.
+MAX_UNREAD_MS = 3_000.0
 _MIN_SERVER_ERROR = 500
 
 
@@ -267,6 +270,10 @@
             )
             if _is_final(outcome):
                 assert isinstance(outcome, Delivered)
+                if body.can_be_sent and await self._asks_again(
+                    exchange, request, history, outcome
+                ):
+                    continue
                 await self._replies.send_answer(exchange, request, outcome)
                 return
             idempotent = request.route.idempotent
@@ -278,6 +285,40 @@
                 )
                 return
 
+    async def _asks_again(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        history: AttemptHistory,
+        answer: Delivered,
+    ) -> bool:
+        """Wait for the turn of an answer of which a part is not held.
+
+        Returns
+        -------
+        bool
+            Whether the answer was given up, and the request is to be sent
+            again. Only a request that may be repeated waits here.
+        """
+        if answer.body.is_complete:
+            return False
+        begin_ms = self._clock()
+        try:
+            await exchange.wait_answer()
+        except BaseException:
+            await answer.body.close()
+            raise
+        now_ms = self._clock()
+        if now_ms - begin_ms < MAX_UNREAD_MS or now_ms >= request.deadline_ms:
+            return False
+        history.record(Broken('its answer was left unread'), idempotent=True)
+        if not self._claim_retry(request, history):
+            return False
+        await answer.body.close()
+        # The target has not failed, and may be asked once more.
+        history.targets.pop()
+        return True
+
     async def _attempt(
         self,
         exchange: Exchange,
