Move the copy of the store into a package of its own

What keeps the copy of the store up to date moves to steering/store_following/, its tests likewise; nothing else changes.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -40,7 +40,7 @@
 from gentianbank.steering.reporter import Reporter
 from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.restart_checks import RestartChecks
-from gentianbank.steering.store_sync import StoreSync
+from gentianbank.steering.store_following.store_sync import StoreSync
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
 from gentianbank.telemetry.logs import open_logs
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.steering.load_gossip import LoadGossip
-from gentianbank.steering.store_catch_up import StoreCatchUp
+from gentianbank.steering.store_following.store_catch_up import StoreCatchUp
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import WebsocketPeers
 
@@ -20,7 +20,7 @@
     from gentianbank.control.peers import PeerEvent
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.cluster_view import ClusterView
-    from gentianbank.steering.store_sync import StoreSync
+    from gentianbank.steering.store_following.store_sync import StoreSync
 
 
 async def run_mesh(
--- a/src/gentianbank/steering/store_catch_up.py
+++ b/src/gentianbank/steering/store_following/store_catch_up.py
@@ -21,7 +21,7 @@
     from collections.abc import Iterable
 
     from gentianbank.control.peers import PeerConnections
-    from gentianbank.steering.store_sync import StoreSync
+    from gentianbank.steering.store_following.store_sync import StoreSync
 
 REQUEST_PERIOD_MS = 300.0
 # Longer lists of changes are split over several answers.
--- a/tests/steering/test_store_catch_up.py
+++ b/tests/steering/store_following/test_store_catch_up.py
@@ -15,9 +15,11 @@
 from gentianbank.control.messages import RequestOrReply
 from gentianbank.control.peers import PeerConnections
 from gentianbank.control.peers import PeerUnreachable
-from gentianbank.steering.store_catch_up import MAX_CHANGES_PER_ANSWER
-from gentianbank.steering.store_catch_up import StoreCatchUp
-from gentianbank.steering.store_sync import MAX_RECENT_CHANGES
+from gentianbank.steering.store_following.store_catch_up import (
+    MAX_CHANGES_PER_ANSWER,
+)
+from gentianbank.steering.store_following.store_catch_up import StoreCatchUp
+from gentianbank.steering.store_following.store_sync import MAX_RECENT_CHANGES
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.store import StoredValue
 from tests.platform.test_documents import CONFIGURATION
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -15,7 +15,7 @@
 from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.domain.steering_settings import SteeringStore
 from gentianbank.steering.cluster_view import ClusterView
-from gentianbank.steering.store_sync import StoreSync
+from gentianbank.steering.store_following.store_sync import StoreSync
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import LeaseExpired
