Let two nodes of a region read the store for the others

Each node listed the store and watched it on its own, so that the priced calls grew with the nodes. With store.followers_per_region above 0, the followers of a region of at least 8 nodes push changes and the time of their last read to the others, which read for themselves once nothing has confirmed their copy for 1,200 ms.

A state machine over nine nodes checks that no copy goes back, that each has a change within 2,500 ms and that the stated age of a copy is true; it catches five mutants.

--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -48,6 +48,10 @@
     lease_ms
         Lease of this node's entry: the store removes the entry this long
         after the node stopped renewing it.
+    followers_per_region
+        Number of nodes of each region that read the store for the others
+        if the region has at least ``MIN_REGION_NODES``; 0 if each node
+        reads for itself.
     """
 
     address: str = schema.text(schema.ADDRESS_PATTERN)
@@ -55,6 +59,7 @@
     watch_ms: int = schema.integer(100, 30_000, default=4_000)
     retry_ms: int = schema.integer(10, 60_000, default=400)
     lease_ms: int = schema.integer(1_000, 600_000, default=4_000)
+    followers_per_region: int = schema.integer(0, 10, default=0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -69,6 +69,11 @@
     return time.monotonic() * _MS_PER_S
 
 
+def boot_ms() -> float:
+    """Return the time since the VM started, also while it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
+
+
 class SteeringNode:
     """One node of the platform's interface.
 
@@ -212,7 +217,8 @@
         await self._targets.close()
 
     def _on_store_call(self, call: str, outcome: str) -> None:
-        self._metrics.record(lambda m: m.on_store_call(call, outcome))
+        role = self._sync.role
+        self._metrics.record(lambda m: m.on_store_call(call, outcome, role))
 
     def _on_idle_lost(self, address: str) -> None:
         self._restart_checks.on_idle_connection_lost(address)
@@ -226,7 +232,12 @@
         )
         try:
             await module.run_mesh(
-                self._me, self._cluster_view, self._sync, now_ms
+                self._me,
+                self._cluster_view,
+                self._sync,
+                self._settings.store.followers_per_region,
+                now_ms,
+                boot_ms,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+from gentianbank.nodes.supervision import keep_running
 from gentianbank.steering.load_gossip import LoadGossip
+from gentianbank.steering.store_following.following import StoreFollowing
 from gentianbank.steering.store_following.store_catch_up import StoreCatchUp
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import WebsocketPeers
@@ -27,7 +30,9 @@
     me: NodeRegistration,
     cluster_view: ClusterView,
     sync: StoreSync,
+    followers_per_region: int,
     clock: Callable[[], float],
+    boot_clock: Callable[[], float],
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
 
@@ -37,8 +42,13 @@
         Registration of this node.
     sync
         Replica of the store that this node holds.
+    followers_per_region
+        Number of nodes that read the store for their region; 0 if each
+        node reads for itself.
     clock
         Returns the monotonic time in milliseconds.
+    boot_clock
+        Returns the time in milliseconds, suspended time counted.
 
     Raises
     ------
@@ -55,6 +65,7 @@
         return node.peer_key.encode() if node else None
 
     def dispatch_event(event: PeerEvent) -> None:
+        following.on_event(event)
         load_gossip.on_event(event)
 
     async def answer(vm: str, message: Message) -> None:
@@ -68,6 +79,15 @@
         address_of,
         key_of,
     )
+    following = StoreFollowing(
+        me=me,
+        cluster_view=cluster_view,
+        sync=sync,
+        peers=peers,
+        followers_per_region=followers_per_region,
+        clock=clock,
+        boot_clock=boot_clock,
+    )
     load_gossip = LoadGossip(
         vm=me.vm,
         region=me.region,
@@ -75,9 +95,17 @@
         peers=peers,
         store_catch_up=StoreCatchUp(sync, peers, clock),
         clock=clock,
+        required_peers=lambda: following.followers,
     )
     await peers.start()
+    tasks = []
+    if followers_per_region:
+        work = keep_running('store following', following.run)
+        tasks.append(asyncio.create_task(work))
     try:
         await load_gossip.run()
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await peers.close()
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from gentianbank.control.peers import PeerConnections
@@ -55,6 +56,8 @@
         Handles all messages other than ``LoadUpdate``.
     clock
         Returns the monotonic time in milliseconds.
+    required_peers
+        Returns the nodes to which this node must be connected.
     """
 
     def __init__(
@@ -66,8 +69,10 @@
         peers: PeerConnections,
         store_catch_up: StoreCatchUp,
         clock: Callable[[], float],
+        required_peers: Callable[[], Collection[str]] = frozenset,
     ) -> None:
         self._vm = vm
+        self._required_peers = required_peers
         self._region = region
         self._store_catch_up = store_catch_up
         self._cluster_view = cluster_view
@@ -135,7 +140,8 @@
             logging.warning('peer is silent', extra={'peer': vm})
             self._peer_loads.remove_node(vm)
             self._peers.disconnect(vm)
-        for node in choose_peers(self._vm, nodes.values()):
+        required = self._required_peers()
+        for node in choose_peers(self._vm, nodes.values(), required):
             if node.vm not in self._connected:
                 self._peers.dial(node.vm, node.peers)
 
@@ -254,17 +260,20 @@
 
 
 def choose_peers(
-    vm: str, nodes: Iterable[NodeRegistration]
+    vm: str,
+    nodes: Iterable[NodeRegistration],
+    required: Collection[str] = (),
 ) -> list[NodeRegistration]:
     """Return the nodes to which a node opens connections.
 
     With up to ``MAX_PEERS`` other nodes, the node with the lower name of
     each pair opens the connection. With more, each node opens connections
-    to ``MAX_PEERS`` others, chosen by rendezvous hashing.
+    to ``MAX_PEERS`` others, chosen by rendezvous hashing, and to those that
+    are required.
     """
     others = {node.vm: node for node in nodes if node.vm != vm and node.peers}
     if len(others) <= MAX_PEERS:
         return [node for name, node in others.items() if vm < name]
-    return [
-        others[name] for name in rendezvous.rank_names(others, vm)[:MAX_PEERS]
-    ]
+    chosen = rendezvous.rank_names(others, vm)[:MAX_PEERS]
+    added = [name for name in required if name not in chosen]
+    return [others[name] for name in chosen + added if name in others]
--- a/src/gentianbank/steering/store_following/store_catch_up.py
+++ b/src/gentianbank/steering/store_following/store_catch_up.py
@@ -123,16 +123,11 @@
         changes = self._sync.changes_after(after_revision)
         if changes is None or not changes.events:
             return
-        events = _first_answer(changes.events)
+        events = first_answer(changes.events)
         revision = changes.revision
         if len(events) < len(changes.events):
             revision = events[-1].mod_revision
-        rows = tuple(
-            _encode(event)
-            for event in events
-            # A node makes no use of other keys, which may be of any kind.
-            if keyspace.is_used(event.key)
-        )
+        rows = encode_changes(events)
         self._peers.send(vm, StoreChanges(revision=revision, changes=rows))
 
     def _apply_answer(self, vm: str, answer: StoreChanges) -> None:
@@ -146,11 +141,11 @@
                 'revision': answer.revision,
             },
         )
-        events = tuple(_decode(change) for change in answer.changes)
+        events = tuple(decode_change(change) for change in answer.changes)
         self._sync.apply_peer_changes(Changes(events, answer.revision))
 
 
-def _first_answer(
+def first_answer(
     events: tuple[StoredValue | Removal, ...],
 ) -> tuple[StoredValue | Removal, ...]:
     """Return the first events, as many as one answer may have.
@@ -177,7 +172,20 @@
     return 0 if isinstance(event, Removal) else len(event.value)
 
 
-def _encode(event: StoredValue | Removal) -> StoreChange:
+def encode_changes(
+    events: Iterable[StoredValue | Removal],
+) -> tuple[StoreChange, ...]:
+    """Return the changes that other nodes make use of.
+
+    Other keys may be of any kind, also such as no message can have.
+    """
+    return tuple(
+        encode_change(event) for event in events if keyspace.is_used(event.key)
+    )
+
+
+def encode_change(event: StoredValue | Removal) -> StoreChange:
+    """Return a change as messages have it."""
     if isinstance(event, Removal):
         return StoreChange(
             key=event.key,
@@ -193,7 +201,8 @@
     )
 
 
-def _decode(change: StoreChange) -> StoredValue | Removal:
+def decode_change(change: StoreChange) -> StoredValue | Removal:
+    """Return the change of a message as the store has it."""
     if change.removed:
         return Removal(change.key, change.revision)
     return StoredValue(change.key, change.value, change.revision)
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -32,6 +32,7 @@
 
     from gentianbank.domain.steering_settings import SteeringStore
     from gentianbank.steering.cluster_view import ClusterView
+    from gentianbank.steering.store_following.reads import ReadObserver
     from gentianbank.storage.prefix_store import Listing
     from gentianbank.storage.prefix_store import PrefixStore
     from gentianbank.storage.store import StoredValue
@@ -87,6 +88,7 @@
         )
         # All changes after this revision are in ``_recent_changes``.
         self._recent_after_revision = 0
+        self._observer: ReadObserver | None = None
 
     @property
     def revision(self) -> int:
@@ -98,24 +100,51 @@
         """Return whether the last call to the store succeeded."""
         return self._down_since_ms is None
 
+    @property
+    def oldest_revision(self) -> int:
+        """Return the revision after which all changes are held."""
+        return self._recent_after_revision
+
+    @property
+    def role(self) -> str:
+        """Return the role in which the store is called; empty for none."""
+        return self._observer.role if self._observer else ''
+
+    def set_observer(self, observer: ReadObserver | None) -> None:
+        """Set what decides when the store is read; ``None`` for always."""
+        self._observer = observer
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         while True:
+            if self._observer:
+                await self._observer.wait_for_turn()
             if not self._revision:
                 await self._list_store()
             else:
                 await self._watch_changes()
 
     async def _list_store(self) -> None:
+        observer = self._observer
+        if observer:
+            observer.on_read_sent()
         match await self._store.list_prefix(keyspace.ALL_KEYS_PREFIX):
             case Result(tag='ok', ok=listing):
                 self._on_store_answer()
                 self._apply_listing(listing)
+                if observer:
+                    observer.on_read_answered(0.0)
             case Result(error=error):
+                if observer:
+                    observer.on_read_failed()
                 await self._on_failure(error)
 
     async def _watch_changes(self) -> None:
+        observer = self._observer
         wait_ms = self._watch_time_ms()
+        if observer:
+            wait_ms = observer.choose_wait_ms(wait_ms)
+            observer.on_read_sent()
         answer = await self._store.wait_for_changes(
             keyspace.ALL_KEYS_PREFIX, self._revision, wait_ms
         )
@@ -123,6 +152,10 @@
             case Result(tag='ok', ok=changes):
                 self._on_store_answer()
                 self._apply_changes(changes)
+                if observer:
+                    # The store answers without changes after the wait only.
+                    waited_ms = 0.0 if changes.events else float(wait_ms)
+                    observer.on_read_answered(waited_ms)
                 if changes.events:
                     # Changes often come several at a time; wait for more.
                     await asyncio.sleep(CHANGE_BATCH_S)
@@ -130,6 +163,8 @@
                 logging.info('store dropped needed history; listing again')
                 self._revision = 0
             case Result(error=StoreUnavailable() as error):
+                if observer:
+                    observer.on_read_failed()
                 await self._on_failure(error)
 
     def changes_after(self, revision: int) -> Changes | None:
@@ -151,6 +186,36 @@
         """Apply changes that a peer received from the store."""
         self._apply_changes(changes)
 
+    def apply_follower_changes(
+        self, after_revision: int, changes: Changes
+    ) -> bool:
+        """Apply changes that a follower of the store sends.
+
+        Parameters
+        ----------
+        after_revision
+            Revision after which the changes are complete.
+
+        Returns
+        -------
+        bool
+            ``False`` if changes before them are missing here, or if the
+            store must be listed first.
+        """
+        if not self._revision or after_revision > self._revision:
+            return False
+        self._apply_changes(changes)
+        return True
+
+    def on_confirmed_by_follower(self) -> None:
+        """Handle that a follower has just read the store.
+
+        This node's own calls may have failed before. What then lapsed in the
+        store gets the grace time after an outage.
+        """
+        if self._down_since_ms is not None:
+            self._end_outage()
+
     def retry_now(self) -> None:
         """End the pause after a failure and call the store at once.
 
@@ -176,8 +241,13 @@
         now_ms = self._clock()
         self._cluster_view.store_answered_ms = now_ms
         self._cluster_view.is_store_reachable = True
-        if self._down_since_ms is None:
-            return
+        if self._down_since_ms is not None:
+            self._end_outage()
+
+    def _end_outage(self) -> None:
+        assert self._down_since_ms is not None
+        now_ms = self._clock()
+        self._cluster_view.is_store_reachable = True
         logging.info(
             'store answers again',
             extra={'down_ms': round(now_ms - self._down_since_ms)},
@@ -186,7 +256,9 @@
         self._recovered_ms = now_ms
 
     async def _on_failure(self, error: StoreUnavailable) -> None:
-        if self._down_since_ms is None:
+        is_passive = self._observer is not None and self._observer.is_passive
+        # A copy that others confirm stays current without this call.
+        if self._down_since_ms is None and not is_passive:
             self._down_since_ms = self._clock()
             self._cluster_view.is_store_reachable = False
             logging.warning('store lost', extra={'cause': error.cause})
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -101,9 +101,18 @@
         labels = {'service': service, 'outcome': outcome}
         self._attempts.record(took_ms, labels)
 
-    def on_store_call(self, call: str, outcome: str) -> None:
-        """Count a call to the store."""
-        self._store_calls.add(1, {'call': call, 'outcome': outcome})
+    def on_store_call(self, call: str, outcome: str, role: str) -> None:
+        """Count a call to the store.
+
+        Parameters
+        ----------
+        role
+            Role of the node at the store; empty if its region has none.
+        """
+        labels = {'call': call, 'outcome': outcome}
+        if role:
+            labels['role'] = role
+        self._store_calls.add(1, labels)
 
     def on_status_check(self, outcome: str) -> None:
         """Count a status check of a target."""
--- /dev/null
+++ b/tests/steering/store_following/test_machine.py
@@ -0,0 +1,241 @@
+"""Model test: copies of the store under faults of followers and links.
+
+The tests named ``test_mutant_...`` break a mechanism and check that the
+machine then fails.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+from typing import TYPE_CHECKING
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from gentianbank.policy import follower_trust
+from gentianbank.policy import store_followers
+from gentianbank.steering.store_following import following
+from gentianbank.steering.store_following.store_sync import StoreSync
+from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import Removal
+from tests.support.machines import check_machine
+from tests.support.machines import check_mutant
+from tests.support.store_fleet import StoreFleet
+
+if TYPE_CHECKING:
+    import pytest
+
+NODES = 9
+EXAMPLES = 40
+MUTANT_EXAMPLES = 400
+STEPS = 25
+OCCURRED: Counter[str] = Counter()
+REQUIRED = (
+    'change',
+    'burst',
+    'compact',
+    'kill',
+    'kill all followers',
+    'freeze',
+    'freeze all followers',
+    'refuse',
+    'silent',
+    'slow',
+    'store out',
+    'stall',
+    'stall all of a node',
+)
+
+vms = st.sampled_from([f'vm-{number}' for number in range(NODES)])
+domains = st.sampled_from(('east-1', 'east-2', 'east-3'))
+
+
+class Copies(RuleBasedStateMachine):
+    """Each copy stays true and in time whatever fails."""
+
+    @initialize()
+    def start(self) -> None:
+        self.fleet = StoreFleet(NODES)
+
+    def teardown(self) -> None:
+        if hasattr(self, 'fleet'):
+            self.fleet.loop.end()
+
+    @rule(domain=domains, seconds=st.sampled_from((0.0, 0.2, 0.5)))
+    def change(self, domain: str, seconds: float) -> None:
+        self._toggle(domain)
+        self.fleet.advance(seconds)
+        OCCURRED['change'] += 1
+
+    @rule(count=st.integers(2, 30))
+    def burst(self, count: int) -> None:
+        for number in range(count):
+            self._toggle(f'east-{number % 3}')
+            if number % 5 == 0:
+                self.fleet.advance(0.1)
+        OCCURRED['burst'] += 1
+
+    @rule()
+    def compact(self) -> None:
+        self.fleet.log.compact()
+        OCCURRED['compact'] += 1
+
+    @rule(seconds=st.sampled_from((0.1, 0.9, 1.5, 3.0, 6.0)))
+    def advance(self, seconds: float) -> None:
+        self.fleet.advance(seconds)
+
+    @rule(vm=vms)
+    def kill(self, vm: str) -> None:
+        self.fleet.kill(vm)
+        OCCURRED['kill'] += 1
+
+    @rule()
+    def start_killed(self) -> None:
+        for vm, node in self.fleet.nodes.items():
+            if not node.is_alive:
+                self.fleet.start(vm)
+                return
+
+    @rule(fault=st.sampled_from(('kill', 'freeze', 'refuse', 'silent')))
+    def fail_all_followers(self, fault: str) -> None:
+        for vm in self.fleet.followers:
+            match fault:
+                case 'kill':
+                    self.fleet.kill(vm)
+                case 'freeze':
+                    self.fleet.freeze(vm)
+                case _:
+                    self.fleet.nodes[vm].store.fault = fault
+            OCCURRED[f'{fault} all followers'] += 1
+
+    @rule(vm=vms)
+    def freeze(self, vm: str) -> None:
+        self.fleet.freeze(vm)
+        OCCURRED['freeze'] += 1
+
+    @rule()
+    def thaw_all(self) -> None:
+        for vm in self.fleet.nodes:
+            self.fleet.thaw(vm)
+
+    @rule(vm=vms, fault=st.sampled_from(('refuse', 'silent')))
+    def refuse(self, vm: str, fault: str) -> None:
+        self.fleet.nodes[vm].store.fault = fault
+        OCCURRED[fault] += 1
+
+    @rule(seconds=st.sampled_from((0.5, 3.0)))
+    def store_out(self, seconds: float) -> None:
+        for node in self.fleet.nodes.values():
+            node.store.fault = 'refuse'
+        self.fleet.advance(seconds)
+        self.mend_store()
+        OCCURRED['store out'] += 1
+
+    @rule()
+    def mend_store(self) -> None:
+        for node in self.fleet.nodes.values():
+            node.store.fault = ''
+
+    @rule(follower=st.integers(0, 1), delay_s=st.sampled_from((0.3, 0.6)))
+    def slow(self, follower: int, delay_s: float) -> None:
+        names = self.fleet.followers
+        if names:
+            vm = names[follower % len(names)]
+            self.fleet.nodes[vm].store.delay_s = delay_s
+            OCCURRED['slow'] += 1
+
+    @rule(first=vms, second=vms)
+    def stall(self, first: str, second: str) -> None:
+        self.fleet.stall_link(first, second)
+        OCCURRED['stall'] += 1
+
+    @rule(vm=vms)
+    def stall_all_of_a_node(self, vm: str) -> None:
+        for other in self.fleet.nodes:
+            self.fleet.stall_link(vm, other)
+        OCCURRED['stall all of a node'] += 1
+
+    @rule()
+    def mend_links(self) -> None:
+        self.fleet.mend_links()
+
+    def _toggle(self, domain: str) -> None:
+        key = f'op/evacuate/{domain}'
+        if key in self.fleet.log.values:
+            self.fleet.log.remove(key)
+        else:
+            self.fleet.log.write(key, b'{}')
+
+
+def test_copies_stay_true_and_in_time() -> None:
+    check_machine(Copies, OCCURRED, REQUIRED, EXAMPLES, STEPS)
+
+
+def catch(match: str) -> None:
+    check_mutant(Copies, match, MUTANT_EXAMPLES, STEPS)
+
+
+def test_mutant_whose_copy_goes_back_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def apply_all(self: Any, changes: Changes) -> None:
+        for event in changes.events:
+            self._record_change(event)
+            if isinstance(event, Removal):
+                self._apply_removal(event)
+            else:
+                self._apply_value(event, first=False)
+        self._revision = changes.revision
+
+    monkeypatch.setattr(StoreSync, '_apply_changes', apply_all)
+    catch('copy went back|copy differs')
+
+
+def test_mutant_that_trusts_a_follower_past_its_time_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_followers, 'FRESH_MS', 6_000.0)
+    monkeypatch.setattr(following, 'FRESH_MS', 6_000.0)
+    catch('change late')
+
+
+def test_mutant_that_skips_a_gap_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def apply(self: Any, after_revision: int, changes: Changes) -> bool:
+        if self._revision:
+            self._apply_changes(changes)
+        return bool(self._revision)
+
+    monkeypatch.setattr(StoreSync, 'apply_follower_changes', apply)
+    catch('copy differs|age of the copy')
+
+
+def test_mutant_that_takes_held_up_messages_for_new_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def add(self: Any, sent_ms: float, received_ms: float) -> None:
+        self._current_ms = received_ms - sent_ms
+        self._messages += 1
+
+    monkeypatch.setattr(follower_trust.ClockOffset, 'add', add)
+    catch('age of the copy')
+
+
+def test_mutant_that_vouches_for_answers_of_before_a_freeze_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def on_read_answered(self: Any, waited_ms: float) -> None:
+        self._is_reachable = True
+        self._own_confirmed_ms = self._boot_clock()
+        self._on_confirmed(self._own_confirmed_ms)
+        if self._role is store_followers.StoreRole.FOLLOWER:
+            self._push()
+
+    monkeypatch.setattr(
+        following.StoreFollowing, 'on_read_answered', on_read_answered
+    )
+    catch('age of the copy')
