--- a/tests/control/test_messages.py
+++ b/tests/control/test_messages.py
@@ -12,6 +12,7 @@
 from gentianbank.control.messages import MESSAGE_TYPE_BY_KIND
 import gentianbank.steering.load_update
 import gentianbank.steering.store_following.catch_up
+import gentianbank.steering.store_following.messages
 import gentianbank.transport.handshake
 from tests.support.machines import machine_settings
 
@@ -21,6 +22,7 @@
 REGISTERING_MODULES = (
     gentianbank.steering.load_update,
     gentianbank.steering.store_following.catch_up,
+    gentianbank.steering.store_following.messages,
     gentianbank.transport.handshake,
 )
 JUNK = (
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -143,6 +143,14 @@
     assert len(choose_peers('vm-7', nodes)) == MAX_PEERS
 
 
+def test_required_peers_are_dialled_in_a_large_fleet_too() -> None:
+    nodes = [entry(f'vm-{number}') for number in range(300)]
+    usual = {node.vm for node in choose_peers('vm-7', nodes)}
+    required = {'vm-7', next(n.vm for n in nodes if n.vm not in usual)}
+    chosen = {node.vm for node in choose_peers('vm-7', nodes, required)}
+    assert chosen == usual | required - {'vm-7'}
+
+
 def test_disconnected_peer_is_lost_until_it_reconnects() -> None:
     hub = Hub('vm-1', 'vm-2')
     first = hub.nodes['vm-1']
