--- a/tests/processes/test_requests_ahead.py
+++ b/tests/processes/test_requests_ahead.py
@@ -7,10 +7,13 @@
 from dataclasses import dataclass
 import json
 import signal
+import socket
 from typing import TYPE_CHECKING
 
 from gentianbank_standins.soak.world import HOST
 from gentianbank_standins.soak.world import SoakWorld
+from tests.processes.test_endless_answers import peak_memory_mb
+from tests.processes.test_endless_answers import VM_MEMORY_MB
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -23,6 +26,11 @@
 SLOW_FACTOR = 10.0
 POLL_S = 0.01
 _STATUS_INDEX = 1
+# Requests and answers are more than the sockets of both sides can buffer.
+FLOOD_REQUESTS = 150_000
+FLOODING_CALLERS = 8
+FLOOD_S = 4.0
+BUFFER_BYTES = 4_096
 
 
 @dataclass(frozen=True)
@@ -34,6 +42,18 @@
     closes: bool
 
 
+def request(path: str, name: str) -> bytes:
+    """Return the bytes of a request."""
+    lines = (
+        f'GET {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Request-Id: {name}',
+        f'Affinity-Key: {path}',
+        'Deadline-Ms: 4000',
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
 class Caller:
     """A connection on which requests are sent ahead."""
 
@@ -47,14 +67,7 @@
         """Send requests at once; their ids begin with the route."""
         for number, name in enumerate(names):
             route = name.partition('-')[0]
-            lines = (
-                f'GET /{route}/{number} HTTP/1.1',
-                f'Host: {HOST}',
-                f'Request-Id: {name}',
-                f'Affinity-Key: {number}',
-                'Deadline-Ms: 4000',
-            )
-            self.writer.write('\r\n'.join((*lines, '', '')).encode())
+            self.writer.write(request(f'/{route}/{number}', name))
 
     async def read_answer(self) -> Answer | None:
         """Read one answer; ``None`` at the end of the connection."""
@@ -89,6 +102,21 @@
         await world.stop()
 
 
+async def flood(address: str) -> asyncio.StreamWriter:
+    """Send requests that are answered 404, and read no answer."""
+    host, _, port = address.rpartition(':')
+    connection = socket.socket()
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        connection.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (host, int(port)))
+    # The limit stops the reading of answers early.
+    _, writer = await asyncio.open_connection(sock=connection, limit=1)
+    writer.write(request('/missing/1', 'missing') * FLOOD_REQUESTS)
+    return writer
+
+
 async def watch_running(world: SoakWorld) -> int:
     """Return the most requests that ran at once, until it is cancelled."""
     most = 0
@@ -159,6 +187,27 @@
     asyncio.run(test())
 
 
+def test_callers_that_read_no_answer_leave_the_node_its_memory(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with play(tmp_path) as (world, caller):
+            (node,) = world.nodes
+            flooding = [
+                await flood(node.callers) for _ in range(FLOODING_CALLERS)
+            ]
+            await asyncio.sleep(FLOOD_S)
+            caller.send('read-ordinary')
+            assert await caller.read_answer() is not None
+            assert peak_memory_mb(node) < VM_MEMORY_MB
+            for writer in flooding:
+                # The node has not read all of it.
+                assert writer.transport.get_write_buffer_size()
+                writer.transport.abort()
+
+    asyncio.run(test())
+
+
 def test_caller_that_leaves_ends_all_of_its_requests(tmp_path: Path) -> None:
     async def test() -> None:
         reads = [f'read-{number}' for number in range(READS)]
