--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -8,6 +8,8 @@
 
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.fleet_members import MEMORY_MS
+from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
 from tests.support.store_copy import Copy
@@ -220,3 +222,29 @@
     assert 'vm-2' in members
     members.forget_departed(copy.loop.now_ms() + MEMORY_MS)
     assert 'vm-2' not in members
+
+
+def test_changes_of_a_follower_after_a_gap_are_not_applied(
+    copy: Copy,
+) -> None:
+    held = copy.sync.revision
+    gone = Changes((Removal('servers/i-1', held + 2),), held + 2)
+    assert not copy.sync.apply_follower_changes(held + 1, gone)
+    assert copy.targets == {'i-1', 'i-2'}
+    assert copy.sync.revision == held
+    assert copy.sync.apply_follower_changes(held, gone)
+    assert copy.targets == {'i-2'}
+
+
+def test_confirmation_of_a_follower_ends_an_outage_with_grace_time(
+    copy: Copy,
+) -> None:
+    copy.store.set_fault('refuse')
+    copy.wait(6)
+    assert not copy.cluster_view.is_store_reachable
+    copy.sync.on_confirmed_by_follower()
+    held = copy.sync.revision
+    gone = Changes((Removal('servers/i-1', held + 1),), held + 1)
+    copy.sync.apply_follower_changes(held, gone)
+    assert copy.cluster_view.is_store_reachable
+    assert copy.cluster_view.targets['i-1'].is_unconfirmed
