--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -82,6 +82,10 @@
         has not been confirmed for ``revoke_ms``.
     revoke_ms
         Time within which a withdrawn key must stop working.
+    cap_window_s, cap_overage, cap_slack
+        Limit on the requests of a workspace with a usage cap, of all nodes
+        together in any window: rate times window plus burst, exceeded by at
+        most this part and these requests.
     lapse_grace_ms
         Time after an outage of the store for which a node keeps targets
         whose entries are gone. Their leases may have ended only because of
@@ -98,6 +102,9 @@
     max_cache_s: float = schema.number(0, 600, default=5)
     strict_revocation: bool = schema.flag(default=False)
     revoke_ms: float = schema.number(0, 600_000, default=5_000)
+    cap_window_s: float = schema.number(0.1, 600, default=5)
+    cap_overage: float = schema.number(0, 10, default=0.1)
+    cap_slack: float = schema.number(0, 1e6, default=20)
     lapse_grace_ms: float = schema.number(0, 60_000, default=2_000)
 
 
@@ -109,6 +116,9 @@
     ----------
     regions
         Region of each failure domain, by failure domain.
+    first_start
+        Whether the whole system starts for the first time, so that usage
+        caps start with their bursts unused.
     """
 
     vm: str = schema.text()
@@ -119,3 +129,4 @@
     store: SteeringStore = schema.nested(SteeringStore)
     bounds: Bounds = schema.nested(Bounds, default=Bounds())
     logging: Logging = schema.nested(Logging, default=Logging())
+    first_start: bool = schema.flag(default=False)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -41,6 +41,8 @@
 from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.restart_checks import RestartChecks
 from gentianbank.steering.store_sync import StoreSync
+from gentianbank.steering.usage_caps.admission import UsageCaps
+from gentianbank.steering.usage_caps.view import boot_ms
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
 from gentianbank.telemetry.logs import open_logs
@@ -144,6 +146,15 @@
             on_check=self._on_status_check,
             clock=now_ms,
         )
+        self._usage_caps = UsageCaps(
+            vm=settings.vm,
+            cluster_view=self._cluster_view,
+            quotas=self._placer.quotas,
+            bounds=bounds,
+            is_first_start=settings.first_start,
+            clock=now_ms,
+            boot_clock=boot_ms,
+        )
         self._proxy = Proxy(
             cluster_view=self._cluster_view,
             placer=self._placer,
@@ -154,6 +165,7 @@
             is_stopping=self._stop.is_set,
             started_ms=started_ms,
             clock=now_ms,
+            usage_caps=self._usage_caps,
         )
         self._caller_server = _build_server(
             addresses.callers, ProxyApp(self._proxy)
@@ -208,6 +220,7 @@
         for task in tasks[len(self._servers) :]:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._usage_caps.close()
         await self._restart_checks.close()
         await self._targets.close()
 
@@ -226,7 +239,11 @@
         )
         try:
             await module.run_mesh(
-                self._me, self._cluster_view, self._sync, now_ms
+                self._me,
+                self._cluster_view,
+                self._sync,
+                self._usage_caps,
+                now_ms,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
@@ -275,6 +292,7 @@
         a part of the grace period and then refuses new ones.
         """
         logging.info('node leaves')
+        self._usage_caps.leave()
         leaving = asyncio.create_task(self._membership.unregister())
         plan = ShutdownSchedule(
             now_ms(), self._settings.bounds.stop_s * _MS_PER_S
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -21,12 +21,14 @@
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.store_sync import StoreSync
+    from gentianbank.steering.usage_caps.admission import UsageCaps
 
 
 async def run_mesh(
     me: NodeRegistration,
     cluster_view: ClusterView,
     sync: StoreSync,
+    usage_caps: UsageCaps,
     clock: Callable[[], float],
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
@@ -55,7 +57,8 @@
         return node.peer_key.encode() if node else None
 
     def dispatch_event(event: PeerEvent) -> None:
-        load_gossip.on_event(event)
+        if not usage_caps.on_event(event):
+            load_gossip.on_event(event)
 
     async def answer(vm: str, message: Message) -> None:
         """Ignore requests: nodes on the platform only exchange events."""
@@ -75,7 +78,9 @@
         peers=peers,
         store_catch_up=StoreCatchUp(sync, peers, clock),
         clock=clock,
+        on_tick=usage_caps.start_if_needed,
     )
+    usage_caps.attach(peers)
     await peers.start()
     try:
         await load_gossip.run()
--- /dev/null
+++ b/src/gentianbank/policy/usage_caps/__init__.py
@@ -0,0 +1,1 @@
+"""Usage caps of workspaces over all nodes: decisions without a network."""
--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
     from gentianbank.policy.placement import PlacementResult
     from gentianbank.steering.answer_body import AnswerBody
     from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.limit_detail import LimitDetail
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.sending import Delivered
 
@@ -50,6 +52,10 @@
     closes_connection
         Whether the connection ends, since the rest of the request's body is
         not read.
+    retry_after_ms
+        Time after which the caller may retry; ``None`` for a random one.
+    limit
+        The workspace's limit for which the request is refused, if any.
     """
 
     status: int
@@ -59,6 +65,8 @@
     evidence: RunEvidence = RunEvidence.NEVER_SENT
     placement: PlacementResult | None = None
     closes_connection: bool = False
+    retry_after_ms: float | None = None
+    limit: LimitDetail | None = None
 
     def __post_init__(self) -> None:
         check_promise(self.status, self.evidence)
@@ -139,7 +147,7 @@
             headers.append((wire.REQUEST_ID, request_id.encode('latin-1')))
         if refusal.may_retry_later:
             headers.append(
-                (wire.RETRY_AFTER, self._retry_after_value(request))
+                (wire.RETRY_AFTER, self._retry_after_value(request, refusal))
             )
         if self._is_stopping() or refusal.closes_connection:
             headers.append((b'connection', b'close'))
@@ -151,10 +159,17 @@
             attempts=refusal.attempts,
             evidence=refusal.evidence,
             placement=refusal.placement,
+            limit=refusal.limit,
         )
         await exchange.answer(refusal.status, headers, refusal.cause.encode())
 
-    def _retry_after_value(self, request: CallerRequest | None) -> bytes:
+    def _retry_after_value(
+        self, request: CallerRequest | None, refusal: Refusal
+    ) -> bytes:
+        if refusal.retry_after_ms is not None:
+            wait_s = refusal.retry_after_ms / _MS_PER_S
+            # Rounded up, since a caller that is early is refused again.
+            return f'{math.ceil(wait_s * _MS_PER_S) / _MS_PER_S:.3f}'.encode()
         wait_ms = random.uniform(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
         if request is not None:
             left_ms = request.caller_deadline_ms - self._clock()
--- a/src/gentianbank/steering/attempt_history.py
+++ b/src/gentianbank/steering/attempt_history.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from gentianbank.policy.placement import PlacementResult
+    from gentianbank.policy.usage_caps.account import Token
     from gentianbank.steering.sending import Outcome
 
 # After this many failed connections a request is not retried.
@@ -37,6 +38,8 @@
         Failures that targets answered with, the latest last.
     placement
         Result of the latest choice of a target.
+    cap_token
+        Token of the workspace's usage cap; ``None`` without a cap.
     """
 
     targets: list[str] = field(default_factory=list)
@@ -45,6 +48,7 @@
     may_have_run: bool = False
     failed_answers: list[Delivered] = field(default_factory=list)
     placement: PlacementResult | None = None
+    cap_token: Token | None = None
 
     @property
     def evidence(self) -> RunEvidence:
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -53,6 +53,8 @@
         Handles all messages other than ``LoadUpdate``.
     clock
         Returns the monotonic time in milliseconds.
+    on_tick
+        Called with each tick.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         peers: PeerConnections,
         store_catch_up: StoreCatchUp,
         clock: Callable[[], float],
+        on_tick: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_tick = on_tick
         self._vm = vm
         self._region = region
         self._store_catch_up = store_catch_up
@@ -98,6 +102,7 @@
             self._keep_connections(now_ms)
         self._send_changes(now_ms)
         self._store_catch_up.tick(self._connected)
+        self._on_tick()
 
     def on_event(self, event: PeerEvent) -> None:
         """Handle an event of a connection.
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -41,6 +41,7 @@
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.restart_checks import RestartChecks
     from gentianbank.steering.sending import Outcome
+    from gentianbank.steering.usage_caps.admission import UsageCaps
     from gentianbank.targets.transport import TargetTransport
 
 _MS_PER_S = 1_000
@@ -58,6 +59,8 @@
         Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
+    usage_caps
+        Admits requests of workspaces with a cap; ``None`` to admit all.
     """
 
     def __init__(
@@ -72,7 +75,9 @@
         is_stopping: Callable[[], bool],
         started_ms: float,
         clock: Callable[[], float],
+        usage_caps: UsageCaps | None = None,
     ) -> None:
+        self._usage_caps = usage_caps
         self._cluster_view = cluster_view
         self._started_ms = started_ms
         self._placer = placer
@@ -209,6 +214,12 @@
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
         history = AttemptHistory()
+        if self._usage_caps is not None:
+            admitted = await self._usage_caps.admit(request)
+            if isinstance(admitted, Refusal):
+                await self._replies.send_refusal(exchange, request, admitted)
+                return
+            history.cap_token = admitted
         try:
             await self._send_with_retries(exchange, request, body, history)
         finally:
@@ -344,6 +355,8 @@
         status = 502
         if not history.may_have_run:
             status = 503
+            if self._usage_caps is not None and history.cap_token is not None:
+                self._usage_caps.give_back(history.cap_token)
         elif self._clock() >= request.deadline_ms:
             status = 504
         refusal = Refusal(
--- a/src/gentianbank/steering/reporter.py
+++ b/src/gentianbank/steering/reporter.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.policy.placement import NoCapacity
+from gentianbank.steering.limit_detail import LimitDetail
 from gentianbank.steering.request_log import AnswerEndedEarly
 from gentianbank.steering.request_log import AttemptFailed
 from gentianbank.steering.request_log import FailurePassedOn
@@ -122,6 +123,7 @@
         attempts: int,
         evidence: RunEvidence,
         placement: PlacementResult | None,
+        limit: LimitDetail | None,
     ) -> None:
         """Report that the node refused a request.
 
@@ -133,8 +135,11 @@
             What is known about whether the request has run.
         placement
             Result of the latest choice of a target.
+        limit
+            The workspace's limit for which it was refused, if any.
         """
         held_ms = self._clock() - request.received_ms if request else 0.0
+        limit = limit or LimitDetail()
         busy = placement.busy if isinstance(placement, NoCapacity) else ()
         self._log.write(
             RequestRefused(
@@ -151,6 +156,11 @@
                     f'{target.target_id}:{target.occupancy:.1f}'
                     for target in busy
                 ),
+                rule=limit.rule,
+                workspace=limit.workspace,
+                share_per_s=limit.share_per_s,
+                use_per_s=limit.use_per_s,
+                data_age_ms=limit.data_age_ms,
             )
         )
         self._record_final_answer(request, f'refused {status}', held_ms)
--- a/src/gentianbank/steering/request_log.py
+++ b/src/gentianbank/steering/request_log.py
@@ -122,6 +122,9 @@
         Time since the store last answered; ``None`` if it never has.
     busy
         Targets that were full, each with its estimated number of requests.
+    rule, workspace, share_per_s, use_per_s, data_age_ms
+        The limit for which the request was refused, see
+        :class:`limit_detail.LimitDetail`; empty for none.
     """
 
     message = 'request refused'
@@ -134,6 +137,11 @@
     version: int
     store_age_ms: int | None
     busy: str
+    rule: str = ''
+    workspace: str = ''
+    share_per_s: float = 0.0
+    use_per_s: float = 0.0
+    data_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/gentianbank/steering/usage_caps/__init__.py
@@ -0,0 +1,1 @@
+"""Usage caps of workspaces: messages between nodes, and admission."""
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -29,6 +29,7 @@
 from gentianbank.steering.reporter import Reporter
 from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.restart_checks import RestartChecks
+from gentianbank.steering.usage_caps.admission import UsageCaps
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
@@ -265,6 +266,7 @@
         loop: VirtualLoop | None = None,
         transport: ScriptedTargets | None = None,
         running_ms: float = RUNNING_MS,
+        first_start: bool = False,
         **bounds: Any,
     ) -> None:
         self.vm = vm
@@ -303,6 +305,15 @@
             on_check=self.check_outcomes.append,
             clock=self.loop.now_ms,
         )
+        self.usage_caps = UsageCaps(
+            vm=vm,
+            cluster_view=self.cluster_view,
+            quotas=self.placer.quotas,
+            bounds=settings,
+            is_first_start=first_start,
+            clock=self.loop.now_ms,
+            boot_clock=self.loop.now_ms,
+        )
         self.proxy = Proxy(
             cluster_view=self.cluster_view,
             placer=self.placer,
@@ -313,6 +324,7 @@
             is_stopping=lambda: self.stopping,
             started_ms=started_ms,
             clock=self.loop.now_ms,
+            usage_caps=self.usage_caps,
         )
         for number in range(1, targets + 1):
             self.put_target(f'desk-{number}')
