--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -24,6 +24,7 @@
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.store_following.store_sync import StoreSync
+    from gentianbank.steering.usage_caps.admission import UsageCaps
 
 
 async def run_mesh(
@@ -31,6 +32,7 @@
     cluster_view: ClusterView,
     sync: StoreSync,
     followers_per_region: int,
+    usage_caps: UsageCaps,
     clock: Callable[[], float],
     boot_clock: Callable[[], float],
 ) -> None:
@@ -66,7 +68,8 @@
 
     def dispatch_event(event: PeerEvent) -> None:
         following.on_event(event)
-        load_gossip.on_event(event)
+        if not usage_caps.on_event(event):
+            load_gossip.on_event(event)
 
     async def answer(vm: str, message: Message) -> None:
         """Ignore requests: nodes on the platform only exchange events."""
@@ -96,7 +99,9 @@
         store_catch_up=StoreCatchUp(sync, peers, clock),
         clock=clock,
         required_peers=lambda: following.followers,
+        on_tick=usage_caps.start_if_needed,
     )
+    usage_caps.attach(peers)
     await peers.start()
     tasks = []
     if followers_per_region:
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -56,6 +56,8 @@
         Returns the monotonic time in milliseconds.
     required_peers
         Returns the nodes to which this node must be connected.
+    on_tick
+        Called with each tick.
     """
 
     def __init__(
@@ -68,7 +70,9 @@
         store_catch_up: StoreCatchUp,
         clock: Callable[[], float],
         required_peers: Callable[[], Collection[str]] = frozenset,
+        on_tick: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_tick = on_tick
         self._vm = vm
         self._required_peers = required_peers
         self._region = region
@@ -103,6 +107,7 @@
             self._keep_connections(now_ms)
         self._send_changes(now_ms)
         self._store_catch_up.tick(self._connected)
+        self._on_tick()
 
     def on_event(self, event: PeerEvent) -> None:
         """Handle an event of a connection.
