--- a/src/gentianbank/policy/fair_shares/room.py
+++ b/src/gentianbank/policy/fair_shares/room.py
@@ -16,8 +16,11 @@
 FULL_REFUSED_FRACTION = 0.005
 # Slots in use of all targets. Below the first value refusals come from
 # objects whose own targets are full; below the second there is room again.
+# A node that ends its shares too early takes what the others leave, so that
+# takes two windows.
 SHORT_LOAD = 0.85
 ROOM_LOAD = 0.7
+ROOM_WINDOWS = 2
 # Shares end this long after the last observation that the service is short.
 HOLD_MS = 5_000.0
 # Slots in use, waiting requests included, up to which the assumed room grows.
@@ -74,6 +77,7 @@
     """
 
     room_per_s: float | None = None
+    _low_windows: int = 0
     _short_ms: float = float('-inf')
     _stepped_ms: float = float('-inf')
 
@@ -95,12 +99,13 @@
             self._short_ms = now_ms
         span_s = (now_ms - self._stepped_ms) / _MS_PER_S
         self._stepped_ms = now_ms
-        if not self.is_short(now_ms) or load < ROOM_LOAD:
+        self._low_windows = self._low_windows + 1 if load < ROOM_LOAD else 0
+        if not self.is_short(now_ms) or self._low_windows >= ROOM_WINDOWS:
             self.room_per_s = None
             return
         fraction = _refused_fraction(fleet)
         if self.room_per_s is None:
-            if fraction >= SHORT_REFUSED_FRACTION:
+            if fraction >= FULL_REFUSED_FRACTION and load >= ROOM_LOAD:
                 self.room_per_s = fleet.answered_per_s
         elif fraction >= FULL_REFUSED_FRACTION:
             room_per_s = FULL_ROOM_PART * fleet.answered_per_s
