Let a few requests wait for a slot at the node

Shares keep the load near the room, so the queue is kept: bounded in count and in time, only for requests that can still meet their objective, and only with workspaces.

--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -21,6 +21,7 @@
 from gentianbank.steering.caller_checks import CallerChecks
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
+from gentianbank.steering.fair_shares.waiting_requests import WaitingRequests
 from gentianbank.steering.placer import PlacementRequest
 from gentianbank.steering.request_body import BodyTooLargeError
 from gentianbank.steering.request_body import read_body
@@ -79,6 +80,7 @@
         self._started_ms = started_ms
         self._placer = placer
         self._fair_shares = fair_shares
+        self._waiting = WaitingRequests(cluster_view, placer, clock)
         self._bounds = bounds
         self._clock = clock
         self._reporter = reporter
@@ -234,6 +236,10 @@
                 self._placement_request(request, history)
             )
             history.placement = placement
+            if isinstance(
+                placement, NoCapacity
+            ) and await self._waiting.wait_for_room(request, placement):
+                continue
             if now_ms >= request.deadline_ms or not isinstance(
                 placement, Placement
             ):
@@ -277,6 +283,10 @@
         except asyncio.CancelledError:
             report(Cancelled(), final=False)
             raise
+        finally:
+            self._waiting.on_attempt_ended(
+                request.service, placed.target.registration.target_id
+            )
         report(outcome, final=_is_final(outcome))
         return outcome
 
