--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -26,6 +26,7 @@
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.nodes.settings_file import SettingsFile
+from gentianbank.nodes.share_gauges import list_share_gauges
 from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
@@ -37,6 +38,7 @@
 from gentianbank.steering.apps import ProxyApp
 from gentianbank.steering.apps import ReadinessApp
 from gentianbank.steering.cluster_view import ClusterView
+from gentianbank.steering.fair_shares.fair_shares import FairShares
 from gentianbank.steering.member_record import MemberRecord
 from gentianbank.steering.membership import Membership
 from gentianbank.steering.placer import Placer
@@ -142,9 +144,16 @@
             started_ms=started_ms,
             clock=now_ms,
         )
+        log = RequestLog(settings.logging.request_lines_per_s, now_ms)
+        self._fair_shares = FairShares(
+            vm=settings.vm,
+            cluster_view=self._cluster_view,
+            log=log,
+            clock=now_ms,
+        )
         reporter = Reporter(
             cluster_view=self._cluster_view,
-            log=RequestLog(settings.logging.request_lines_per_s, now_ms),
+            log=log,
             metrics=self._metrics,
             clock=now_ms,
         )
@@ -167,6 +176,7 @@
         self._proxy = Proxy(
             cluster_view=self._cluster_view,
             placer=self._placer,
+            fair_shares=self._fair_shares,
             transport=self._targets,
             checks=self._restart_checks,
             bounds=bounds,
@@ -256,6 +266,7 @@
                 self._sync,
                 self._settings.store.followers_per_region,
                 self._usage_caps,
+                self._fair_shares,
                 now_ms,
                 boot_ms,
             )
@@ -278,6 +289,7 @@
             self._loop_delay,
             now_ms,
         )
+        gauges += list_share_gauges(self._fair_shares)
         await self._metrics.load(gauges)
         await self._stop.wait()
 
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.nodes.supervision import keep_running
+from gentianbank.steering.fair_shares.demand_gossip import DemandGossip
 from gentianbank.steering.load_gossip import LoadGossip
 from gentianbank.steering.store_following.catch_up import StoreCatchUp
 from gentianbank.steering.store_following.following import StoreFollowing
@@ -23,6 +24,7 @@
     from gentianbank.control.peers import PeerEvent
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.steering.cluster_view import ClusterView
+    from gentianbank.steering.fair_shares.fair_shares import FairShares
     from gentianbank.steering.store_following.store_sync import StoreSync
     from gentianbank.steering.usage_caps.admission import UsageCaps
 
@@ -33,6 +35,7 @@
     sync: StoreSync,
     followers_per_region: int,
     usage_caps: UsageCaps,
+    fair_shares: FairShares,
     clock: Callable[[], float],
     boot_clock: Callable[[], float],
 ) -> None:
@@ -97,6 +100,7 @@
         cluster_view=cluster_view,
         peers=peers,
         store_catch_up=StoreCatchUp(sync, peers, clock),
+        demand_gossip=DemandGossip(fair_shares, peers, clock),
         clock=clock,
         required_peers=lambda: following.followers,
         on_tick=usage_caps.start_if_needed,
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -15,12 +15,14 @@
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.returning_callers import ReturningCallerDetector
 from gentianbank.policy.weighted_round_robin import WeightedRoundRobin
+from gentianbank.steering.admission import Admission
 from gentianbank.steering.answers import AnswerWriter
 from gentianbank.steering.answers import Refusal
 from gentianbank.steering.attempt_history import AttemptHistory
 from gentianbank.steering.caller_checks import CallerChecks
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
+from gentianbank.steering.fair_shares.waiting_requests import WaitingRequests
 from gentianbank.steering.placer import PlacementRequest
 from gentianbank.steering.request_body import BodyTooLargeError
 from gentianbank.steering.request_body import read_body
@@ -38,6 +40,7 @@
     from gentianbank.domain.route_table import CallerLimits
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.steering.cluster_view import ClusterView
+    from gentianbank.steering.fair_shares.fair_shares import FairShares
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.restart_checks import RestartChecks
@@ -71,6 +74,7 @@
         *,
         cluster_view: ClusterView,
         placer: Placer,
+        fair_shares: FairShares,
         transport: TargetTransport,
         checks: RestartChecks,
         bounds: Bounds,
@@ -80,10 +84,12 @@
         clock: Callable[[], float],
         usage_caps: UsageCaps | None = None,
     ) -> None:
-        self._usage_caps = usage_caps
         self._cluster_view = cluster_view
         self._started_ms = started_ms
         self._placer = placer
+        self._admission = Admission(usage_caps, fair_shares)
+        self._fair_shares = fair_shares
+        self._waiting = WaitingRequests(cluster_view, placer, clock)
         self._bounds = bounds
         self._clock = clock
         self._reporter = reporter
@@ -219,12 +225,11 @@
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
         history = AttemptHistory()
-        if self._usage_caps is not None:
-            admitted = await self._usage_caps.admit(request)
-            if isinstance(admitted, Refusal):
-                await self._replies.send_refusal(exchange, request, admitted)
-                return
-            history.cap_token = admitted
+        admitted = await self._admission.admit(request)
+        if isinstance(admitted, Refusal):
+            await self._replies.send_refusal(exchange, request, admitted)
+            return
+        history.cap_token = admitted
         try:
             await self._send_with_retries(exchange, request, body, history)
         finally:
@@ -267,6 +272,10 @@
                 self._placement_request(request, history)
             )
             history.placement = placement
+            if isinstance(
+                placement, NoCapacity
+            ) and await self._waiting.wait_for_room(request, placement):
+                continue
             if now_ms >= request.deadline_ms or not isinstance(
                 placement, Placement
             ):
@@ -285,6 +294,7 @@
                     exchange, request, history, outcome
                 ):
                     continue
+                self._fair_shares.on_answered(request)
                 await self._replies.send_answer(exchange, request, outcome)
                 return
             idempotent = request.route.idempotent
@@ -347,6 +357,10 @@
         except asyncio.CancelledError:
             report(Cancelled(), final=False)
             raise
+        finally:
+            self._waiting.on_attempt_ended(
+                request.service, placed.target.registration.target_id
+            )
         report(outcome, final=_is_final(outcome))
         return outcome
 
@@ -415,6 +429,7 @@
         up, and 502 otherwise.
         """
         if history.failed_answers:
+            self._fair_shares.on_answered(request)
             await self._replies.send_answer(
                 exchange, request, history.failed_answers[-1]
             )
@@ -422,8 +437,9 @@
         status = 502
         if not history.may_have_run:
             status = 503
-            if self._usage_caps is not None and history.cap_token is not None:
-                self._usage_caps.give_back(history.cap_token)
+            self._admission.give_back(history.cap_token)
+            if history.sent_count or isinstance(history.placement, NoCapacity):
+                self._fair_shares.on_no_room(request)
         elif self._clock() >= request.deadline_ms:
             status = 504
         refusal = Refusal(
