Bound the age of a follower's word by question and answer

The state machine, now with slow links, found that a connection opened while its link was slow by 0.8 s took every message for new: the least delayed message was the reference of the two clocks. The reference is now an answer to a question with its time, which never makes a confirmation later than it was.

--- a/src/gentianbank/policy/follower_trust.py
+++ b/src/gentianbank/policy/follower_trust.py
@@ -5,43 +5,44 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-# The first message of a connection may have been delayed; the shortest delay
-# of several is a usable reference.
-MIN_MESSAGES = 3
-# The reference is renewed, since clocks drift.
+# The bound is renewed, since clocks drift.
 WINDOW_MS = 30_000.0
 
 
 @dataclass(slots=True)
 class ClockOffset:
-    """Difference between the clocks of a follower and of this node.
+    """Lower bound of the difference between the clocks of two nodes.
 
-    The least delayed message of the last one or two windows gives it, so
-    that the delay of any other message is known: one that was held up in a
-    frozen process or on a stalled link is not taken for a new one.
+    A follower's answer is sent after it was asked for, however long question
+    and answer are on their way. So a time of the follower that is converted
+    is never later than the true one, and messages that were held up in a
+    frozen process or on a stalled link are not taken for new ones.
     """
 
-    _current_ms: float = float('inf')
-    _previous_ms: float = float('inf')
+    _current_ms: float = float('-inf')
+    _previous_ms: float = float('-inf')
     _window_start_ms: float = float('-inf')
-    _messages: int = 0
 
-    def add(self, sent_ms: float, received_ms: float) -> None:
-        """Record a message.
+    def add(self, asked_ms: float, sent_ms: float) -> None:
+        """Record an answer.
 
         Parameters
         ----------
+        asked_ms
+            Time of the question on this node's clock.
         sent_ms
-            Time on the follower's clock.
-        received_ms
-            Time on this node's clock.
+            Time of the answer on the follower's clock.
         """
-        if received_ms - self._window_start_ms >= WINDOW_MS:
-            self._window_start_ms = received_ms
+        if asked_ms - self._window_start_ms >= WINDOW_MS:
+            self._window_start_ms = asked_ms
             self._previous_ms = self._current_ms
-            self._current_ms = float('inf')
-        self._current_ms = min(self._current_ms, received_ms - sent_ms)
-        self._messages += 1
+            self._current_ms = float('-inf')
+        self._current_ms = max(self._current_ms, asked_ms - sent_ms)
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether an answer has been received."""
+        return self._current_ms > float('-inf')
 
     def to_own_ms(self, follower_ms: float) -> float | None:
         """Convert a time of the follower's clock to this node's clock.
@@ -49,11 +50,11 @@
         Returns
         -------
         float or None
-            ``None`` while too few messages have been received.
+            ``None`` before the first answer.
         """
-        if self._messages < MIN_MESSAGES:
+        if not self.is_known:
             return None
-        return follower_ms + min(self._current_ms, self._previous_ms)
+        return follower_ms + max(self._current_ms, self._previous_ms)
 
 
 @dataclass(slots=True)
@@ -71,10 +72,15 @@
 
     _followers: dict[str, _Follower] = field(default_factory=dict)
 
-    def on_message(self, vm: str, sent_ms: float, received_ms: float) -> None:
-        """Record the times of a follower's message."""
+    def on_echo(self, vm: str, asked_ms: float, sent_ms: float) -> None:
+        """Record a follower's answer, see ``ClockOffset.add``."""
         follower = self._followers.setdefault(vm, _Follower())
-        follower.offset.add(sent_ms, received_ms)
+        follower.offset.add(asked_ms, sent_ms)
+
+    def knows_clock(self, vm: str) -> bool:
+        """Return whether times of a follower can be converted."""
+        follower = self._followers.get(vm)
+        return follower is not None and follower.offset.is_known
 
     def confirm(self, vm: str, confirmed_ms: float) -> float | None:
         """Record that a follower's view contains nothing newer than the copy.
--- a/src/gentianbank/steering/store_following/following.py
+++ b/src/gentianbank/steering/store_following/following.py
@@ -36,6 +36,8 @@
 TICK_MS = 100.0
 CHOICE_PERIOD_MS = 500.0
 REQUEST_PERIOD_MS = 300.0
+# Time after which a node asks a follower for its clock again.
+CLOCK_PERIOD_MS = 10_000.0
 # The first watch of a node that has lost its followers is short, so that a
 # store that does not answer is noticed soon.
 FIRST_WATCH_MS = 400
@@ -89,7 +91,7 @@
         self._chosen_ms = float('-inf')
         self._trust = FollowerTrust()
         self._connected: set[str] = set()
-        self._requested_ms: dict[str, float] = {}
+        self._asked_ms: dict[str, float] = {}
         # Latest time at which the copy was known to be current.
         self._confirmed_ms: float | None = None
         self._own_confirmed_ms: float | None = None
@@ -144,11 +146,12 @@
             case Disconnected(vm):
                 self._connected.discard(vm)
                 self._trust.forget(vm)
+                self._asked_ms.pop(vm, None)
                 self._update_role(self._boot_clock())
             case Received(vm, StoreUpdate() as update):
                 self._on_update(vm, update)
-            case Received(vm, StoreUpdateRequest(after_revision=revision)):
-                self._on_request(vm, revision)
+            case Received(vm, StoreUpdateRequest() as request):
+                self._on_request(vm, request)
 
     async def wait_for_turn(self) -> None:
         await self._must_read.wait()
@@ -238,7 +241,8 @@
 
     def _on_update(self, vm: str, update: StoreUpdate) -> None:
         now_ms = self._boot_clock()
-        self._trust.on_message(vm, update.sent_ms, now_ms)
+        if update.echo_ms:
+            self._trust.on_echo(vm, update.echo_ms, update.sent_ms)
         held = self._sync.revision
         is_complete = (
             update.after_revision <= held
@@ -257,35 +261,39 @@
             self._sync.on_confirmed_by_follower()
         events = tuple(decode_change(change) for change in update.changes)
         changes = Changes(events, update.revision)
-        if not self._sync.apply_follower_changes(
+        is_applied = self._sync.apply_follower_changes(
             update.after_revision, changes
-        ):
-            self._request_missing(vm, update, now_ms)
-        elif confirmed_ms is not None:
+        )
+        if is_applied and confirmed_ms is not None:
             self._on_confirmed(confirmed_ms)
+        self._ask(vm, update, now_ms)
         self._update_role(now_ms)
         self._update_age(now_ms)
 
-    def _request_missing(
-        self, vm: str, update: StoreUpdate, now_ms: float
-    ) -> None:
-        """Ask for changes before an update, if the follower has them.
+    def _ask(self, vm: str, update: StoreUpdate, now_ms: float) -> None:
+        """Ask a follower for missing changes or its clock, as far as due.
 
-        If it has not, nothing confirms the copy, and this node reads the
-        store itself.
+        If it no longer has the changes, nothing confirms the copy, and this
+        node reads the store itself.
         """
         held = self._sync.revision
-        if not held or held < update.oldest_revision:
+        if not held:
             return
-        last_ms = self._requested_ms.get(vm, float('-inf'))
-        if now_ms - last_ms < REQUEST_PERIOD_MS:
+        is_behind = update.oldest_revision <= held < update.held_revision
+        is_urgent = is_behind or not self._trust.knows_clock(vm)
+        period_ms = REQUEST_PERIOD_MS if is_urgent else CLOCK_PERIOD_MS
+        if now_ms - self._asked_ms.get(vm, float('-inf')) < period_ms:
             return
-        self._requested_ms[vm] = now_ms
-        self._peers.send(vm, StoreUpdateRequest(after_revision=held))
+        self._asked_ms[vm] = now_ms
+        request = StoreUpdateRequest(
+            after_revision=held, asked_ms=max(0.0, now_ms)
+        )
+        self._peers.send(vm, request)
 
-    def _on_request(self, vm: str, after_revision: int) -> None:
+    def _on_request(self, vm: str, request: StoreUpdateRequest) -> None:
         if self._role is StoreRole.FOLLOWER:
-            for update in self._updates(after_revision):
+            updates = self._updates(request.after_revision, request.asked_ms)
+            for update in updates:
                 self._peers.send(vm, update)
 
     def _push(self) -> None:
@@ -294,14 +302,16 @@
         nodes = self._cluster_view.nodes
         receivers = [
             vm
-            for vm in self._connected
+            for vm in sorted(self._connected)
             if vm in nodes and nodes[vm].region == self._me.region
         ]
         for update in self._updates(self._pushed_revision):
             self._peers.send_to_each(receivers, update)
         self._pushed_revision = self._sync.revision
 
-    def _updates(self, after_revision: int) -> list[StoreUpdate]:
+    def _updates(
+        self, after_revision: int, echo_ms: float = 0.0
+    ) -> list[StoreUpdate]:
         if self._own_confirmed_ms is None or not self._sync.revision:
             return []
         return build_updates(
@@ -310,4 +320,5 @@
             confirmed_ms=max(0.0, self._own_confirmed_ms),
             sent_ms=self._boot_clock(),
             is_reachable=self._is_reachable,
+            echo_ms=echo_ms,
         )
--- a/src/gentianbank/steering/store_following/messages.py
+++ b/src/gentianbank/steering/store_following/messages.py
@@ -31,6 +31,8 @@
         sent, on the follower's clock, which counts suspended time.
     is_reachable
         Whether the store answered the follower's last call.
+    echo_ms
+        ``asked_ms`` of the request that is answered; 0 if there is none.
     """
 
     oldest_revision: int = schema.integer(0, _MAX_REVISION)
@@ -40,12 +42,20 @@
     confirmed_ms: float = schema.number(0, _MAX_MS)
     sent_ms: float = schema.number(0, _MAX_MS)
     is_reachable: bool = schema.flag()
+    echo_ms: float = schema.number(0, _MAX_MS, default=0.0)
     changes: tuple[StoreChange, ...] = schema.sequence(StoreChange)
 
 
 @register_message('store-update-request')
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreUpdateRequest(Message):
-    """Asks a follower for the changes after a revision."""
+    """Asks a follower for the changes after a revision, and for its clock.
+
+    Parameters
+    ----------
+    asked_ms
+        Time on the clock of the node that asks, suspended time counted.
+    """
 
     after_revision: int = schema.integer(0, _MAX_REVISION)
+    asked_ms: float = schema.number(0, _MAX_MS)
--- a/src/gentianbank/steering/store_following/updates.py
+++ b/src/gentianbank/steering/store_following/updates.py
@@ -19,6 +19,7 @@
     confirmed_ms: float,
     sent_ms: float,
     is_reachable: bool,
+    echo_ms: float = 0.0,
 ) -> list[StoreUpdate]:
     """Return the changes after a revision, in as many messages as needed.
 
@@ -27,7 +28,7 @@
 
     Parameters
     ----------
-    confirmed_ms, sent_ms, is_reachable
+    confirmed_ms, sent_ms, is_reachable, echo_ms
         See ``StoreUpdate``.
     """
     changes = sync.changes_after(after_revision)
@@ -48,6 +49,7 @@
                 confirmed_ms=confirmed_ms,
                 sent_ms=sent_ms,
                 is_reachable=is_reachable,
+                echo_ms=echo_ms,
                 changes=encode_changes(part),
             )
         )
--- a/tests/steering/store_following/test_machine.py
+++ b/tests/steering/store_following/test_machine.py
@@ -15,7 +15,6 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
-from gentianbank.policy import follower_trust
 from gentianbank.policy import store_followers
 from gentianbank.steering.store_following import following
 from gentianbank.steering.store_following.store_sync import StoreSync
@@ -47,6 +46,7 @@
     'store out',
     'stall',
     'stall all of a node',
+    'slow links',
 )
 
 vms = st.sampled_from([f'vm-{number}' for number in range(NODES)])
@@ -158,6 +158,15 @@
             self.fleet.stall_link(vm, other)
         OCCURRED['stall all of a node'] += 1
 
+    @rule(domain=domains, delay_s=st.sampled_from((0.4, 0.8)))
+    def slow_links(self, domain: str, delay_s: float) -> None:
+        self.fleet.slow_links(delay_s)
+        self.fleet.advance(1.5)
+        self._toggle(domain)
+        self.fleet.advance(1.0)
+        self.fleet.mend_links()
+        OCCURRED['slow links'] += 1
+
     @rule()
     def mend_links(self) -> None:
         self.fleet.mend_links()
@@ -217,11 +226,13 @@
 def test_mutant_that_takes_held_up_messages_for_new_is_caught(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def add(self: Any, sent_ms: float, received_ms: float) -> None:
-        self._current_ms = received_ms - sent_ms
-        self._messages += 1
+    on_update = following.StoreFollowing._on_update
+
+    def take_for_new(self: Any, vm: str, update: Any) -> None:
+        self._trust.on_echo(vm, self._boot_clock(), update.sent_ms)
+        on_update(self, vm, update)
 
-    monkeypatch.setattr(follower_trust.ClockOffset, 'add', add)
+    monkeypatch.setattr(following.StoreFollowing, '_on_update', take_for_new)
     catch('age of the copy')
 
 
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -45,6 +45,9 @@
     from gentianbank.storage.prefix_store import LeaseExpired
     from gentianbank.storage.store import Put
 
+# Two VMs; of a link, the one with the lower name first.
+Link = tuple[str, str]
+
 REGION = 'east'
 CALL_S = 0.004
 LINK_S = 0.002
@@ -55,9 +58,9 @@
 # Time after the store's confirmation within which each node that can reach
 # the store must have a change.
 BOUND_MS = 2_500.0
-# Way of a message, of which a node cannot know. Of its own reads it does not
-# count the way of the answer either.
-AGE_TOLERANCE_MS = 20.0
+# Rounding of timers. Of its own reads a node does not count the way of the
+# answer either.
+AGE_TOLERANCE_MS = 1.0
 
 
 class StoreLog:
@@ -291,12 +294,14 @@
         self.messages = 0
         self._followers_per_region = followers_per_region
         self.nodes: dict[str, FleetNode] = {}
-        self._stalled: dict[frozenset[str], float] = {}
+        self._link_s = LINK_S
+        self._stalled: dict[Link, float] = {}
         self._frozen: dict[str, float] = {}
-        self._held: defaultdict[tuple[str, str], deque[bytes]] = defaultdict(
-            deque
+        self._held: defaultdict[Link, deque[tuple[float, bytes]]] = (
+            defaultdict(deque)
         )
-        self._links: set[frozenset[str]] = set()
+        # In the order of their opening, so that every run does the same.
+        self._links: dict[Link, None] = {}
         for number in range(count):
             self.start(f'vm-{number}')
         try:
@@ -351,22 +356,28 @@
 
     def stall_link(self, first: str, second: str) -> None:
         """Hold up the messages between two nodes."""
-        link = frozenset((first, second))
-        if len(link) == 2:
+        if first != second:
+            link = link_of(first, second)
             self._stalled.setdefault(link, self.loop.now_ms())
 
+    def slow_links(self, delay_s: float) -> None:
+        """Let each message be on its way for some time from now on."""
+        self._link_s = delay_s
+
     def mend_links(self) -> None:
-        """Deliver what was held up."""
+        """Deliver what was held up, and end delays."""
         self._stalled.clear()
+        self._link_s = LINK_S
         self._flush()
 
     def send(self, source: str, to: str, message: Message) -> None:
         """Send a message over a link."""
-        if frozenset((source, to)) not in self._links:
+        if link_of(source, to) not in self._links:
             return
         self.messages += 1
-        self._held[source, to].append(encode_message(message))
-        self.loop.call_later(LINK_S, self._flush)
+        due_ms = self.loop.now_ms() + self._link_s * 1_000
+        self._held[source, to].append((due_ms, encode_message(message)))
+        self.loop.call_later(self._link_s, self._flush)
 
     def advance(self, seconds: float) -> None:
         """Let time pass; each 100 ms all nodes tick and are checked."""
@@ -420,9 +431,9 @@
         alive = [vm for vm, node in self.nodes.items() if node.is_alive]
         for first in alive:
             for second in alive:
-                link = frozenset((first, second))
                 if first >= second:
                     continue
+                link = (first, second)
                 since_ms = [
                     self._frozen.get(first),
                     self._frozen.get(second),
@@ -435,18 +446,18 @@
                 elif not held_ms and link not in self._links:
                     self._connect(link)
 
-    def _connect(self, link: frozenset[str]) -> None:
+    def _connect(self, link: Link) -> None:
         first, second = link
         # A node dials only those that it knows.
         for vm, other in ((first, second), (second, first)):
             if other not in self.nodes[vm].cluster_view.nodes:
                 return
-        self._links.add(link)
+        self._links[link] = None
         self.nodes[first].on_event(Connected(second))
         self.nodes[second].on_event(Connected(first))
 
-    def _disconnect(self, link: frozenset[str]) -> None:
-        self._links.discard(link)
+    def _disconnect(self, link: Link) -> None:
+        self._links.pop(link, None)
         first, second = link
         for vm, other in ((first, second), (second, first)):
             self._held.pop((vm, other), None)
@@ -455,16 +466,22 @@
 
     def _flush(self) -> None:
         for (source, to), waiting in list(self._held.items()):
-            if frozenset((source, to)) in self._stalled or to in self._frozen:
+            if link_of(source, to) in self._stalled or to in self._frozen:
                 continue
-            while waiting:
-                match decode_message(waiting.popleft()):
+            # Half a millisecond covers the rounding of timers.
+            while waiting and waiting[0][0] <= self.loop.now_ms() + 0.5:
+                match decode_message(waiting.popleft()[1]):
                     case Result(tag='ok', ok=message):
                         self.nodes[to].on_event(Received(source, message))
                     case Result(error=error):
                         raise AssertionError(str(error))
 
 
+def link_of(first: str, second: str) -> Link:
+    """Return the link between two nodes."""
+    return (first, second) if first < second else (second, first)
+
+
 def registration(vm: str) -> NodeRegistration:
     """Return the entry of a node."""
     return NodeRegistration(
