End requests of a caller that leaves while it is not read

Cause: the event loop reports no hang-up while reading is stopped. Bytes behind a request for an upgrade were dropped by uvicorn, so that the next request could be read in part.

--- a/src/gentianbank/dataplane/pipelining.py
+++ b/src/gentianbank/dataplane/pipelining.py
@@ -275,6 +275,8 @@
 
     def begin_requests(self) -> None:
         """Begin the requests that may be passed on now."""
+        if self.transport.is_closing():
+            return
         has_memory = len(self.order) == 1 or all(
             budget.left_bytes >= MIN_ROOM_BYTES for budget in self.held_budgets
         )
@@ -298,6 +300,9 @@
             # The connection closes, and this request counts as not read.
             cycle.disconnected = True
             return
+        if self.parser.should_upgrade():
+            # Uvicorn drops what it was fed behind a request for an upgrade.
+            cycle.keep_alive = False
         if not cycle.keep_alive:
             self.order.close(through=turn)
         cycle.scope['extensions'] = {TURN_EXTENSION: turn}
@@ -354,11 +359,14 @@
 
     def _check_hangup(self) -> None:
         """End the connection if the caller has left."""
+        if self.transport.is_closing():
+            return
         connection = self.transport.get_extra_info('socket')
         poll = select.poll()
         poll.register(connection.fileno(), _HANGUP_EVENTS)
         if poll.poll(0):
-            self.transport.abort()
+            # As the loop does when it reads the end of the stream.
+            self.transport.close()
         else:
             self._start_hangup_check()
 
--- a/tests/dataplane/test_pipelining.py
+++ b/tests/dataplane/test_pipelining.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
+import uvicorn
 
 from gentianbank.dataplane import pipelining
+from gentianbank.dataplane.pipelining import PipeliningProtocol
+from gentianbank.dataplane.server import caller_protocol
+from gentianbank.dataplane.server import HttpServer
 from tests.support.pipelines import ahead_node
 from tests.support.pipelines import Connection
 from tests.support.pipelines import MAX_PER_CONNECTION
@@ -21,6 +27,10 @@
     from gentianbank.dataplane.pipelining import AheadNode
 
 FLOOD = 20_000
+# More than is parsed ahead, but not more than sockets buffer: a hang-up comes
+# behind the bytes that were sent before it.
+SMALL_FLOOD = 4_000
+TEST_TIMEOUT_S = 20.0
 
 
 class Play:
@@ -161,6 +171,19 @@
     assert play.answers() == [('', 400, True)]
 
 
+def test_request_behind_one_for_an_upgrade_is_not_read_in_part(
+    play: Play,
+) -> None:
+    play.send(
+        request('/read/0', 'Connection: Upgrade', 'Upgrade: h2c'),
+        request('/read/1'),
+    )
+    play.send(request('/read/2'))
+    play.finish('/read/0')
+    assert play.answers() == [('/read/0', 200, True)]
+    assert play.connection.transport.closing
+
+
 def test_answer_that_ends_early_closes_in_its_turn(play: Play) -> None:
     play.send(*(request(f'/read/{number}') for number in range(3)))
     play.finish('/read/1', 'cut')
@@ -276,3 +299,39 @@
     play.finish('/read/0')
     play.finish('/read/1')
     assert [path for path, *_ in play.answers()] == ['/read/0', '/read/1']
+
+
+def test_caller_that_leaves_while_it_is_not_read_ends_its_requests() -> None:
+    async def test() -> None:
+        app = ScriptedApp()
+        listener = socket.create_server(('127.0.0.1', 0))
+        config = uvicorn.Config(
+            app,
+            http=caller_protocol(ahead_node()),
+            ws='none',
+            lifespan='off',
+            log_config=None,
+        )
+        server = HttpServer(config)
+        serving = asyncio.create_task(server.serve([listener]))
+        _, writer = await asyncio.open_connection(*listener.getsockname())
+        flood = (request(f'/read/{number}') for number in range(SMALL_FLOOD))
+        writer.write(b''.join(flood))
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not app.runs or not _is_held(server):
+                    await asyncio.sleep(0.01)
+                writer.transport.abort()
+                while not all(run.ended for run in app.runs.values()):
+                    await asyncio.sleep(0.01)
+        finally:
+            server.should_exit = server.force_exit = True
+            await serving
+
+    asyncio.run(test())
+
+
+def _is_held(server: HttpServer) -> bool:
+    (connection,) = server.server_state.connections
+    assert isinstance(connection, PipeliningProtocol)
+    return connection.flow.is_held
