Let the last answer arrive before a connection with requests ahead closes

Cause: a socket that is closed with unread bytes resets the connection, which drops answers that the caller has not got yet. Change: behind the last answer the node ends its side, and drops what it still reads for up to 2 s or until the caller closes.

--- a/src/gentianbank/dataplane/pipelining.py
+++ b/src/gentianbank/dataplane/pipelining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from dataclasses import field
 import select
@@ -35,6 +36,10 @@
 MIN_ROOM_BYTES = 64 * 1024
 # While reading is stopped, the event loop does not report that a caller left.
 HANGUP_CHECK_S = 0.5
+# After the last answer, what the caller still sends is read and dropped for
+# so long. A socket that is closed with unread bytes resets the connection,
+# which loses what the caller has not got yet.
+LINGER_S = 2.0
 # POLLRDHUP where the module has it; other systems report no hang-up then.
 _HANGUP_EVENTS = getattr(select, 'POLLRDHUP', 0)
 
@@ -178,6 +183,7 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._is_serial = self.ahead is None
+        self._sends_ahead = False
         self._unparsed = bytearray()
         self._hangup_check: asyncio.TimerHandle | None = None
         if self.ahead is not None:
@@ -236,7 +242,7 @@
             first.wake()
             self.begin_requests()
         elif self.order.is_closing:
-            self.transport.close()
+            self._close()
         if self._unparsed:
             self._parse()
 
@@ -258,6 +264,9 @@
         self._unparsed.clear()
         turn = self.order.last
         if turn is not None and turn.cycle.more_body:
+            if turn.cycle.response_started:
+                self.transport.close()
+                return
             if self.order.is_turn(turn):
                 super().send_400_response(msg)
                 return
@@ -287,9 +296,22 @@
         """Drop what was not passed on, and close after the last answer."""
         for turn in self.order.close(through):
             turn.drop()
-        last = self.order.last
-        if last is not None and last.cycle.response_started:
-            last.cycle.keep_alive = False
+
+    def leave_close_to_protocol(self, turn: RequestTurn) -> None:
+        """Keep uvicorn from closing right behind the last answer."""
+        if self._sends_ahead:
+            turn.cycle.keep_alive = True
+
+    def _close(self) -> None:
+        """Close the connection behind the last answer."""
+        if not self._sends_ahead or self.transport.is_closing():
+            self.transport.close()
+            return
+        self._unset_keepalive_if_required()
+        self.loop.call_later(LINGER_S, self.transport.close)
+        # It fails if the caller has reset the connection.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
 
     def _start_asgi_task(self, cycle: Any, app: Any) -> None:
         if self._is_serial:
@@ -300,6 +322,8 @@
             # The connection closes, and this request counts as not read.
             cycle.disconnected = True
             return
+        if len(self.order) > 1:
+            self._sends_ahead = True
         if self.parser.should_upgrade():
             # Uvicorn drops what it was fed behind a request for an upgrade.
             cycle.keep_alive = False
@@ -416,7 +440,10 @@
                 return
             if turn.cycle.flow.write_paused:
                 await turn.cycle.flow.drain()
-            message = self._decide_close(message)
+            await turn.cycle.send(self._decide_close(message))
+            if not turn.cycle.keep_alive:
+                turn.protocol.leave_close_to_protocol(turn)
+            return
         await turn.cycle.send(message)
 
     def _decide_close(self, message: ASGIMessage) -> ASGIMessage:
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -58,6 +58,10 @@
             self.closing = True
             self._loop.call_soon(self.protocol.connection_lost, None)
 
+    def write_eof(self) -> None:
+        """End the stream; the caller then closes as well."""
+        self.close()
+
     def abort(self) -> None:
         self.close()
 
