--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -287,6 +287,7 @@
             lambda: self._proxy.in_flight,
             lambda: self._proxy.read_ahead_bytes,
             self._loop_delay,
+            self._usage_caps,
             now_ms,
         )
         gauges += list_share_gauges(self._fair_shares)
