--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -48,6 +48,10 @@
     lease_ms
         Lease of this node's entry: the store removes the entry this long
         after the node stopped renewing it.
+    followers_per_region
+        Number of nodes of each region that read the store for the others
+        if the region has at least ``MIN_REGION_NODES``; 0 if each node
+        reads for itself.
     """
 
     address: str = schema.text(schema.ADDRESS_PATTERN)
@@ -55,6 +59,7 @@
     watch_ms: int = schema.integer(100, 30_000, default=4_000)
     retry_ms: int = schema.integer(10, 60_000, default=400)
     lease_ms: int = schema.integer(1_000, 600_000, default=4_000)
+    followers_per_region: int = schema.integer(0, 10, default=0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,6 +87,10 @@
         has not been confirmed for ``revoke_ms``.
     revoke_ms
         Time within which a withdrawn key must stop working.
+    cap_window_s, cap_overage, cap_slack
+        Limit on the requests of a workspace with a usage cap, of all nodes
+        together in any window: rate times window plus burst, exceeded by at
+        most this part and these requests.
     lapse_grace_ms
         Time after an outage of the store for which a node keeps targets
         whose entries are gone. Their leases may have ended only because of
@@ -98,9 +107,35 @@
     max_cache_s: float = schema.number(0, 600, default=5)
     strict_revocation: bool = schema.flag(default=False)
     revoke_ms: float = schema.number(0, 600_000, default=5_000)
+    cap_window_s: float = schema.number(0.1, 600, default=5)
+    cap_overage: float = schema.number(0, 10, default=0.1)
+    cap_slack: float = schema.number(0, 1e6, default=20)
     lapse_grace_ms: float = schema.number(0, 60_000, default=2_000)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestsAhead:
+    """Limits of requests that callers send before earlier answers.
+
+    Parameters
+    ----------
+    max_per_connection
+        Requests of a connection that are in progress; 1 for one at a time.
+    max_per_node
+        Requests of all connections that are in progress while an earlier
+        answer is owed.
+    held_bytes_per_connection, held_bytes_per_node
+        Bytes of answers that wait for an earlier one.
+    """
+
+    max_per_connection: int = schema.integer(1, 1_000, default=16)
+    max_per_node: int = schema.integer(0, 100_000, default=512)
+    held_bytes_per_connection: int = schema.integer(
+        0, 1 << 30, default=1 << 20
+    )
+    held_bytes_per_node: int = schema.integer(0, 1 << 30, default=16 << 20)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SteeringSettings:
     """Settings of one node.
@@ -109,6 +144,9 @@
     ----------
     regions
         Region of each failure domain, by failure domain.
+    first_start
+        Whether the whole system starts for the first time, so that usage
+        caps start with their bursts unused.
     """
 
     vm: str = schema.text()
@@ -118,4 +156,8 @@
     addresses: SteeringAddresses = schema.nested(SteeringAddresses)
     store: SteeringStore = schema.nested(SteeringStore)
     bounds: Bounds = schema.nested(Bounds, default=Bounds())
+    ahead: RequestsAhead = schema.nested(
+        RequestsAhead, default=RequestsAhead()
+    )
     logging: Logging = schema.nested(Logging, default=Logging())
+    first_start: bool = schema.flag(default=False)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -17,6 +17,8 @@
 from expression import Result
 import uvicorn
 
+from gentianbank.dataplane.pipelining import AheadNode
+from gentianbank.dataplane.server import caller_protocol
 from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
@@ -28,6 +30,8 @@
 from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
+from gentianbank.policy.answer_order import AheadCount
+from gentianbank.policy.buffer_budget import BufferBudget
 from gentianbank.policy.graceful_shutdown import ShutdownSchedule
 from gentianbank.steering.apps import LookupApp
 from gentianbank.steering.apps import MetricsApp
@@ -42,7 +46,8 @@
 from gentianbank.steering.reporter import Reporter
 from gentianbank.steering.request_log import RequestLog
 from gentianbank.steering.restart_checks import RestartChecks
-from gentianbank.steering.store_sync import StoreSync
+from gentianbank.steering.store_following.store_sync import StoreSync
+from gentianbank.steering.usage_caps.admission import UsageCaps
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
 from gentianbank.telemetry.logs import open_logs
@@ -53,6 +58,7 @@
     from pathlib import Path
 
     from gentianbank.domain.errors import InvalidDocument
+    from gentianbank.domain.steering_settings import RequestsAhead
     from gentianbank.steering.apps import App
 
 # Longer than callers reuse idle connections, so that no request arrives on a
@@ -71,6 +77,11 @@
     return time.monotonic() * _MS_PER_S
 
 
+def boot_ms() -> float:
+    """Return the time since the VM started, also while it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
+
+
 class SteeringNode:
     """One node of the platform's interface.
 
@@ -153,6 +164,15 @@
             on_check=self._on_status_check,
             clock=now_ms,
         )
+        self._usage_caps = UsageCaps(
+            vm=settings.vm,
+            cluster_view=self._cluster_view,
+            quotas=self._placer.quotas,
+            bounds=bounds,
+            is_first_start=settings.first_start,
+            clock=now_ms,
+            boot_clock=boot_ms,
+        )
         self._proxy = Proxy(
             cluster_view=self._cluster_view,
             placer=self._placer,
@@ -164,9 +184,12 @@
             is_stopping=self._stop.is_set,
             started_ms=started_ms,
             clock=now_ms,
+            usage_caps=self._usage_caps,
         )
         self._caller_server = _build_server(
-            addresses.callers, ProxyApp(self._proxy)
+            addresses.callers,
+            ProxyApp(self._proxy),
+            caller_protocol(_build_ahead_node(settings.ahead)),
         )
         readiness = ReadinessApp(self._cluster_view, self._stop.is_set)
         lookups = LookupApp(
@@ -218,11 +241,13 @@
         for task in tasks[len(self._servers) :]:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._usage_caps.close()
         await self._restart_checks.close()
         await self._targets.close()
 
     def _on_store_call(self, call: str, outcome: str) -> None:
-        self._metrics.record(lambda m: m.on_store_call(call, outcome))
+        role = self._sync.role
+        self._metrics.record(lambda m: m.on_store_call(call, outcome, role))
 
     def _on_idle_lost(self, address: str) -> None:
         self._restart_checks.on_idle_connection_lost(address)
@@ -239,8 +264,11 @@
                 self._me,
                 self._cluster_view,
                 self._sync,
+                self._settings.store.followers_per_region,
+                self._usage_caps,
                 self._fair_shares,
                 now_ms,
+                boot_ms,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
@@ -290,6 +318,7 @@
         a part of the grace period and then refuses new ones.
         """
         logging.info('node leaves')
+        self._usage_caps.leave()
         leaving = asyncio.create_task(self._membership.unregister())
         plan = ShutdownSchedule(
             now_ms(), self._settings.bounds.stop_s * _MS_PER_S
@@ -331,14 +360,25 @@
     await SteeringNode(path, settings).run()
 
 
-def _build_server(address: str, app: App) -> HttpServer:
+def _build_ahead_node(limits: RequestsAhead) -> AheadNode:
+    return AheadNode(
+        max_per_connection=limits.max_per_connection,
+        held_bytes_per_connection=limits.held_bytes_per_connection,
+        count=AheadCount(limits.max_per_node),
+        held=BufferBudget(limits.held_bytes_per_node),
+    )
+
+
+def _build_server(
+    address: str, app: App, protocol: type[CallerProtocol] = CallerProtocol
+) -> HttpServer:
     listen = parse_address(address)
     config = uvicorn.Config(
         app,
         listen.host,
         listen.port,
         loop='asyncio',
-        http=CallerProtocol,
+        http=protocol,
         ws='none',
         lifespan='off',
         log_config=None,
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -15,6 +15,7 @@
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.returning_callers import ReturningCallerDetector
 from gentianbank.policy.weighted_round_robin import WeightedRoundRobin
+from gentianbank.steering.admission import Admission
 from gentianbank.steering.answers import AnswerWriter
 from gentianbank.steering.answers import Refusal
 from gentianbank.steering.attempt_history import AttemptHistory
@@ -27,6 +28,7 @@
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
 from gentianbank.steering.sending import AttemptSender
+from gentianbank.steering.sending import Broken
 from gentianbank.steering.sending import Cancelled
 from gentianbank.steering.sending import Delivered
 from gentianbank.targets.http_headers import header_values
@@ -43,9 +45,12 @@
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.restart_checks import RestartChecks
     from gentianbank.steering.sending import Outcome
+    from gentianbank.steering.usage_caps.admission import UsageCaps
     from gentianbank.targets.transport import TargetTransport
 
 _MS_PER_S = 1_000
+# Targets close a connection on which an answer is left unread for longer.
+MAX_UNREAD_MS = 3_000.0
 _MIN_SERVER_ERROR = 500
 
 
@@ -60,6 +65,8 @@
         Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
+    usage_caps
+        Admits requests of workspaces with a cap; ``None`` to admit all.
     """
 
     def __init__(
@@ -75,10 +82,12 @@
         is_stopping: Callable[[], bool],
         started_ms: float,
         clock: Callable[[], float],
+        usage_caps: UsageCaps | None = None,
     ) -> None:
         self._cluster_view = cluster_view
         self._started_ms = started_ms
         self._placer = placer
+        self._admission = Admission(usage_caps, fair_shares)
         self._fair_shares = fair_shares
         self._waiting = WaitingRequests(cluster_view, placer, clock)
         self._bounds = bounds
@@ -172,10 +181,6 @@
             refusal = Refusal(413, 'body too large')
             await self._replies.send_refusal(exchange, request, refusal)
             return
-        over_share = self._fair_shares.check(request)
-        if over_share is not None:
-            await self._replies.send_refusal(exchange, request, over_share)
-            return
         try:
             await self._serve_with_body(exchange, request, table.limits)
         except BodyTooLargeError:
@@ -215,14 +220,45 @@
         self, exchange: Exchange, request: CallerRequest, body: RequestBody
     ) -> None:
         """Send a request to targets until one answers or no retry is left."""
+        if not await self._wait_begin(exchange, request):
+            return
         budget = self._retry_budget(request.service)
         budget.on_request(request.received_ms)
         history = AttemptHistory()
+        admitted = await self._admission.admit(request)
+        if isinstance(admitted, Refusal):
+            await self._replies.send_refusal(exchange, request, admitted)
+            return
+        history.cap_token = admitted
         try:
             await self._send_with_retries(exchange, request, body, history)
         finally:
             await history.close()
 
+    async def _wait_begin(
+        self, exchange: Exchange, request: CallerRequest
+    ) -> bool:
+        """Wait for earlier requests of the connection; false if refused.
+
+        The wait counts against the deadline of the request, since its caller
+        waits no longer.
+        """
+        if exchange.try_begin(runs_once=not request.route.idempotent):
+            return True
+        left_ms = request.deadline_ms - self._clock()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
+                await exchange.wait_begin()
+        except TimeoutError:
+            cause = 'earlier requests of the connection took too long'
+            refusal = Refusal(503, cause, may_retry_later=True)
+            await self._replies.send_refusal(exchange, request, refusal)
+            return False
+        if self._refuses_new_requests:
+            await self._refuse_as_stopping(exchange, request)
+            return False
+        return True
+
     async def _send_with_retries(
         self,
         exchange: Exchange,
@@ -254,6 +290,10 @@
             )
             if _is_final(outcome):
                 assert isinstance(outcome, Delivered)
+                if body.can_be_sent and await self._asks_again(
+                    exchange, request, history, outcome
+                ):
+                    continue
                 self._fair_shares.on_answered(request)
                 await self._replies.send_answer(exchange, request, outcome)
                 return
@@ -266,6 +306,40 @@
                 )
                 return
 
+    async def _asks_again(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        history: AttemptHistory,
+        answer: Delivered,
+    ) -> bool:
+        """Wait for the turn of an answer of which a part is not held.
+
+        Returns
+        -------
+        bool
+            Whether the answer was given up, and the request is to be sent
+            again. Only a request that may be repeated waits here.
+        """
+        if answer.body.is_complete:
+            return False
+        begin_ms = self._clock()
+        try:
+            await exchange.wait_answer()
+        except BaseException:
+            await answer.body.close()
+            raise
+        now_ms = self._clock()
+        if now_ms - begin_ms < MAX_UNREAD_MS or now_ms >= request.deadline_ms:
+            return False
+        history.record(Broken('its answer was left unread'), idempotent=True)
+        if not self._claim_retry(request, history):
+            return False
+        await answer.body.close()
+        # The target has not failed, and may be asked once more.
+        history.targets.pop()
+        return True
+
     async def _attempt(
         self,
         exchange: Exchange,
@@ -363,6 +437,7 @@
         status = 502
         if not history.may_have_run:
             status = 503
+            self._admission.give_back(history.cap_token)
             if history.sent_count or isinstance(history.placement, NoCapacity):
                 self._fair_shares.on_no_room(request)
         elif self._clock() >= request.deadline_ms:
--- a/tests/support/gossip_hub.py
+++ b/tests/support/gossip_hub.py
@@ -23,7 +23,7 @@
 from gentianbank.steering.load_gossip import LoadGossip
 from gentianbank.steering.load_update import LoadUpdate
 from gentianbank.steering.request_log import RequestLog
-from gentianbank.steering.store_catch_up import StoreCatchUp
+from gentianbank.steering.store_following.catch_up import StoreCatchUp
 from tests.support.steering import REGIONS
 from tests.support.steering import registration
 
