Let a setting say how many gossip messages a node sends

Cause: with 67 nodes a node spread 35 messages a second over some 98 peers, so that loads were more than a second old, while targets slow down for moments of 0.6 s and three slots fill within less. A request that is sent again because its answer was left unread takes another token of its cap.

--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -62,6 +62,26 @@
     followers_per_region: int = schema.integer(0, 10, default=0)
 
 
+DEFAULT_MESSAGES_PER_S = 35.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Gossip:
+    """How often nodes tell each other the loads of targets.
+
+    Parameters
+    ----------
+    messages_per_s
+        Messages that a node sends to all of its peers together. Where
+        targets are busy and slow down for moments, loads that are a second
+        old lead many nodes to the same target.
+    """
+
+    messages_per_s: float = schema.number(
+        1, 10_000, default=DEFAULT_MESSAGES_PER_S
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Bounds:
     """Limits that the node keeps; some hold for all nodes together.
@@ -159,5 +179,6 @@
     ahead: RequestsAhead = schema.nested(
         RequestsAhead, default=RequestsAhead()
     )
+    gossip: Gossip = schema.nested(Gossip, default=Gossip())
     logging: Logging = schema.nested(Logging, default=Logging())
     first_start: bool = schema.flag(default=False)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -269,6 +269,7 @@
                 self._fair_shares,
                 now_ms,
                 boot_ms,
+                self._settings.gossip.messages_per_s,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -38,6 +38,7 @@
     fair_shares: FairShares,
     clock: Callable[[], float],
     boot_clock: Callable[[], float],
+    messages_per_s: float,
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
 
@@ -54,6 +55,8 @@
         Returns the monotonic time in milliseconds.
     boot_clock
         Returns the time in milliseconds, suspended time counted.
+    messages_per_s
+        Limit on the gossip of this node to all peers together.
 
     Raises
     ------
@@ -104,6 +107,7 @@
         clock=clock,
         required_peers=lambda: following.followers,
         on_tick=usage_caps.start_if_needed,
+        messages_per_s=messages_per_s,
     )
     usage_caps.attach(peers)
     await peers.start()
--- a/src/gentianbank/policy/gossip_schedule.py
+++ b/src/gentianbank/policy/gossip_schedule.py
@@ -4,10 +4,9 @@
 
 from dataclasses import dataclass
 
+from gentianbank.domain.steering_settings import DEFAULT_MESSAGES_PER_S
+
 TICK_MS = 100.0
-# Limit for all messages of a node, which bounds their cost: with many peers
-# it sends to each of them less often.
-MAX_MESSAGES_PER_S = 35.0
 # Peers of other regions get a message only every third tick: they use fewer
 # of the same targets, and traffic between regions is expensive.
 REMOTE_REGION_TICKS = 3
@@ -35,16 +34,20 @@
     near, far
         Connected peers of the same region, and of other regions. Peers are
         assumed to have about as many themselves.
+    max_messages_per_s
+        Limit for all messages of a node, which bounds their cost: with many
+        peers it sends to each of them less often.
     """
 
     near: int
     far: int
+    max_messages_per_s: float = DEFAULT_MESSAGES_PER_S
 
     @property
     def tick_ms(self) -> float:
         """Return the time between two ticks."""
         messages = self.near + self.far / REMOTE_REGION_TICKS
-        return max(TICK_MS, messages / MAX_MESSAGES_PER_S * _MS_PER_S)
+        return max(TICK_MS, messages / self.max_messages_per_s * _MS_PER_S)
 
     @property
     def near_silence_ms(self) -> float:
--- a/src/gentianbank/steering/admission.py
+++ b/src/gentianbank/steering/admission.py
@@ -34,18 +34,23 @@
         Token, Refusal or None
             ``None`` if the workspace has no cap.
         """
-        token: Token | None = None
-        if self._usage_caps is not None:
-            admitted = await self._usage_caps.admit(request)
-            if isinstance(admitted, Refusal):
-                return admitted
-            token = admitted
+        token = await self.admit_run(request)
+        if isinstance(token, Refusal):
+            return token
         over_share = self._fair_shares.check(request)
         if over_share is not None:
             self.give_back(token)
             return over_share
         return token
 
+    async def admit_run(
+        self, request: CallerRequest
+    ) -> Token | Refusal | None:
+        """Return the cap's token for one more run of an admitted request."""
+        if self._usage_caps is None:
+            return None
+        return await self._usage_caps.admit(request)
+
     def give_back(self, token: Token | None) -> None:
         """Take back the token of a request that has not run."""
         if self._usage_caps is not None and token is not None:
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -11,6 +11,7 @@
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import Disconnected
 from gentianbank.control.peers import Received
+from gentianbank.domain.steering_settings import DEFAULT_MESSAGES_PER_S
 from gentianbank.policy import rendezvous
 from gentianbank.policy.gossip_schedule import GossipSchedule
 from gentianbank.policy.gossip_schedule import HEARTBEAT_MS
@@ -62,6 +63,8 @@
         Returns the nodes to which this node must be connected.
     on_tick
         Called with each tick.
+    messages_per_s
+        Limit on the messages to all peers together.
     """
 
     def __init__(
@@ -76,8 +79,10 @@
         clock: Callable[[], float],
         required_peers: Callable[[], Collection[str]] = frozenset,
         on_tick: Callable[[], None] = lambda: None,
+        messages_per_s: float = DEFAULT_MESSAGES_PER_S,
     ) -> None:
         self._on_tick = on_tick
+        self._messages_per_s = messages_per_s
         self._vm = vm
         self._required_peers = required_peers
         self._region = region
@@ -103,7 +108,7 @@
     def schedule(self) -> GossipSchedule:
         """Return the schedule for the peers that are connected now."""
         near, far = self._peers_by_distance()
-        return GossipSchedule(len(near), len(far))
+        return GossipSchedule(len(near), len(far), self._messages_per_s)
 
     def tick(self) -> None:
         """Open missing connections and send messages, as far as due."""
@@ -160,7 +165,7 @@
 
     def _silent_peers(self, now_ms: float) -> list[str]:
         near, far = self._peers_by_distance()
-        schedule = GossipSchedule(len(near), len(far))
+        schedule = self.schedule
         return [
             *self._peer_loads.silent_nodes(
                 near, now_ms, schedule.near_silence_ms
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -337,7 +337,8 @@
         if now_ms - begin_ms < MAX_UNREAD_MS or now_ms >= request.deadline_ms:
             return False
         history.record(Broken('its answer was left unread'), idempotent=True)
-        if not self._claim_retry(request, history):
+        may_retry = self._claim_retry(request, history)
+        if not may_retry or not await self._admit_again(request, history):
             return False
         await answer.body.close()
         # The target has not failed, and may be asked once more.
@@ -372,9 +373,9 @@
         self, request: CallerRequest, history: AttemptHistory
     ) -> bool:
         """Take another token if a request that may have run may run again."""
-        if self._usage_caps is None or not history.may_have_run:
+        if not history.may_have_run:
             return True
-        admitted = await self._usage_caps.admit(request)
+        admitted = await self._admission.admit_run(request)
         if isinstance(admitted, Refusal):
             return False
         history.cap_token = admitted
--- a/tests/policy/test_gossip_schedule.py
+++ b/tests/policy/test_gossip_schedule.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from gentianbank.domain.steering_settings import DEFAULT_MESSAGES_PER_S
 from gentianbank.policy.gossip_schedule import GossipSchedule
-from gentianbank.policy.gossip_schedule import MAX_MESSAGES_PER_S
 from gentianbank.policy.gossip_schedule import MIN_SILENCE_MS
 from gentianbank.policy.gossip_schedule import REMOTE_REGION_TICKS
 from gentianbank.policy.gossip_schedule import TICK_MS
@@ -20,7 +20,7 @@
     schedule = GossipSchedule(near, far)
     messages = near + far / REMOTE_REGION_TICKS
     sent_per_s = messages / schedule.tick_ms * 1_000
-    assert sent_per_s <= MAX_MESSAGES_PER_S + 1e-9
+    assert sent_per_s <= DEFAULT_MESSAGES_PER_S + 1e-9
     assert schedule.tick_ms >= TICK_MS
 
 
