--- a/tests/dataplane/test_pipelining.py
+++ b/tests/dataplane/test_pipelining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from typing import TYPE_CHECKING
@@ -22,6 +23,7 @@
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Iterator
 
     from gentianbank.dataplane.pipelining import AheadNode
@@ -31,6 +33,9 @@
 # behind the bytes that were sent before it.
 SMALL_FLOOD = 4_000
 TEST_TIMEOUT_S = 20.0
+# More than the sockets buffer, so that a reset loses a part of it.
+LARGE_BYTES = 8 << 20
+READ_BYTES = 64 << 10
 
 
 class Play:
@@ -62,6 +67,33 @@
         ]
 
 
+@contextlib.asynccontextmanager
+async def serve(
+    app: ScriptedApp,
+) -> AsyncIterator[
+    tuple[HttpServer, asyncio.StreamReader, asyncio.StreamWriter]
+]:
+    """Run a server on a loopback address, with a caller's connection."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    config = uvicorn.Config(
+        app,
+        http=caller_protocol(ahead_node()),
+        ws='none',
+        lifespan='off',
+        log_config=None,
+    )
+    server = HttpServer(config)
+    serving = asyncio.create_task(server.serve([listener]))
+    streams = await asyncio.open_connection(*listener.getsockname())
+    try:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            yield server, *streams
+    finally:
+        streams[1].close()
+        server.should_exit = server.force_exit = True
+        await serving
+
+
 @pytest.fixture
 def loop() -> Iterator[VirtualLoop]:
     made = VirtualLoop()
@@ -304,33 +336,48 @@
 def test_caller_that_leaves_while_it_is_not_read_ends_its_requests() -> None:
     async def test() -> None:
         app = ScriptedApp()
-        listener = socket.create_server(('127.0.0.1', 0))
-        config = uvicorn.Config(
-            app,
-            http=caller_protocol(ahead_node()),
-            ws='none',
-            lifespan='off',
-            log_config=None,
-        )
-        server = HttpServer(config)
-        serving = asyncio.create_task(server.serve([listener]))
-        _, writer = await asyncio.open_connection(*listener.getsockname())
-        flood = (request(f'/read/{number}') for number in range(SMALL_FLOOD))
-        writer.write(b''.join(flood))
-        try:
-            async with asyncio.timeout(TEST_TIMEOUT_S):
-                while not app.runs or not _is_held(server):
-                    await asyncio.sleep(0.01)
-                writer.transport.abort()
-                while not all(run.ended for run in app.runs.values()):
-                    await asyncio.sleep(0.01)
-        finally:
-            server.should_exit = server.force_exit = True
-            await serving
+        async with serve(app) as (server, _, writer):
+            numbers = range(SMALL_FLOOD)
+            writer.write(b''.join(request(f'/read/{n}') for n in numbers))
+            while not app.runs or not _is_held(server):
+                await asyncio.sleep(0.01)
+            writer.transport.abort()
+            while not all(run.ended for run in app.runs.values()):
+                await asyncio.sleep(0.01)
 
     asyncio.run(test())
 
 
+def test_last_answer_arrives_although_the_caller_goes_on_sending() -> None:
+    async def test() -> None:
+        app = ScriptedApp()
+        app.body = b'x' * LARGE_BYTES
+        async with serve(app) as (_, reader, writer):
+            writer.write(request('/read/0') + request('/read/1'))
+            while len(app.runs) < 2:
+                await asyncio.sleep(0.01)
+            app.stopping = True
+            for run in app.runs.values():
+                run.result.set_result('answer')
+            sending = asyncio.create_task(send_on(writer))
+            read = b''
+            while part := await reader.read(READ_BYTES):
+                read += part
+                await asyncio.sleep(0.001)
+            sending.cancel()
+            assert read.count(app.body) == 2
+            assert set(app.runs) == {'/read/0', '/read/1'}
+
+    asyncio.run(test())
+
+
+async def send_on(writer: asyncio.StreamWriter) -> None:
+    """Send requests that the node does not expect."""
+    while True:
+        writer.write(request('/read/later'))
+        await asyncio.sleep(0.001)
+
+
 def _is_held(server: HttpServer) -> bool:
     (connection,) = server.server_state.connections
     assert isinstance(connection, PipeliningProtocol)
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -102,6 +102,8 @@
     def __init__(self) -> None:
         self.runs: dict[str, Run] = {}
         self.stopping = False
+        # Body of each success; the path of its request if empty.
+        self.body = b''
         self.on_begin: Callable[[Run], None] = lambda run: None
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -154,7 +156,8 @@
         headers = [(b'x-path', run.path.encode())]
         if self.stopping:
             headers.append(_CLOSE)
-        await exchange.answer(status, headers, run.path.encode())
+        body = self.body or run.path.encode()
+        await exchange.answer(status, headers, body)
 
 
 @dataclass
