--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -262,6 +262,7 @@
             lambda: self._proxy.in_flight,
             lambda: self._proxy.read_ahead_bytes,
             self._loop_delay,
+            self._usage_caps,
             now_ms,
         )
         await self._metrics.load(gauges)
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.telemetry.deferred import Gauge
+from gentianbank.telemetry.deferred import LabelledGauge
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
+    from gentianbank.steering.usage_caps.admission import UsageCaps
     from gentianbank.telemetry.loop_delay import LoopDelay
 
 _BYTES_PER_KB = 1_024
@@ -23,8 +25,9 @@
     in_flight: Callable[[], int],
     read_ahead_bytes: Callable[[], int],
     loop_delay: LoopDelay,
+    usage_caps: UsageCaps,
     clock: Callable[[], float],
-) -> list[Gauge]:
+) -> list[Gauge | LabelledGauge]:
     """Return the gauges of a node.
 
     Parameters
@@ -101,6 +104,18 @@
             'Longest delay of a timer since the last scrape, in ms.',
             loop_delay.pop_longest_ms,
         ),
+        LabelledGauge(
+            'caps.use',
+            'Requests per second under a usage cap, of the largest.',
+            'workspace',
+            usage_caps.largest_uses,
+        ),
+        LabelledGauge(
+            'caps.refused',
+            'Requests refused under a usage cap, of the largest.',
+            'workspace',
+            usage_caps.largest_refusals,
+        ),
     ]
 
 
--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 import contextlib
+import heapq
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -41,6 +42,8 @@
     from gentianbank.steering.fleet_quotas import FleetQuotas
 
 _MS_PER_S = 1_000
+# Workspaces that the metrics name.
+MAX_SHOWN = 10
 _CAUSE = 'over the usage cap of the workspace'
 
 
@@ -154,6 +157,25 @@
         self._on_message(event.vm, event.message)
         return True
 
+    def largest_uses(self) -> dict[str, float]:
+        """Return the requests per second of the most used caps."""
+        now_ms = self._boot_clock()
+        return _largest(
+            {
+                name: account.used.per_s(now_ms)
+                for name, account in self.node.accounts.items()
+            }
+        )
+
+    def largest_refusals(self) -> dict[str, float]:
+        """Return the refused requests of the workspaces with the most."""
+        return _largest(
+            {
+                name: float(account.refused)
+                for name, account in self.node.accounts.items()
+            }
+        )
+
     def tick(self) -> None:
         """Apply the node's view and send the messages that are due."""
         now_ms = self._boot_clock()
@@ -269,9 +291,28 @@
         if grant.is_leaving:
             self.owner.on_leaving(vm, now_ms)
         for name in self.node.on_grant(vm, grant, now_ms):
-            for waiter in self._waiters.pop(name, ()):
-                if not waiter.done():
-                    waiter.set_result(None)
+            self._wake(name, now_ms)
+
+    def _wake(self, name: str, now_ms: float) -> None:
+        """Let as many requests try again as there are tokens.
+
+        The others wait for the answer to a later ask, unless the owner has
+        no token left.
+        """
+        account = self.node.accounts[name]
+        waiters = self._waiters[name]
+        count = account.in_hand(now_ms)
+        if now_ms < account.dry_until_ms:
+            count = len(waiters)
+        for waiter in waiters[:count]:
+            if not waiter.done():
+                waiter.set_result(None)
+        del waiters[:count]
+
+
+def _largest(values: dict[str, float]) -> dict[str, float]:
+    names = heapq.nlargest(MAX_SHOWN, values, key=lambda name: values[name])
+    return {name: values[name] for name in names}
 
 
 def _rule_of(bounds: Bounds) -> CapRule:
--- a/src/gentianbank/telemetry/deferred.py
+++ b/src/gentianbank/telemetry/deferred.py
@@ -28,6 +28,24 @@
     read: Callable[[], float]
 
 
+@dataclass(frozen=True, slots=True)
+class LabelledGauge:
+    """Values of a bounded number of labels, read as a ``Gauge`` is.
+
+    Parameters
+    ----------
+    label
+        Name of the label.
+    read
+        Returns the value of each label.
+    """
+
+    name: str
+    description: str
+    label: str
+    read: Callable[[], dict[str, float]]
+
+
 class DeferredMetrics:
     """Holds measurements until the metrics library is loaded.
 
@@ -59,14 +77,19 @@
         else:
             self._dropped += 1
 
-    async def load(self, gauges: Iterable[Gauge]) -> None:
+    async def load(self, gauges: Iterable[Gauge | LabelledGauge]) -> None:
         """Import the library in a thread and apply the held measurements."""
         module = await asyncio.to_thread(
             importlib.import_module, 'gentianbank.telemetry.metrics'
         )
         metrics: Metrics = module.Metrics(self._vm, self._region)
         for gauge in gauges:
-            metrics.add_gauge(gauge.name, gauge.description, gauge.read)
+            if isinstance(gauge, LabelledGauge):
+                metrics.add_labelled_gauge(
+                    gauge.name, gauge.description, gauge.label, gauge.read
+                )
+            else:
+                metrics.add_gauge(gauge.name, gauge.description, gauge.read)
         while self._held_measurements:
             self._held_measurements.popleft()(metrics)
         if self._dropped:
