--- a/src/gentianbank/policy/usage_caps/account.py
+++ b/src/gentianbank/policy/usage_caps/account.py
@@ -48,6 +48,8 @@
         Tokens of the last ask that was not answered, and its time.
     waiting
         Requests that wait for a token.
+    refused, used_count
+        Requests that were refused and admitted since the start.
     """
 
     part: EqualPart
@@ -62,6 +64,7 @@
     used: SmoothedRate = field(default_factory=SmoothedRate)
     bookings: Bookings = field(default_factory=Bookings)
     refused: int = 0
+    used_count: int = 0
     _tokens: deque[float] = field(default_factory=deque)
 
     def put(self, expires_ms: float, count: int, now_ms: float) -> None:
--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -164,6 +164,7 @@
         if token is not None:
             account.bookings.remove(caller)
             account.used.add(1, now_ms)
+            account.used_count += 1
             return token
         owner = self.owners.owner_of(workspace)
         may_ask = (
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -257,7 +257,11 @@
             idempotent = request.route.idempotent
             may_retry = history.record(outcome, idempotent=idempotent)
             may_retry = may_retry and body.can_be_sent
-            if not may_retry or not self._claim_retry(request, history):
+            if (
+                not may_retry
+                or not self._claim_retry(request, history)
+                or not await self._admit_again(request, history)
+            ):
                 await self._send_failure(
                     exchange, request, history, outcome.cause
                 )
@@ -283,6 +287,18 @@
         report(outcome, final=_is_final(outcome))
         return outcome
 
+    async def _admit_again(
+        self, request: CallerRequest, history: AttemptHistory
+    ) -> bool:
+        """Take another token if a request that may have run may run again."""
+        if self._usage_caps is None or not history.may_have_run:
+            return True
+        admitted = await self._usage_caps.admit(request)
+        if isinstance(admitted, Refusal):
+            return False
+        history.cap_token = admitted
+        return True
+
     def _claim_retry(
         self, request: CallerRequest, history: AttemptHistory
     ) -> bool:
--- a/tests/steering/usage_caps/test_fleet.py
+++ b/tests/steering/usage_caps/test_fleet.py
@@ -11,6 +11,7 @@
 from tests.support.cap_fleet import CapFleet
 from tests.support.cap_fleet import WORK_S
 from tests.support.steering import header
+from tests.support.steering import LOST
 from tests.support.steering import Path
 from tests.support.steering import SHED
 from tests.support.steering import table
@@ -139,6 +140,21 @@
     assert account.in_hand(fleet.loop.now_ms()) == 1
 
 
+def test_request_that_runs_twice_takes_two_tokens(fleet: CapFleet) -> None:
+    """Guards against retries that add runs beyond the cap."""
+    path = _domain(fleet)[0]
+    fleet.targets.scripts = {
+        target.registration.address: [LOST]
+        for target in path.cluster_view.targets.values()
+    }
+    begin_s = fleet.loop.time()
+    reply = path.ask(headers={'authorization': 'Token secret'})
+    runs = sum(time_s >= begin_s for time_s in fleet.targets.arrivals_s)
+    assert (reply.status, runs) == (502, 2)
+    account = path.usage_caps.node.accounts['lab']
+    assert account.used_count == 2
+
+
 def test_workspaces_without_a_cap_cost_nothing() -> None:
     """Guards against messages and timers of a feature that is not used."""
     fleet = CapFleet(2, 0.0, 0.0)
