Refuse callers that come back early, without priority

A storm of early retries booked times that it did not use: with 12 nodes 0.78 of the cap was used, and with 36 nodes callers that obey got 0.26 of their requests against 0.38 of the storm's.

--- a/src/gentianbank/policy/usage_caps/demand.py
+++ b/src/gentianbank/policy/usage_caps/demand.py
@@ -63,11 +63,14 @@
 class Bookings:
     """Times at which refused callers may come back, in order.
 
-    A caller that comes back at its time has priority over those that come
-    earlier or without a time.
+    A caller that comes back at its time has priority over those without a
+    time. One that comes earlier loses the priority and is refused until then.
     """
 
     _due_ms: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
+    _refused_until_ms: OrderedDict[bytes, float] = field(
+        default_factory=OrderedDict
+    )
     _last_ms: float = float('-inf')
 
     def book(
@@ -84,13 +87,17 @@
             booked.
         """
         self._drop_old(now_ms)
-        due_ms = self._due_ms.get(caller)
-        if due_ms is not None:
-            return max(0.0, due_ms - now_ms)
+        refused_ms = self._refused_until_ms.get(caller, now_ms)
+        if refused_ms - LEAD_MS > now_ms:
+            self._due_ms.pop(caller, None)
+            return refused_ms - now_ms
         step_ms = _MS_PER_S / max(per_s, 1e-3)
         due_ms = max(now_ms, self._last_ms) + step_ms
         if due_ms - now_ms <= limit_ms and len(self._due_ms) < MAX_BOOKED:
+            self._due_ms.pop(caller, None)
             self._due_ms[caller] = self._last_ms = due_ms
+        self._refused_until_ms.pop(caller, None)
+        self._refused_until_ms[caller] = due_ms
         return due_ms - now_ms
 
     def is_due(self, caller: bytes, now_ms: float) -> bool:
@@ -100,12 +107,12 @@
 
     def is_early(self, caller: bytes, now_ms: float) -> bool:
         """Return whether a caller comes back before its time."""
-        due_ms = self._due_ms.get(caller)
-        return due_ms is not None and now_ms < due_ms - LEAD_MS
+        return now_ms < self._refused_until_ms.get(caller, now_ms) - LEAD_MS
 
     def remove(self, caller: bytes) -> None:
         """Drop the time of a caller that was admitted."""
         self._due_ms.pop(caller, None)
+        self._refused_until_ms.pop(caller, None)
 
     def due_count(self, now_ms: float) -> int:
         """Return how many callers may come back now with priority."""
@@ -118,6 +125,11 @@
         return count
 
     def _drop_old(self, now_ms: float) -> None:
+        refused = self._refused_until_ms
+        while refused and (
+            len(refused) > MAX_BOOKED or next(iter(refused.values())) <= now_ms
+        ):
+            refused.popitem(last=False)
         while self._due_ms:
             caller, due_ms = next(iter(self._due_ms.items()))
             if due_ms + KEPT_MS > now_ms:
