--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -245,7 +245,11 @@
             if row.wait_ms > 0:
                 wait_ms = min(row.wait_ms, self.pace.batch_ms)
                 account.dry_until_ms = now_ms + wait_ms
-        return [row.workspace for row in grant.granted]
+        return [
+            row.workspace
+            for row in grant.granted
+            if row.workspace in self.accounts
+        ]
 
     def _take(
         self, account: Account, name: str, caller: bytes, now_ms: float
--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -98,7 +98,7 @@
         """Start the exchange of tokens if a workspace has a cap."""
         if self._ticker is None and self._view.caps:
             self._ticker = asyncio.get_running_loop().create_task(self._run())
-            self.tick()
+            self._tick_safely()
 
     async def close(self) -> None:
         """Stop the exchange of tokens."""
@@ -126,7 +126,7 @@
             return None
         self.start_if_needed()
         if self._view.caps is not self._applied_caps:
-            self.tick()
+            self._tick_safely()
         if workspace.name not in self.node.accounts:
             return None
         decision = self._decide(request, workspace.name, has_waited=False)
@@ -181,27 +181,26 @@
         now_ms = self._boot_clock()
         view = self._view.read()
         caps = self._applied_caps = self._view.caps
-        self._send_offers(self.owner.update(view, self._view.caps, now_ms))
-        self.node.update(
-            view,
-            self._view.caps,
-            now_ms,
-            is_counted=self._quotas.even_part() > 0,
-        )
-        assert caps is self._view.caps
+        self._send_offers(self.owner.update(view, caps, now_ms))
+        is_counted = self._quotas.even_part() > 0
+        self.node.update(view, caps, now_ms, is_counted=is_counted)
         self._send_asks(now_ms)
 
     async def _run(self) -> None:
         try:
             while self._view.caps:
-                try:
-                    self.tick()
-                except Exception:
-                    logging.exception('usage caps not updated')
+                self._tick_safely()
                 await asyncio.sleep(self.node.pace.batch_ms / _MS_PER_S)
         finally:
             self._ticker = None
 
+    def _tick_safely(self) -> None:
+        """Tick; a failure must not end the exchange or the caller's task."""
+        try:
+            self.tick()
+        except Exception:
+            logging.exception('usage caps not updated')
+
     def _decide(
         self, request: CallerRequest, name: str, *, has_waited: bool
     ) -> Token | MustAsk | Denied:
--- a/tests/steering/usage_caps/test_fleet.py
+++ b/tests/steering/usage_caps/test_fleet.py
@@ -8,6 +8,10 @@
 
 import pytest
 
+from gentianbank.control.peers import Received
+from gentianbank.policy.usage_caps.exchange import Grant
+from gentianbank.policy.usage_caps.exchange import Granted
+from gentianbank.steering.usage_caps import messages
 from tests.support.cap_fleet import CapFleet
 from tests.support.cap_fleet import WORK_S
 from tests.support.steering import header
@@ -176,6 +180,16 @@
     fleet.loop.end()
 
 
+def test_grant_for_an_unknown_workspace_is_ignored(fleet: CapFleet) -> None:
+    """Guards against a peer with another configuration."""
+    grant = messages.encode_grant(
+        Grant(1, 1, 1, 500, 0, (Granted('removed', 3),))
+    )
+    caps = fleet.paths[0].usage_caps
+    assert caps.on_event(Received('vm-1', grant))
+    assert list(caps.node.accounts) == ['lab']
+
+
 def test_plain_table_needs_no_keys() -> None:
     """Guards against caps that need workspaces where there are none."""
     path = Path()
