Make the mutant of a late cap the same in every run

One of five runs of the test did not catch it. The mutant kept its state by the ids of owners, which may be used again after their end; that this was the cause is presumed, not shown. It now holds the owners, and a rule lowers the cap under load.

--- a/tests/policy/usage_caps/test_rule.py
+++ b/tests/policy/usage_caps/test_rule.py
@@ -28,6 +28,7 @@
 
 NODES = 4
 CAPS = (Cap(20, 10), Cap(20, 0), Cap(10, 60), Cap(40, 5), Cap(4, 30))
+HIGHEST_CAP = Cap(80, 20)
 DEMANDS_PER_S = (0.0, 2.0, 30.0, 100.0)
 NODE = st.integers(0, NODES - 1).map('vm-{}'.format)
 EXAMPLES = 30
@@ -169,6 +170,16 @@
         self.set_all_demand(DEMANDS_PER_S[-1])
         self.world.advance(SETTLE_MS)
 
+    @rule()
+    def lower_cap(self) -> None:
+        """Lower the cap while all nodes have more demand than that."""
+        self._heal()
+        self.world.set_cap(HIGHEST_CAP)
+        self.set_all_demand(DEMANDS_PER_S[-1])
+        self.world.advance(SETTLE_MS)
+        self.world.set_cap(CAPS[0])
+        self.world.advance(2 * SETTLE_MS)
+
     def _heal(self) -> None:
         self.start_all()
         for machine in self.world.machines.values():
@@ -199,16 +210,17 @@
 
 def _apply_lowered_cap_late(patch: pytest.MonkeyPatch) -> None:
     update = CapOwner.update
-    last: dict[int, tuple[float, Cap]] = {}
+    # Holds the owners, so that no id is used again.
+    last: dict[int, tuple[float, Cap, CapOwner]] = {}
 
     def late(
         self: CapOwner, view: FleetView, caps: dict[str, Cap], now_ms: float
     ) -> dict[str, Offer]:
         (name, cap), *_ = caps.items()
-        since_ms, held = last.get(id(self), (now_ms, cap))
+        since_ms, held, _ = last.get(id(self), (now_ms, cap, self))
         if cap.rate_per_s >= held.rate_per_s or now_ms - since_ms > 15_000:
             since_ms, held = now_ms, cap
-        last[id(self)] = (since_ms if held != cap else now_ms, held)
+        last[id(self)] = (since_ms if held != cap else now_ms, held, self)
         return update(self, view, {name: held}, now_ms)
 
     patch.setattr(CapOwner, 'update', late)
