--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -148,6 +148,11 @@
             self, '_lowest_priority_by_service', lowest_by_service
         )
 
+    @property
+    def has_caps(self) -> bool:
+        """Return whether a workspace has a usage cap."""
+        return self.workspaces is not None and self.workspaces.has_caps
+
     def lowest_priority(self, service: str) -> int:
         """Return the largest priority number among a service's routes."""
         return self._lowest_priority_by_service.get(service, 0)
--- a/src/gentianbank/domain/workspaces.py
+++ b/src/gentianbank/domain/workspaces.py
@@ -58,6 +58,7 @@
     by_key: dict[KeyDigest, Workspace | None]
     has_all_keys: bool = True
     by_name: dict[str, Workspace] = field(init=False, compare=False)
+    has_caps: bool = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
         by_name = {
@@ -66,6 +67,8 @@
             if workspace is not None
         }
         object.__setattr__(self, 'by_name', by_name)
+        has_caps = any(w.has_cap for w in by_name.values())
+        object.__setattr__(self, 'has_caps', has_caps)
 
     @property
     def lowest_priority(self) -> int:
--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -26,6 +26,7 @@
 
     from gentianbank.policy.usage_caps.exchange import FleetView
     from gentianbank.policy.usage_caps.exchange import Grant
+    from gentianbank.policy.usage_caps.parts import PartDivision
     from gentianbank.policy.usage_caps.plan import Cap
     from gentianbank.policy.usage_caps.plan import CapPlan
     from gentianbank.policy.usage_caps.plan import CapRule
@@ -268,8 +269,9 @@
             return Token(name, expires_ms)
         if not self._may_use_part(account, now_ms):
             return None
-        quota = self._part_quota(name)
-        if not account.part.is_free(quota, now_ms):
+        parts = self._parts(name)
+        quota, phase = parts.quota(self.vm), parts.phase(self.vm)
+        if not account.part.is_free(quota, now_ms, phase):
             return None
         account.part.use(now_ms)
         return Token(name, now_ms, now_ms)
@@ -277,9 +279,11 @@
     def _may_use_part(self, account: Account, now_ms: float) -> bool:
         return self._is_counted and now_ms >= account.promised_ms
 
+    def _parts(self, name: str) -> PartDivision:
+        return divide(name, self._members, self._plans[name].window_quota)
+
     def _part_quota(self, name: str) -> int:
-        plan = self._plans[name]
-        return divide(name, self._members, plan.window_quota).quota(self.vm)
+        return self._parts(name).quota(self.vm)
 
     def _deny(
         self,
--- a/src/gentianbank/policy/usage_caps/owner.py
+++ b/src/gentianbank/policy/usage_caps/owner.py
@@ -177,7 +177,7 @@
         entry was in the store less than the tenure ago.
         """
         levels: dict[str, float] = {}
-        if not self.tenure.check_gap(now_ms) and self._may_act(now_ms):
+        if not self.tenure.check_gap(now_ms) and self._view_is_recent(now_ms):
             for name in claim.workspaces:
                 given = self._given.get(name)
                 if given is None or given.successor != vm:
@@ -228,7 +228,13 @@
         return (
             view is not None
             and self.vm in view.registered
-            and self.tenure.is_recent(view.heard_ms, now_ms)
+            and self._view_is_recent(now_ms)
+        )
+
+    def _view_is_recent(self, now_ms: float) -> bool:
+        view = self._view
+        return view is not None and self.tenure.is_recent(
+            view.heard_ms, now_ms
         )
 
     def _reset(self, now_ms: float) -> None:
@@ -252,8 +258,15 @@
         """Give up what this node owns no more; return the offers of it."""
         lost: defaultdict[str, list[str]] = defaultdict(list)
         may_act = self._may_act(now_ms)
+        # A node whose entry lapsed while it could not reach the store learns
+        # of that from others, and hands over instead of being waited for.
+        has_lapsed = not may_act and self._view_is_recent(now_ms)
         for name in list(self._owned):
-            if not may_act or name not in self._plans:
+            if has_lapsed and name in self._plans:
+                successor = self._give_up(name, now_ms)
+                if successor is not None:
+                    lost[successor].append(name)
+            elif not may_act or name not in self._plans:
                 del self._owned[name]
             elif self.is_leaving or self.owners.owner_of(name) != self.vm:
                 successor = self._give_up(name, now_ms)
--- a/src/gentianbank/policy/usage_caps/parts.py
+++ b/src/gentianbank/policy/usage_caps/parts.py
@@ -23,10 +23,30 @@
     extra
         Members that get one request more, so that the parts sum to the
         whole.
+    ranks
+        Position of each member; those with a request more come first.
     """
 
     base: int
     extra: frozenset[str]
+    ranks: dict[str, int]
+
+    def phase(self, vm: str) -> float:
+        """Return the fraction of its first request that a member starts with.
+
+        The members of equal parts start with fractions that are spread over
+        0 to 1, so that the sum of all parts accrues evenly. Else each member
+        of a small cap would have to wait for a whole window first.
+        """
+        has_extra = vm in self.extra
+        members = len(self.extra) if has_extra else self._plain_members
+        first_rank = 0 if has_extra else len(self.extra)
+        rank = self.ranks.get(vm, first_rank) - first_rank
+        return rank / max(1, members)
+
+    @property
+    def _plain_members(self) -> int:
+        return len(self.ranks) - len(self.extra)
 
     def quota(self, vm: str) -> int:
         """Return the part of a member, in requests per window."""
@@ -43,10 +63,9 @@
 ) -> PartDivision:
     """Divide a number of requests per window among the members."""
     base, remainder = divmod(total, max(1, len(members)))
-    if not remainder:
-        return PartDivision(base, frozenset())
     order = rendezvous.rank_names(members, workspace)
-    return PartDivision(base, frozenset(order[:remainder]))
+    ranks = {vm: rank for rank, vm in enumerate(order)}
+    return PartDivision(base, frozenset(order[:remainder]), ranks)
 
 
 @dataclass(slots=True)
@@ -70,10 +89,21 @@
         """Let the part accrue from a later time on."""
         self.from_ms = max(self.from_ms, until_ms)
 
-    def is_free(self, quota: int, now_ms: float) -> bool:
-        """Return whether the part allows a request now."""
+    def is_free(self, quota: int, now_ms: float, phase: float = 0.0) -> bool:
+        """Return whether the part allows a request now.
+
+        Parameters
+        ----------
+        quota
+            Requests per window.
+        phase
+            Fraction of a request that the part starts with.
+        """
         elapsed = min(1.0, (now_ms - self.from_ms) / self.window_ms)
-        return self.used(now_ms) < int(quota * elapsed)
+        if elapsed < 0 or not quota:
+            return False
+        allowed = min(quota, int(quota * elapsed + phase))
+        return self.used(now_ms) < allowed
 
     def use(self, now_ms: float) -> None:
         """Count a request."""
--- a/src/gentianbank/policy/usage_caps/plan.py
+++ b/src/gentianbank/policy/usage_caps/plan.py
@@ -7,13 +7,13 @@
 # Tokens expire this long after the request for them was sent.
 GRANT_MS = 500.0
 # An owner acts only on a view of the store that is younger than this.
-TENURE_MS = 6_000.0
+TENURE_MS = 2_500.0
 # Longest wait of a request for the owner's answer.
 MAX_WAIT_MS = 150.0
 BATCH_MS = 100.0
 # Period of the messages that renew a promise, and the promise's length.
-QUIET_MS = 750.0
-PROMISE_MS = 2_500.0
+QUIET_MS = 500.0
+PROMISE_MS = 1_500.0
 # Fleets up to this size use the times above.
 NODES_AT_BASE_PACE = 128
 MAX_GRANT_FACTOR = 4.0
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -42,6 +42,9 @@
 CHANGE_BATCH_S = 0.4
 # Changes that are kept for peers that cannot reach the store.
 MAX_RECENT_CHANGES = 1_000
+# A node grants tokens of usage caps only while its view is recent, which an
+# answer without changes confirms too.
+CAPS_WATCH_MS = 1_000
 _MS_PER_S = 1_000
 
 
@@ -239,6 +242,9 @@
         if self._drop_deadlines_ms:
             left_ms = min(self._drop_deadlines_ms.values()) - self._clock()
             return min(self._settings.watch_ms, max(1, int(left_ms) + 1))
+        table = self._cluster_view.table
+        if table is not None and table.has_caps:
+            return min(self._settings.watch_ms, CAPS_WATCH_MS)
         return self._settings.watch_ms
 
     def _on_store_answer(self) -> None:
--- a/src/gentianbank/telemetry/deferred.py
+++ b/src/gentianbank/telemetry/deferred.py
@@ -54,24 +54,6 @@
     read: Callable[[], dict[str, float]]
 
 
-@dataclass(frozen=True, slots=True)
-class LabelledGauge:
-    """Values of a bounded number of labels, read as a ``Gauge`` is.
-
-    Parameters
-    ----------
-    label
-        Name of the label.
-    read
-        Returns the value of each label.
-    """
-
-    name: str
-    description: str
-    label: str
-    read: Callable[[], dict[str, float]]
-
-
 class DeferredMetrics:
     """Holds measurements until the metrics library is loaded.
 
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -156,25 +156,6 @@
             f'gentianbank.{name}', [observe], description=description
         )
 
-    def add_labelled_gauge(
-        self,
-        name: str,
-        description: str,
-        label: str,
-        read: Callable[[], dict[str, float]],
-    ) -> None:
-        """Register values of several labels, read as in ``add_gauge``."""
-
-        def observe(_: CallbackOptions) -> Iterable[Observation]:
-            return [
-                Observation(value, {label: key})
-                for key, value in read().items()
-            ]
-
-        self._meter.create_observable_gauge(
-            f'gentianbank.{name}', [observe], description=description
-        )
-
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest()
--- a/tests/policy/usage_caps/test_rule.py
+++ b/tests/policy/usage_caps/test_rule.py
@@ -231,7 +231,9 @@
 
 
 def _use_whole_part_at_once(patch: pytest.MonkeyPatch) -> None:
-    def is_free(self: EqualPart, quota: int, now_ms: float) -> bool:
+    def is_free(
+        self: EqualPart, quota: int, now_ms: float, phase: float = 0.0
+    ) -> bool:
         return self.used(now_ms) < quota
 
     patch.setattr(EqualPart, 'is_free', is_free)
