--- a/src/gentianbank/domain/settings.py
+++ b/src/gentianbank/domain/settings.py
@@ -11,6 +11,7 @@
 
 from gentianbank.domain import documents
 from gentianbank.domain import schema
+from gentianbank.domain.connection_limits import ConnectionLimits
 from gentianbank.domain.errors import FieldError
 from gentianbank.domain.errors import InvalidDocument
 
@@ -112,6 +113,9 @@
     limits: Limits = schema.nested(Limits, default=Limits())
     logging: Logging = schema.nested(Logging, default=Logging())
     recorder_path: str = schema.text(r'.{0,400}', default='')
+    caller_limits: ConnectionLimits = schema.nested(
+        ConnectionLimits, default=ConnectionLimits()
+    )
 
 
 def read_document(path: Path) -> Result[Any, InvalidDocument]:
--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from gentianbank.domain import schema
+from gentianbank.domain.connection_limits import ConnectionLimits
 from gentianbank.domain.settings import Logging
 
 
@@ -119,3 +120,6 @@
     store: SteeringStore = schema.nested(SteeringStore)
     bounds: Bounds = schema.nested(Bounds, default=Bounds())
     logging: Logging = schema.nested(Logging, default=Logging())
+    caller_limits: ConnectionLimits = schema.nested(
+        ConnectionLimits, default=ConnectionLimits()
+    )
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -92,6 +92,8 @@
     ----------
     folder
         Takes settings and logs.
+    extra_settings
+        Sections that each node's settings get beside those of the soak.
     """
 
     folder: Path
@@ -103,6 +105,7 @@
     store: UsersStore = field(default_factory=UsersStore)
     journal: Journal = field(default_factory=Journal)
     version: int = 1
+    extra_settings: dict[str, Any] = field(default_factory=dict)
     _servers: list[Any] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _begin_s: float = 0.0
@@ -250,6 +253,7 @@
             'store': {'address': link.address},
             'bounds': {'stop_s': STOP_S, 'cold_slack': COLD_SLACK},
             'logging': {'json': True},
+            **self.extra_settings,
         }
         settings.write_text(yaml.safe_dump(document))
         node = SoakNode(
