Let requests that ended without a report stop filling a target

Cause: the form "body" of test_hostile_callers failed: after five streamed uploads that were too long, the only target was believed to have five requests for good ("every target is busy", desk-0:5.0, 130 refusals in 20 s). Requests sent since the newest report counted until the next report, and a target that seems full gets no request that would bring one.

Change: those that have ended decay with the constant of a load report, from the last request on. Open ones count as before.

The tests of policy, steering and dataplane pass.

--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -68,6 +68,8 @@
         Newest load report received from the target itself, and its time.
     sent_since_report
         Requests that were sent after the newest load report arrived.
+    last_sent_ms
+        Time when the last request was sent.
     failure_rate
         Smoothed fraction of the requests that failed.
     consecutive_failures
@@ -99,6 +101,7 @@
     report: LoadReport | None = None
     report_ms: float = float('-inf')
     sent_since_report: int = 0
+    last_sent_ms: float = float('-inf')
     failure_rate: float = 0.0
     consecutive_failures: int = 0
     suspect_until_ms: float = float('-inf')
@@ -158,7 +161,19 @@
             return counted
         decay = math.exp((self.report_ms - now_ms) / REPORT_DECAY_MS)
         reported = (self.report.running + self.report.waiting) * decay
-        return max(counted, reported + self.sent_since_report)
+        return max(counted, reported + self._count_unreported(now_ms))
+
+    def _count_unreported(self, now_ms: float) -> float:
+        """Return the requests sent since the report that are assumed to run.
+
+        Those that ended without a report may still run at the target, but
+        not for long. If they counted for good, a target that seems full
+        would get no request, and thus bring no report, ever again.
+        """
+        open_requests = min(self.sent_since_report, self.in_flight)
+        ended = self.sent_since_report - open_requests
+        decay = math.exp((self.last_sent_ms - now_ms) / REPORT_DECAY_MS)
+        return open_requests + ended * decay
 
     def has_warm_object(self, topic: str) -> bool:
         """Return whether an object is assumed to be warm at the target."""
@@ -169,6 +184,7 @@
         self.in_flight += 1
         self.changed_loads.add(self.registration.target_id)
         self.sent_since_report += 1
+        self.last_sent_ms = now_ms
         self.cold.on_send(now_ms)
         self.limit.on_send(now_ms)
         if topic:
--- a/tests/policy/test_target_load.py
+++ b/tests/policy/test_target_load.py
@@ -32,6 +32,20 @@
     assert target.occupancy(NOW_MS + 5_000) < 0.1
 
 
+def test_requests_that_ended_without_a_report_do_not_fill_a_target() -> None:
+    # Streamed uploads that were too long took a target out for good: it was
+    # believed to be full, so that nothing was sent that brings a report.
+    target = build_target()
+    target.on_report(LoadReport(0, 0, 4, 1.0), NOW_MS)
+    for _ in range(5):
+        target.on_send(NOW_MS, '')
+    assert target.occupancy(NOW_MS + 5_000) == 5
+    for _ in range(5):
+        target.on_end()
+    assert target.occupancy(NOW_MS) == 5
+    assert target.occupancy(NOW_MS + 5_000) < 0.1
+
+
 def test_least_recently_used_objects_are_forgotten() -> None:
     target = build_target()
     for number in range(MAX_WARM_OBJECTS + 1):
