Bound what connections of callers hold

Cause: uvicorn keeps every header and trailer, and parses all that was read into queued requests; nothing bounds connections.

Change: BoundedProtocol gives the parser of httptools small slices, counts the bytes between its callbacks, and stops parsing and then reading while requests ahead or a body wait. Each port has a part of its own, so that callers cannot take the places of readiness checks. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration are decoded and kept. The port for nodes bounds unauthenticated connections, their messages and their time.

--- a/src/gentianbank/dataplane/server.py
+++ b/src/gentianbank/dataplane/server.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from gentianbank.dataplane.bounded_protocol import BoundedProtocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -18,7 +19,7 @@
 STALL_TIMEOUT_MS = 15_000
 
 
-class CallerProtocol(HttpToolsProtocol):
+class CallerProtocol(BoundedProtocol):
     """Connection of a caller, which ends when the caller stops reading."""
 
     def connection_made(  # type: ignore[override]
--- a/src/gentianbank/domain/route_table.py
+++ b/src/gentianbank/domain/route_table.py
@@ -103,10 +103,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
-    """Limits on the requests of callers."""
+    """Limits on the requests of callers.
+
+    Parameters
+    ----------
+    idle_timeout_ms, max_header_bytes, header_timeout_ms
+        ``None`` where the operators state nothing; the settings of the node
+        apply then.
+    """
 
     max_body_bytes: int
-    idle_timeout_ms: float
+    idle_timeout_ms: float | None
+    max_header_bytes: int | None = None
+    header_timeout_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/gentianbank/nodes/own.py
+++ b/src/gentianbank/nodes/own.py
@@ -17,7 +17,6 @@
 from expression import Error
 from expression import Ok
 from expression import Result
-import uvicorn
 
 from gentianbank.control.agent import ControlAgent
 from gentianbank.control.agent import now_ms
@@ -27,7 +26,9 @@
 from gentianbank.dataplane.answers import AnswerWriter
 from gentianbank.dataplane.app import build_app
 from gentianbank.dataplane.attempts import RetryingSender
+from gentianbank.dataplane.bounded_protocol import BoundedConfig
 from gentianbank.dataplane.budgets import BudgetBook
+from gentianbank.dataplane.connection_ledger import ConnectionLedger
 from gentianbank.dataplane.decisions import DecisionLog
 from gentianbank.dataplane.forwarder import Forwarder
 from gentianbank.dataplane.health_checker import HealthChecker
@@ -45,6 +46,7 @@
 from gentianbank.domain.member import READY
 from gentianbank.domain.outcome import OutcomeTable
 from gentianbank.domain.settings import Settings
+from gentianbank.nodes.steering_gauges import list_connection_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.policy.balancer import BALANCERS
 from gentianbank.requests import PeerRequests
@@ -199,6 +201,9 @@
             self._agent.on_peer_event,
             self._requests.answer,
             self._state.address_of,
+            max_unauthenticated=(
+                settings.caller_limits.max_unauthenticated_peers
+            ),
         )
         self._agent.set_peers(self._peers)
 
@@ -267,10 +272,14 @@
             epoch_of=self._epoch_of,
         )
         address = parse_address(settings.addresses.http)
-        config = uvicorn.Config(
+        self._caller_ledger = ConnectionLedger(
+            settings.caller_limits, 'http', on_cut=self._metrics.on_cut_off
+        )
+        config = BoundedConfig(
             app,
-            address.host,
-            address.port,
+            self._caller_ledger,
+            host=address.host,
+            port=address.port,
             loop='asyncio',
             http=CallerProtocol,
             lifespan='off',
@@ -321,6 +330,8 @@
         )
         for name, description, read in gauges:
             self._metrics.add_gauge(name, description, read)
+        for gauge in list_connection_gauges(self._caller_ledger):
+            self._metrics.add_gauge(gauge.name, gauge.description, gauge.read)
 
     def _put_in_force(self, snapshot: Snapshot) -> None:
         self._routing.update(snapshot.configuration)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -15,8 +15,9 @@
 from expression import Error
 from expression import Ok
 from expression import Result
-import uvicorn
 
+from gentianbank.dataplane.bounded_protocol import BoundedConfig
+from gentianbank.dataplane.connection_ledger import ConnectionLedger
 from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
 from gentianbank.domain import schema
@@ -24,6 +25,7 @@
 from gentianbank.domain.registration import NodeRegistration
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.nodes.settings_file import SettingsFile
+from gentianbank.nodes.steering_gauges import list_connection_gauges
 from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
@@ -51,11 +53,13 @@
     from pathlib import Path
 
     from gentianbank.domain.errors import InvalidDocument
+    from gentianbank.domain.route_table import CallerLimits
     from gentianbank.steering.apps import App
 
-# Longer than callers reuse idle connections, so that no request arrives on a
-# connection that this node is closing.
-KEEP_ALIVE_S = 60
+# Parts of the limits on callers' connections that other ports have. Look-ups
+# are asked for by all callers, the others by few checks of the platform.
+LOOKUP_PART = 0.25
+CHECK_PART = 0.0625
 BACKLOG = 2_048
 STOP_POLL_S = 0.05
 # The settings file is polled, since it may change without a SIGHUP.
@@ -155,8 +159,9 @@
             started_ms=started_ms,
             clock=now_ms,
         )
+        self._caller_ledger = self._build_ledger('callers', 1.0)
         self._caller_server = _build_server(
-            addresses.callers, ProxyApp(self._proxy)
+            addresses.callers, ProxyApp(self._proxy), self._caller_ledger
         )
         readiness = ReadinessApp(self._cluster_view, self._stop.is_set)
         lookups = LookupApp(
@@ -164,12 +169,22 @@
         )
         self._servers = [
             self._caller_server,
-            _build_server(addresses.readiness, readiness),
-            _build_server(addresses.lookups, lookups),
+            _build_server(
+                addresses.readiness,
+                readiness,
+                self._build_ledger('readiness', CHECK_PART),
+            ),
+            _build_server(
+                addresses.lookups,
+                lookups,
+                self._build_ledger('lookups', LOOKUP_PART),
+            ),
         ]
         if addresses.metrics:
             app = MetricsApp(self._metrics)
-            self._servers.append(_build_server(addresses.metrics, app))
+            ledger = self._build_ledger('metrics', CHECK_PART)
+            server = _build_server(addresses.metrics, app, ledger)
+            self._servers.append(server)
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully.
@@ -211,6 +226,22 @@
         await self._restart_checks.close()
         await self._targets.close()
 
+    def _build_ledger(self, port: str, part: float) -> ConnectionLedger:
+        return ConnectionLedger(
+            self._settings.caller_limits,
+            port,
+            self._read_caller_limits,
+            self._on_cut_off,
+            part,
+        )
+
+    def _read_caller_limits(self) -> CallerLimits | None:
+        table = self._cluster_view.table
+        return table.limits if table else None
+
+    def _on_cut_off(self, port: str, reason: str) -> None:
+        self._metrics.record(lambda m: m.on_cut_off(port, reason))
+
     def _on_store_call(self, call: str, outcome: str) -> None:
         self._metrics.record(lambda m: m.on_store_call(call, outcome))
 
@@ -226,7 +257,11 @@
         )
         try:
             await module.run_mesh(
-                self._me, self._cluster_view, self._sync, now_ms
+                self._me,
+                self._cluster_view,
+                self._sync,
+                now_ms,
+                self._settings.caller_limits.max_unauthenticated_peers,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
@@ -247,6 +282,7 @@
             self._loop_delay,
             now_ms,
         )
+        gauges += list_connection_gauges(self._caller_ledger)
         await self._metrics.load(gauges)
         await self._stop.wait()
 
@@ -316,12 +352,15 @@
     await SteeringNode(path, settings).run()
 
 
-def _build_server(address: str, app: App) -> HttpServer:
+def _build_server(
+    address: str, app: App, ledger: ConnectionLedger
+) -> HttpServer:
     listen = parse_address(address)
-    config = uvicorn.Config(
+    config = BoundedConfig(
         app,
-        listen.host,
-        listen.port,
+        ledger,
+        host=listen.host,
+        port=listen.port,
         loop='asyncio',
         http=CallerProtocol,
         ws='none',
@@ -331,6 +370,5 @@
         server_header=False,
         date_header=False,
         backlog=BACKLOG,
-        timeout_keep_alive=KEEP_ALIVE_S,
     )
     return HttpServer(config)
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import resource
 from typing import TYPE_CHECKING
 
@@ -10,11 +11,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from gentianbank.dataplane.connection_ledger import ConnectionLedger
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
     from gentianbank.telemetry.loop_delay import LoopDelay
 
 _BYTES_PER_KB = 1_024
+_HELD_KINDS = {
+    'heads': 'Bytes of heads that are not complete.',
+    'bodies': 'Bytes of bodies that are not complete.',
+    'running': 'Bytes of bodies of requests that are being served.',
+    'ahead': 'Bytes of requests ahead.',
+    'answers': 'Bytes of answers that callers have not read.',
+}
 
 
 def list_gauges(
@@ -104,6 +113,31 @@
     ]
 
 
+def list_connection_gauges(ledger: ConnectionLedger) -> list[Gauge]:
+    """Return the gauges of the connections of callers."""
+    held = [
+        Gauge(
+            f'callers.held.{kind}',
+            description,
+            functools.partial(ledger.held_by_kind, kind),
+        )
+        for kind, description in _HELD_KINDS.items()
+    ]
+    return [
+        Gauge(
+            'callers.connections',
+            'Open connections of callers.',
+            lambda: ledger.connection_count,
+        ),
+        Gauge(
+            'callers.held.largest',
+            'Bytes that the largest holder holds.',
+            ledger.largest_held_bytes,
+        ),
+        *held,
+    ]
+
+
 def _peak_bytes() -> float:
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return float(usage.ru_maxrss * _BYTES_PER_KB)
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -28,6 +28,7 @@
     cluster_view: ClusterView,
     sync: StoreSync,
     clock: Callable[[], float],
+    max_unauthenticated: int,
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
 
@@ -39,6 +40,8 @@
         Replica of the store that this node holds.
     clock
         Returns the monotonic time in milliseconds.
+    max_unauthenticated
+        Connections that have not proved yet that they are of a peer.
 
     Raises
     ------
@@ -67,6 +70,7 @@
         answer,
         address_of,
         key_of,
+        max_unauthenticated,
     )
     load_gossip = LoadGossip(
         vm=me.vm,
--- a/src/gentianbank/platform/documents.py
+++ b/src/gentianbank/platform/documents.py
@@ -36,7 +36,6 @@
 _EVERY_PATH = ''
 # Limits on callers that hold if the document has none that can be read.
 _DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
-_DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 _MAX_SLOTS = 100_000
 _MS_PER_S = 1_000
 
@@ -230,13 +229,18 @@
 ) -> CallerLimits:
     raw = document.nested('limits')
     max_body_bytes = raw.whole('maxBodyBytes', _DEFAULT_MAX_BODY_BYTES)
-    idle_timeout_ms = raw.number('idleTimeoutMs', _DEFAULT_IDLE_TIMEOUT_MS)
+    # A limit of 0 would refuse every caller, so it counts as not stated.
+    idle_timeout_ms = raw.number('idleTimeoutMs', 0) or None
+    max_header_bytes = raw.whole('maxHeaderBytes', 0) or None
+    header_timeout_ms = raw.number('headerTimeoutMs', 0) or None
     problems += raw.errors
     if raw.errors:
         return CallerLimits(
-            max_body_bytes=_DEFAULT_MAX_BODY_BYTES,
-            idle_timeout_ms=_DEFAULT_IDLE_TIMEOUT_MS,
+            max_body_bytes=_DEFAULT_MAX_BODY_BYTES, idle_timeout_ms=None
         )
     return CallerLimits(
-        max_body_bytes=max_body_bytes, idle_timeout_ms=idle_timeout_ms
+        max_body_bytes=max_body_bytes,
+        idle_timeout_ms=idle_timeout_ms,
+        max_header_bytes=max_header_bytes,
+        header_timeout_ms=header_timeout_ms,
     )
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -57,6 +57,10 @@
             'gentianbank.targets.checks',
             description='Status checks of targets after lost connections.',
         )
+        self._cut_off = self._meter.create_counter(
+            'gentianbank.callers.cut_off',
+            description='Connections of callers that were cut off.',
+        )
         self._lookups = self._meter.create_counter(
             'gentianbank.lookups', description='Look-ups answered.'
         )
@@ -109,6 +113,10 @@
         """Count a status check of a target."""
         self._status_checks.add(1, {'outcome': outcome})
 
+    def on_cut_off(self, port: str, reason: str) -> None:
+        """Count a connection that was cut off."""
+        self._cut_off.add(1, {'port': port, 'reason': reason})
+
     def on_lookup(self) -> None:
         """Count a look-up."""
         self._lookups.add(1)
--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -31,6 +31,9 @@
 from gentianbank.control.peers import Unreachable
 from gentianbank.domain.addresses import parse_address
 from gentianbank.transport import handshake
+from gentianbank.transport.admission import HANDSHAKE_BYTES
+from gentianbank.transport.admission import MAX_UNAUTHENTICATED
+from gentianbank.transport.admission import PeerAdmission
 from gentianbank.transport.channel import RequestChannel
 
 if TYPE_CHECKING:
@@ -170,6 +173,8 @@
     key_of
         Returns the key that a dialled VM must hold, if it is known. By
         default all nodes share the key of this node.
+    max_unauthenticated
+        Connections that have not proved yet that they hold the key.
     """
 
     def __init__(
@@ -180,6 +185,7 @@
         answer_request: RequestHandler,
         address_of: AddressResolver,
         key_of: KeyResolver | None = None,
+        max_unauthenticated: int = MAX_UNAUTHENTICATED,
     ) -> None:
         self._own = own
         self._key_of = key_of
@@ -192,6 +198,7 @@
         self._channels: dict[str, RequestChannel] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
+        self._admission = PeerAdmission(max_unauthenticated)
 
     async def start(self) -> None:
         """Listen for connections of peers."""
@@ -199,9 +206,13 @@
             self._accept,
             self._address.host,
             self._address.port,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=HANDSHAKE_BYTES,
             compression=None,
             ping_interval=None,
+            open_timeout=DIAL_TIMEOUT_S,
+            create_connection=(
+                self._admission.build_connection  # type: ignore[arg-type]
+            ),
         )
 
     async def close(self) -> None:
@@ -340,6 +351,7 @@
             return
         match result:
             case Result(tag='ok', ok=identity):
+                self._admission.admit(socket, MAX_MESSAGE_BYTES)
                 connection = _Connection(identity.vm, socket)
                 if identity.purpose == handshake.PURPOSE_CONTROL:
                     await self._run_control_connection(connection, identity.vm)
