--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -31,7 +31,6 @@
 from gentianbank.control.peers import Unreachable
 from gentianbank.domain.addresses import parse_address
 from gentianbank.transport import handshake
-from gentianbank.transport.admission import HANDSHAKE_BYTES
 from gentianbank.transport.admission import MAX_UNAUTHENTICATED
 from gentianbank.transport.admission import PeerAdmission
 from gentianbank.transport.channel import RequestChannel
@@ -206,7 +205,7 @@
             self._accept,
             self._address.host,
             self._address.port,
-            max_size=HANDSHAKE_BYTES,
+            max_size=MAX_MESSAGE_BYTES,
             compression=None,
             ping_interval=None,
             open_timeout=DIAL_TIMEOUT_S,
@@ -348,10 +347,12 @@
                     socket, self._own, self._address_of
                 )
         except _CONNECTION_ERRORS:
+            # Closing in order would wait for the other side once more.
+            socket.transport.abort()
             return
         match result:
             case Result(tag='ok', ok=identity):
-                self._admission.admit(socket, MAX_MESSAGE_BYTES)
+                self._admission.admit(socket)
                 connection = _Connection(identity.vm, socket)
                 if identity.purpose == handshake.PURPOSE_CONTROL:
                     await self._run_control_connection(connection, identity.vm)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gentianbank.domain.registration import TargetRegistration
+from gentianbank.domain.route_table import CallerLimits
 from gentianbank.domain.route_table import Route
 from gentianbank.domain.route_table import RouteTable
 from gentianbank.domain.route_table import UnusableRoute
@@ -100,6 +101,29 @@
     assert not entry.draining
 
 
+def test_limits_of_callers_are_decoded() -> None:
+    table = decode_table()
+    assert isinstance(table, RouteTable)
+    assert table.limits == CallerLimits(
+        max_body_bytes=67_108_864,
+        idle_timeout_ms=15_000,
+        max_header_bytes=16_384,
+        header_timeout_ms=3_000,
+    )
+
+
+@pytest.mark.parametrize('limits', [{}, {'maxHeaderBytes': 0}])
+def test_limits_that_are_not_stated_are_left_to_the_settings(
+    limits: dict[str, Any],
+) -> None:
+    # A limit of 0 would refuse every caller.
+    table = decode_table(limits=limits)
+    assert isinstance(table, RouteTable)
+    assert table.limits.max_header_bytes is None
+    assert table.limits.header_timeout_ms is None
+    assert table.limits.idle_timeout_ms is None
+
+
 @pytest.mark.parametrize(
     ('field', 'value'),
     [
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -19,10 +19,13 @@
 from gentianbank.control.messages import LoanReply
 from gentianbank.control.messages import LoanRequest
 from gentianbank.control.messages import Message
+from gentianbank.control.messages import RegionDigest
+from gentianbank.control.messages import RegionDigests
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import PeerEvent
 from gentianbank.control.peers import Received
 from gentianbank.control.peers import Unreachable
+from gentianbank.transport import admission
 from gentianbank.transport import handshake
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import MAX_MALFORMED_MESSAGES
@@ -138,6 +141,51 @@
     run_with_two_nodes(test)
 
 
+def test_large_message_right_behind_the_proof_arrives() -> None:
+    # The bound on unauthenticated bytes must not cost a peer its connection
+    # when proof and message are read at once.
+    async def test(first: Node, second: Node) -> None:
+        digests = RegionDigests(
+            digests=tuple(
+                RegionDigest(region=f'region-{number}', digest=2**64 - 1)
+                for number in range(10_000)
+            )
+        )
+        received = first.events.put_nowait
+
+        def send_at_once(event: PeerEvent) -> None:
+            received(event)
+            if event == Connected('vm-2'):
+                first.peers.send('vm-2', digests)
+
+        first.on_event = send_at_once
+        first.peers.dial('vm-2', second.address)
+        assert await second.next_event() == Connected('vm-1')
+        assert await second.next_event() == Received('vm-1', digests)
+
+    run_with_two_nodes(test)
+
+
+def test_silent_connections_do_not_keep_peers_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(admission, 'HANDSHAKE_S', 0.0)
+
+    async def test(first: Node, second: Node) -> None:
+        host, _, port = second.address.rpartition(':')
+        silent = [
+            await asyncio.open_connection(host, int(port))
+            for _ in range(2 * admission.MAX_UNAUTHENTICATED)
+        ]
+        first.peers.dial('vm-2', second.address)
+        assert await first.next_event() == Connected('vm-2')
+        assert await silent[0][0].read() == b''
+        for _, writer in silent:
+            writer.close()
+
+    run_with_two_nodes(test)
+
+
 def test_message_that_the_receiver_fails_on_costs_only_itself() -> None:
     async def test(first: Node, second: Node) -> None:
         received = second.events.put_nowait
