Build requests ahead and bounds on connections into one protocol

Cause: PipeliningProtocol and BoundedProtocol were two subclasses of HttpToolsProtocol, each with its own buffer, slicing and flow control.

Change: PipeliningProtocol extends BoundedProtocol. BoundedProtocol has the one buffer of unparsed bytes and the one loop over slices; ReadFlow replaces HeldFlow and PausableFlow and keeps the check for a hang-up. What depends on the requests in progress (what is owed, what is held, how the connection closes) is a method that PipeliningProtocol answers from its order. Time limits rest while an earlier answer is owed. Bodies of waiting requests count as requests ahead, and answers held back as running.

Tests changed: two names of constants moved; the fake transport reports its buffer.

--- a/src/gentianbank/dataplane/pipelining.py
+++ b/src/gentianbank/dataplane/pipelining.py
@@ -6,14 +6,12 @@
 import contextlib
 from dataclasses import dataclass
 from dataclasses import field
-import select
 from typing import Any
 from typing import ClassVar
 from typing import TYPE_CHECKING
 
-from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-
+from gentianbank.dataplane.bounded_protocol import BoundedProtocol
+from gentianbank.dataplane.bounded_protocol import REQUEST_BYTES
 from gentianbank.dataplane.exchange import TURN_EXTENSION
 from gentianbank.policy.answer_order import AheadCount
 from gentianbank.policy.answer_order import AnswerOrder
@@ -27,21 +25,12 @@
     from gentianbank.dataplane.exchange import Receive
     from gentianbank.policy.buffer_budget import Budget
 
-# The parser cannot stop within what it is fed, so that this bounds the
-# requests that are read beyond the limit.
-SLICE_BYTES = 8 * 1024
-# Bytes that wait to be parsed before reading stops.
-MAX_UNPARSED_BYTES = 64 * 1024
 # With less room than this, no further request is begun ahead of others.
 MIN_ROOM_BYTES = 64 * 1024
-# While reading is stopped, the event loop does not report that a caller left.
-HANGUP_CHECK_S = 0.5
 # After the last answer, what the caller still sends is read and dropped for
 # so long. A socket that is closed with unread bytes resets the connection,
 # which loses what the caller has not got yet.
 LINGER_S = 2.0
-# POLLRDHUP where the module has it; other systems report no hang-up then.
-_HANGUP_EVENTS = getattr(select, 'POLLRDHUP', 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +61,14 @@
 
     protocol: PipeliningProtocol = field(kw_only=True)
     cycle: Any = field(kw_only=True)
+    body_bytes: int = 0
     _waiters: tuple[asyncio.Future[None], ...] = ()
 
+    @property
+    def is_served(self) -> bool:
+        """Return whether it is next or may have been passed on."""
+        return self.phase is Phase.BEGUN or self.protocol.order.is_turn(self)
+
     @property
     def is_dropped(self) -> bool:
         """Return whether the caller gets no answer."""
@@ -140,31 +135,7 @@
             self._waiters = tuple(w for w in self._waiters if w is not waiter)
 
 
-class HeldFlow(FlowControl):
-    """Flow control in which reading can be stopped against uvicorn."""
-
-    def __init__(self, transport: asyncio.Transport) -> None:
-        super().__init__(transport)
-        self.is_held = False
-
-    def hold_reading(self) -> None:
-        """Stop reading until it is released."""
-        self.is_held = True
-        self.pause_reading()
-
-    def release_reading(self) -> None:
-        """Leave it to uvicorn again whether to read."""
-        if self.is_held:
-            self.is_held = False
-            self.resume_reading()
-
-    def resume_reading(self) -> None:
-        """Read on, unless reading is held."""
-        if not self.is_held:
-            super().resume_reading()
-
-
-class PipeliningProtocol(HttpToolsProtocol):
+class PipeliningProtocol(BoundedProtocol):
     """Connection of a caller that may send requests ahead.
 
     Without limits for it (``ahead``), the requests of a connection are
@@ -184,8 +155,6 @@
         super().__init__(*arguments, **options)
         self._is_serial = self.ahead is None
         self._sends_ahead = False
-        self._unparsed = bytearray()
-        self._hangup_check: asyncio.TimerHandle | None = None
         if self.ahead is not None:
             self.order: AnswerOrder[RequestTurn] = AnswerOrder(
                 self.ahead.max_per_connection, self.ahead.count
@@ -195,34 +164,13 @@
                 self.ahead.held,
             )
 
-    def connection_made(  # type: ignore[override]
-        self, transport: asyncio.Transport
-    ) -> None:
-        super().connection_made(transport)
-        self.flow: HeldFlow = HeldFlow(transport)
-
     def connection_lost(self, exc: Exception | None) -> None:
         """End all requests in progress."""
         super().connection_lost(exc)
-        self._unparsed.clear()
-        self._stop_hangup_check()
         if not self._is_serial:
             for turn in self.order.clear():
                 turn.drop()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse data, or keep it while the connection is at a limit."""
-        if self._is_serial or (
-            not self.order
-            and not self._unparsed
-            and len(data) <= SLICE_BYTES
-            and not self.order.is_closing
-        ):
-            super().data_received(data)
-            return
-        self._unparsed += data
-        self._parse()
-
     def on_headers_complete(self) -> None:
         """Start the request without waiting for the one before it."""
         if not self._is_serial:
@@ -230,50 +178,18 @@
             self.cycle = None  # type: ignore[assignment]
         super().on_headers_complete()
 
-    def on_response_complete(self) -> None:
-        """Let the next answer be sent, and further requests begin."""
-        super().on_response_complete()
-        if self._is_serial or not self.order:
-            return
-        self.order.finish()
-        first = self.order.first
-        if first is not None:
-            self._unset_keepalive_if_required()
-            first.wake()
-            self.begin_requests()
-        elif self.order.is_closing:
-            self._close()
-        if self._unparsed:
-            self._parse()
+    def on_message_complete(self) -> None:
+        """Note the size of the body."""
+        super().on_message_complete()
+        if self._body_bytes and not self._is_serial:
+            last = self.order.last
+            if last is not None and last.cycle is self.cycle:
+                last.body_bytes = self._buffered_body_bytes
 
     def resume_writing(self) -> None:
         """Read on once the caller has read what was sent."""
         super().resume_writing()
-        if self._unparsed:
-            self._parse()
-
-    def send_400_response(self, msg: str) -> None:
-        """Answer what cannot be parsed, unless another answer is owed.
-
-        Then the connection closes after the last request that has begun; a
-        400 would be taken for the answer to an earlier request.
-        """
-        if self._is_serial or not self.order:
-            super().send_400_response(msg)
-            return
-        self._unparsed.clear()
-        turn = self.order.last
-        if turn is not None and turn.cycle.more_body:
-            if turn.cycle.response_started:
-                self.transport.close()
-                return
-            if self.order.is_turn(turn):
-                super().send_400_response(msg)
-                return
-            # The rest of its body cannot be read.
-            self.order.drop(turn)
-            turn.drop()
-        self.close_after_begun()
+        self._feed_soon()
 
     def shutdown(self) -> None:
         """Close the connection after what has begun."""
@@ -296,17 +212,98 @@
         """Drop what was not passed on, and close after the last answer."""
         for turn in self.order.close(through):
             turn.drop()
+        # Drops what is not to be read any more.
+        self._feed_soon()
 
     def leave_close_to_protocol(self, turn: RequestTurn) -> None:
         """Keep uvicorn from closing right behind the last answer."""
         if self._sends_ahead:
             turn.cycle.keep_alive = True
 
+    def _is_input_dropped(self) -> bool:
+        if super()._is_input_dropped():
+            return True
+        if self._is_serial or not self.order.is_closing:
+            return False
+        return not self._is_reading_body
+
+    def _may_parse(self) -> bool:
+        if self._is_serial or self.flow.read_paused:
+            return not self.flow.read_paused
+        if not self.order:
+            return not self.flow.write_paused
+        if self._is_reading_body:
+            return True
+        return (
+            self.order.may_read
+            and not self.flow.write_paused
+            and self.held_budgets[0].left_bytes >= MIN_ROOM_BYTES
+        )
+
+    def _owes_answer(self) -> bool:
+        return super()._owes_answer() if self._is_serial else bool(self.order)
+
+    def _owes_earlier_answer(self) -> bool:
+        if self._is_serial:
+            return super()._owes_earlier_answer()
+        first = self.order.first
+        if first is None:
+            return False
+        return not self._is_in_body or first.cycle is not self.cycle
+
+    def _measure_requests(self) -> tuple[int, int]:
+        running, ahead = super()._measure_requests()
+        if self._is_serial:
+            return running, ahead
+        if len(self.order) > 1:
+            running = sum(t.body_bytes for t in self.order if t.is_served)
+            ahead = (len(self.order) - 1) * REQUEST_BYTES + sum(
+                t.body_bytes for t in self.order if not t.is_served
+            )
+        return running + self.held_budgets[0].used_bytes, ahead
+
+    def _on_answered(self) -> None:
+        """Let the next answer be sent, and further requests begin."""
+        if self._is_serial or not self.order:
+            return
+        self.order.finish()
+        first = self.order.first
+        if first is not None:
+            self._unset_keepalive_if_required()
+            first.wake()
+            self.begin_requests()
+        elif self.order.is_closing:
+            self._close()
+        self._feed_soon()
+
+    def _close_after_owed(self) -> None:
+        if self._is_serial or not self.order:
+            super()._close_after_owed()
+            return
+        turn = self.order.last
+        if turn is not None and self._is_in_body and turn.cycle is self.cycle:
+            # The rest of its body cannot be read.
+            if self.order.is_turn(turn):
+                self.transport.close()
+                return
+            self.order.drop(turn)
+            turn.drop()
+        self.close_after_begun()
+
+    @property
+    def _is_reading_body(self) -> bool:
+        """Return whether a body that is to be served has not been read."""
+        last = self.order.last
+        return (
+            last is not None and last.cycle is self.cycle
+        ) and last.cycle.more_body
+
     def _close(self) -> None:
         """Close the connection behind the last answer."""
         if not self._sends_ahead or self.transport.is_closing():
             self.transport.close()
             return
+        self._is_read_ended = True
         self._unset_keepalive_if_required()
         self.loop.call_later(LINGER_S, self.transport.close)
         # It fails if the caller has reset the connection.
@@ -333,67 +330,6 @@
         in_turn: Any = _InTurn(app, turn)
         super()._start_asgi_task(cycle, in_turn)
 
-    def _parse(self) -> None:
-        """Parse what was read, as far as the limits allow."""
-        while self._unparsed and self._may_parse():
-            piece = bytes(self._unparsed[:SLICE_BYTES])
-            del self._unparsed[:SLICE_BYTES]
-            super().data_received(piece)
-        if self.order.is_closing and not self._is_reading_body:
-            self._unparsed.clear()
-        if len(self._unparsed) > MAX_UNPARSED_BYTES:
-            if not self.flow.is_held:
-                self.flow.hold_reading()
-                self._start_hangup_check()
-        elif self.flow.is_held:
-            self.flow.release_reading()
-            self._stop_hangup_check()
-
-    def _may_parse(self) -> bool:
-        if self.transport.is_closing():
-            return False
-        if self._is_reading_body:
-            return True
-        return (
-            self.order.may_read
-            and not self.flow.write_paused
-            and (
-                not self.order
-                or self.held_budgets[0].left_bytes >= MIN_ROOM_BYTES
-            )
-        )
-
-    @property
-    def _is_reading_body(self) -> bool:
-        """Return whether a body that is to be served has not been read."""
-        last = self.order.last
-        return (
-            last is not None and last.cycle is self.cycle
-        ) and last.cycle.more_body
-
-    def _start_hangup_check(self) -> None:
-        self._hangup_check = self.loop.call_later(
-            HANGUP_CHECK_S, self._check_hangup
-        )
-
-    def _stop_hangup_check(self) -> None:
-        if self._hangup_check is not None:
-            self._hangup_check.cancel()
-            self._hangup_check = None
-
-    def _check_hangup(self) -> None:
-        """End the connection if the caller has left."""
-        if self.transport.is_closing():
-            return
-        connection = self.transport.get_extra_info('socket')
-        poll = select.poll()
-        poll.register(connection.fileno(), _HANGUP_EVENTS)
-        if poll.poll(0):
-            # As the loop does when it reads the end of the stream.
-            self.transport.close()
-        else:
-            self._start_hangup_check()
-
 
 class _InTurn:
     """Runs the application on one request and keeps its answer in order."""
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -15,8 +15,9 @@
 from expression import Error
 from expression import Ok
 from expression import Result
-import uvicorn
 
+from gentianbank.dataplane.bounded_protocol import BoundedConfig
+from gentianbank.dataplane.connection_ledger import ConnectionLedger
 from gentianbank.dataplane.pipelining import AheadNode
 from gentianbank.dataplane.server import caller_protocol
 from gentianbank.dataplane.server import CallerProtocol
@@ -27,6 +28,7 @@
 from gentianbank.domain.steering_settings import SteeringSettings
 from gentianbank.nodes.settings_file import SettingsFile
 from gentianbank.nodes.share_gauges import list_share_gauges
+from gentianbank.nodes.steering_gauges import list_connection_gauges
 from gentianbank.nodes.steering_gauges import list_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
@@ -58,12 +60,14 @@
     from pathlib import Path
 
     from gentianbank.domain.errors import InvalidDocument
+    from gentianbank.domain.route_table import CallerLimits
     from gentianbank.domain.steering_settings import RequestsAhead
     from gentianbank.steering.apps import App
 
-# Longer than callers reuse idle connections, so that no request arrives on a
-# connection that this node is closing.
-KEEP_ALIVE_S = 60
+# Parts of the limits on callers' connections that other ports have. Look-ups
+# are asked for by all callers, the others by few checks of the platform.
+LOOKUP_PART = 0.25
+CHECK_PART = 0.0625
 BACKLOG = 2_048
 STOP_POLL_S = 0.05
 # The settings file is polled, since it may change without a SIGHUP.
@@ -186,9 +190,11 @@
             clock=now_ms,
             usage_caps=self._usage_caps,
         )
+        self._caller_ledger = self._build_ledger('callers', 1.0)
         self._caller_server = _build_server(
             addresses.callers,
             ProxyApp(self._proxy),
+            self._caller_ledger,
             caller_protocol(_build_ahead_node(settings.ahead)),
         )
         readiness = ReadinessApp(self._cluster_view, self._stop.is_set)
@@ -197,12 +203,22 @@
         )
         self._servers = [
             self._caller_server,
-            _build_server(addresses.readiness, readiness),
-            _build_server(addresses.lookups, lookups),
+            _build_server(
+                addresses.readiness,
+                readiness,
+                self._build_ledger('readiness', CHECK_PART),
+            ),
+            _build_server(
+                addresses.lookups,
+                lookups,
+                self._build_ledger('lookups', LOOKUP_PART),
+            ),
         ]
         if addresses.metrics:
             app = MetricsApp(self._metrics)
-            self._servers.append(_build_server(addresses.metrics, app))
+            ledger = self._build_ledger('metrics', CHECK_PART)
+            server = _build_server(addresses.metrics, app, ledger)
+            self._servers.append(server)
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully.
@@ -245,6 +261,22 @@
         await self._restart_checks.close()
         await self._targets.close()
 
+    def _build_ledger(self, port: str, part: float) -> ConnectionLedger:
+        return ConnectionLedger(
+            self._settings.caller_limits,
+            port,
+            self._read_caller_limits,
+            self._on_cut_off,
+            part,
+        )
+
+    def _read_caller_limits(self) -> CallerLimits | None:
+        table = self._cluster_view.table
+        return table.limits if table else None
+
+    def _on_cut_off(self, port: str, reason: str) -> None:
+        self._metrics.record(lambda m: m.on_cut_off(port, reason))
+
     def _on_store_call(self, call: str, outcome: str) -> None:
         role = self._sync.role
         self._metrics.record(lambda m: m.on_store_call(call, outcome, role))
@@ -269,6 +301,7 @@
                 self._fair_shares,
                 now_ms,
                 boot_ms,
+                self._settings.caller_limits.max_unauthenticated_peers,
             )
         except OSError as error:
             # The node still serves callers, but without load reports and
@@ -290,6 +323,7 @@
             now_ms,
         )
         gauges += list_share_gauges(self._fair_shares)
+        gauges += list_connection_gauges(self._caller_ledger)
         await self._metrics.load(gauges)
         await self._stop.wait()
 
@@ -370,13 +404,17 @@
 
 
 def _build_server(
-    address: str, app: App, protocol: type[CallerProtocol] = CallerProtocol
+    address: str,
+    app: App,
+    ledger: ConnectionLedger,
+    protocol: type[CallerProtocol] = CallerProtocol,
 ) -> HttpServer:
     listen = parse_address(address)
-    config = uvicorn.Config(
+    config = BoundedConfig(
         app,
-        listen.host,
-        listen.port,
+        ledger,
+        host=listen.host,
+        port=listen.port,
         loop='asyncio',
         http=protocol,
         ws='none',
@@ -386,6 +424,5 @@
         server_header=False,
         date_header=False,
         backlog=BACKLOG,
-        timeout_keep_alive=KEEP_ALIVE_S,
     )
     return HttpServer(config)
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -38,6 +38,7 @@
     fair_shares: FairShares,
     clock: Callable[[], float],
     boot_clock: Callable[[], float],
+    max_unauthenticated: int,
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
 
@@ -54,6 +55,8 @@
         Returns the monotonic time in milliseconds.
     boot_clock
         Returns the time in milliseconds, suspended time counted.
+    max_unauthenticated
+        Connections that have not proved yet that they are of a peer.
 
     Raises
     ------
@@ -84,6 +87,7 @@
         answer,
         address_of,
         key_of,
+        max_unauthenticated,
     )
     following = StoreFollowing(
         me=me,
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -65,6 +65,10 @@
     def abort(self) -> None:
         self.close()
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0, as the caller gets at once what is written."""
+        return 0
+
     def pause_reading(self) -> None:
         self.reading = False
 
@@ -256,7 +260,11 @@
         new = self.transport.written[self._parsed_bytes :]
         self._parsed_bytes = len(self.transport.written)
         if new:
-            self._parser.parser.feed_data(new)
+            try:
+                self._parser.parser.feed_data(new)
+            except httptools.HttpParserError as error:
+                # One answer was written within another.
+                raise AssertionError('answers out of order') from error
         return self._parser.answers
 
 
