--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 import sys
 
 from bench import client_map
+from bench import connections
 from bench import control
 from bench import download
 from bench import lookups
@@ -12,6 +13,7 @@
 
 BENCHES = {
     'client_map': client_map.run,
+    'connections': connections.run,
     'control': control.run,
     'download': download.run,
     'lookups': lookups.run,
--- a/tests/dataplane/test_bounded_protocol.py
+++ b/tests/dataplane/test_bounded_protocol.py
@@ -5,13 +5,17 @@
 import asyncio
 from collections import Counter
 import socket
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
+from absl import logging
+
 from gentianbank.dataplane import connection_ledger
 from gentianbank.dataplane.bounded_protocol import BoundedConfig
 from gentianbank.dataplane.bounded_protocol import REQUEST_LINE_BYTES
 from gentianbank.dataplane.connection_ledger import ConnectionLedger
+from gentianbank.dataplane.connection_ledger import MAX_LOG_LINES_PER_S
 from gentianbank.dataplane.exchange import Exchange
 from gentianbank.dataplane.server import CallerProtocol
 from gentianbank.dataplane.server import HttpServer
@@ -27,6 +31,7 @@
 TEST_TIMEOUT_S = 20.0
 HEAD_BYTES = 2_048
 SHORT_MS = 300.0
+FROZEN_S = 1.6
 HEAD = b'POST /p HTTP/1.1\r\nHost: h\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 GET = b'GET /%d HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -182,6 +187,48 @@
     play(test, header_timeout_ms=SHORT_MS)
 
 
+def test_time_in_which_the_node_was_frozen_does_not_count() -> None:
+    # What the caller sent meanwhile is not read yet when the node wakes.
+    async def test(node: Node) -> None:
+        caller = node.connect()
+        await caller.send(HEAD)
+        await asyncio.sleep(0.1)
+        time.sleep(FROZEN_S)
+        await asyncio.sleep(0.05)
+        await caller.send(b'\r\n')
+        await caller.read_until(b'/p ')
+
+    play(test, header_timeout_ms=SHORT_MS)
+
+
+def test_lines_about_callers_that_are_cut_off_are_few(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[Any] = []
+    monkeypatch.setattr(
+        logging,
+        'warning',
+        lambda message, extra: lines.append((message, extra)),
+    )
+
+    async def test(node: Node) -> None:
+        caller = node.connect()
+        await caller.send(b'no request\r\n\r\n')
+        assert b' 400 ' in await caller.read_to_end()
+        assert [line[0] for line in lines] == ['caller cut off']
+        await node.connect().send(GET % 1)
+        await asyncio.sleep(0.1)
+        (connection,) = node.server.server_state.connections
+        assert isinstance(connection, CallerProtocol)
+        for _ in range(100):
+            node.ledger.on_cut_off(connection, connection_ledger.MALFORMED)
+        # The calls may lie in two seconds.
+        assert len(lines) <= 1 + 2 * MAX_LOG_LINES_PER_S
+        assert node.cuts == {'malformed': 101}
+
+    play(test)
+
+
 def test_idle_connection_is_closed_no_earlier_than_stated() -> None:
     async def test(node: Node) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -123,7 +123,7 @@
         for form in forms:
             crowd = HostileCrowd(addresses[port], HOSTILE_ADDRESS)
             crowds.append(crowd)
-            await crowd.send(form, callers)
+            await crowd.send(form, callers, watch)
             assert watch.is_running
             print(
                 f'MEASURED {port} {form.name}: {watch.peak_growth_mb:.1f} MB,'
--- a/tests/processes/test_hostile_callers_own_interface.py
+++ b/tests/processes/test_hostile_callers_own_interface.py
@@ -51,7 +51,8 @@
         for form in (*CHEAP_FORMS, SILENT):
             crowd = HostileCrowd(fleet.nodes[VM].http, HOSTILE_ADDRESS)
             crowds.append(crowd)
-            await crowd.send(form, CALLERS if form.block else MANY_CALLERS)
+            callers = CALLERS if form.block else MANY_CALLERS
+            await crowd.send(form, callers, watch)
             assert watch.is_running
             print(
                 f'MEASURED own {form.name}: {watch.peak_growth_mb:.1f} MB,'
--- a/tests/support/hostile_callers.py
+++ b/tests/support/hostile_callers.py
@@ -18,8 +18,10 @@
 BYTES_PER_CALLER = 6_000_000
 SEND_TIMEOUT_S = 4.0
 # The crowd ends sooner if the node has read nothing from any caller for this
-# long.
+# long and was idle: then it has stopped reading. A node that reads nothing
+# since it is busy gets the whole crowd.
 NO_PROGRESS_S = 1.5
+IDLE_CPU_PART = 0.3
 PROGRESS_POLL_S = 0.1
 HOLD_S = 1.0
 BLOCK_BYTES = 60_000
@@ -74,13 +76,23 @@
         self._sockets: list[socket.socket] = []
         self._progress_s = 0.0
 
-    async def send(self, form: HostileForm, callers: int = CALLERS) -> None:
+    async def send(
+        self, form: HostileForm, callers: int, watch: ProcessWatch
+    ) -> None:
         """Connect and send; the connections stay open until ``close``."""
         loop = asyncio.get_running_loop()
         self._progress_s = loop.time()
         tasks = {loop.create_task(self._run(form)) for _ in range(callers)}
-        while tasks and loop.time() - self._progress_s < NO_PROGRESS_S:
+        seen_s, seen_cpu_s = self._progress_s, watch.cpu_s
+        while tasks:
             _, tasks = await asyncio.wait(tasks, timeout=PROGRESS_POLL_S)
+            waited_s = loop.time() - seen_s
+            if self._progress_s != seen_s:
+                seen_s, seen_cpu_s = self._progress_s, watch.cpu_s
+            elif waited_s > NO_PROGRESS_S and (
+                watch.cpu_s - seen_cpu_s < IDLE_CPU_PART * waited_s
+            ):
+                break
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -144,6 +156,15 @@
         self.idle_kb = self._status_kb('VmRSS')
         self.idle_descriptors = self.descriptors
 
+    @property
+    def cpu_s(self) -> float:
+        """Return the processor time that the process has used."""
+        with contextlib.suppress(OSError):
+            stat = Path(f'/proc/{self.pid}/stat').read_text()
+            user, system = stat.rpartition(')')[2].split()[11:13]
+            return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+        return 0.0
+
     @property
     def descriptors(self) -> int:
         """Return the number of open descriptors."""
@@ -160,6 +181,11 @@
         growth_kb = self._status_kb('VmHWM') - self.idle_kb
         return growth_kb / _BYTES_PER_KB
 
+    @property
+    def growth_mb(self) -> float:
+        """Return the resident memory beyond the idle process."""
+        return (self._status_kb('VmRSS') - self.idle_kb) / _BYTES_PER_KB
+
     @property
     def is_running(self) -> bool:
         """Return whether the process lives and is no zombie."""
