--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from gentianbank.domain import schema
+from gentianbank.domain.connection_limits import ConnectionLimits
 from gentianbank.domain.settings import Logging
 
 
@@ -182,3 +183,6 @@
     gossip: Gossip = schema.nested(Gossip, default=Gossip())
     logging: Logging = schema.nested(Logging, default=Logging())
     first_start: bool = schema.flag(default=False)
+    caller_limits: ConnectionLimits = schema.nested(
+        ConnectionLimits, default=ConnectionLimits()
+    )
--- a/src/gentianbank/nodes/steering_mesh.py
+++ b/src/gentianbank/nodes/steering_mesh.py
@@ -39,6 +39,7 @@
     clock: Callable[[], float],
     boot_clock: Callable[[], float],
     messages_per_s: float,
+    max_unauthenticated: int,
 ) -> None:
     """Exchange load reports and store changes with peers until cancelled.
 
@@ -57,6 +58,8 @@
         Returns the time in milliseconds, suspended time counted.
     messages_per_s
         Limit on the gossip of this node to all peers together.
+    max_unauthenticated
+        Connections that have not proved yet that they are of a peer.
 
     Raises
     ------
@@ -87,6 +90,7 @@
         answer,
         address_of,
         key_of,
+        max_unauthenticated,
     )
     following = StoreFollowing(
         me=me,
--- a/src/gentianbank/policy/answer_order.py
+++ b/src/gentianbank/policy/answer_order.py
@@ -6,8 +6,12 @@
 from dataclasses import dataclass
 import enum
 from typing import Generic
+from typing import TYPE_CHECKING
 from typing import TypeVar
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 class Phase(enum.Enum):
     """How far a request has got.
@@ -90,6 +94,9 @@
     def __len__(self) -> int:
         return len(self._owed)
 
+    def __iter__(self) -> Iterator[Request]:
+        return iter(self._owed)
+
     @property
     def first(self) -> Request | None:
         """Return the request whose answer is next."""
--- a/tests/dataplane/test_answer_order.py
+++ b/tests/dataplane/test_answer_order.py
@@ -143,6 +143,7 @@
                 'stop_node',
                 'shut_server_down',
                 'leave',
+                'cut_answer',
                 'send_no_request',
                 'send_broken_body',
                 'fill_memory',
@@ -170,6 +171,9 @@
             OCCURRED_FAULTS['caller left'] += 1
             self.connection.settle()
 
+    def cut_answer(self) -> None:
+        self._end_at_target(0, 'cut')
+
     def send_no_request(self) -> None:
         if self.body_left:
             return
--- a/tests/dataplane/test_pipelining.py
+++ b/tests/dataplane/test_pipelining.py
@@ -11,7 +11,7 @@
 import pytest
 import uvicorn
 
-from gentianbank.dataplane import pipelining
+from gentianbank.dataplane import bounded_protocol
 from gentianbank.dataplane.pipelining import PipeliningProtocol
 from gentianbank.dataplane.server import caller_protocol
 from gentianbank.dataplane.server import HttpServer
@@ -303,7 +303,7 @@
     assert not play.connection.transport.reading
     held_bytes = len(play.connection.protocol._unparsed)
     part_bytes = FLOOD // 10 * len(request(f'/read/{FLOOD}'))
-    assert held_bytes < pipelining.MAX_UNPARSED_BYTES + part_bytes
+    assert held_bytes < bounded_protocol.MAX_UNPARSED_BYTES + part_bytes
     assert len(play.app.runs) == 1
     play.connection.protocol.resume_writing()
     play.connection.settle()
@@ -317,7 +317,9 @@
         b''.join(request(f'/read/{number}') for number in range(FLOOD))
     )
     play.connection.settle()
-    one_slice = pipelining.SLICE_BYTES // len(request('/read/0')) + 1
+    one_slice = (
+        bounded_protocol.HEAD_SLICE_BYTES // len(request('/read/0')) + 1
+    )
     assert len(play.app.runs) <= one_slice
     assert not play.connection.transport.reading
 
