Explain where a request would go, without sending it

Cause: an operator who asks why a request got its target, or got none, has had to compare the metrics of several nodes by hand.

Change: a node answers on its metrics address, path /where, and the command 'gentianbank where' shows the answer as text or JSON. The explanation calls the functions that serve requests; what counts is asked on copies of the small counters, and estimates, exclusions and request checks are split from what records them. A key is sent only as its digest.

--- a/src/gentianbank/cli/main.py
+++ b/src/gentianbank/cli/main.py
@@ -18,6 +18,7 @@
 import yaml
 
 from gentianbank.cli import explain as explanation
+from gentianbank.cli import where as where_view
 from gentianbank.cli.client import OperatorsClient
 from gentianbank.cli.exit_codes import ExitCode
 from gentianbank.cli.tables import render_json
@@ -25,8 +26,10 @@
 from gentianbank.domain import documents
 from gentianbank.domain import schema
 from gentianbank.domain.configuration import read_configuration
+from gentianbank.platform.credentials import digest_key
 from gentianbank.rpc import conversion
 from gentianbank.rpc import operators_pb2 as pb
+from gentianbank.steering.where.query import WhereQuery
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -54,7 +57,8 @@
         given = node or os.environ.get(NODE_VARIABLE, DEFAULT_NODE)
         parts = given if isinstance(given, tuple | list) else [given]
         nodes = [n for part in parts for n in str(part).split(',') if n]
-        self._client = OperatorsClient(tuple(nodes))
+        self._nodes = tuple(nodes)
+        self._client = OperatorsClient(self._nodes)
         self._json = json
 
     def apply(
@@ -167,6 +171,66 @@
         titles = ('vm', 'address', 'region', 'weight percent')
         self._print(reply, titles, rows)
 
+    def where(
+        self,
+        host: str,
+        path: str,
+        method: str = 'GET',
+        workspace: str = '',
+        key_file: str = '',
+        affinity_key: str = '',
+        region: str = '',
+        failure_domain: str = '',
+        size: int = 0,
+        deadline_ms: int | None = None,
+        request_id: str = 'where',
+        tried: str = '',
+    ) -> None:
+        """Show where a request would go, without sending it.
+
+        The node to ask is given by its metrics address.
+
+        Parameters
+        ----------
+        workspace
+            Name of the caller's workspace.
+        key_file
+            File with the caller's key, or ``-`` for standard input, in place
+            of the workspace. Only its digest is sent.
+        affinity_key
+            Object that the request concerns.
+        region, failure_domain
+            Location of the caller.
+        size
+            Bytes of the request's body.
+        deadline_ms
+            Time that the caller has left.
+        tried
+            Targets that were tried already, separated by commas.
+        """
+        digest = _read_key_digest(key_file) if key_file else ''
+        if deadline_ms is not None:
+            _require_whole_number(deadline_ms, '--deadline_ms')
+        query = WhereQuery(
+            host=str(host),
+            path=str(path),
+            method=str(method),
+            workspace=str(workspace),
+            key_digest=digest,
+            affinity_key=str(affinity_key),
+            region=str(region),
+            failure_domain=str(failure_domain),
+            size_bytes=_require_whole_number(size, '--size'),
+            deadline_ms=deadline_ms,
+            request_id=str(request_id),
+            tried=_join_names(tried),
+        )
+        document = _reply_or_exit(where_view.ask(self._nodes[0], query))
+        if self._json:
+            print(render_json(document))
+        else:
+            print(where_view.render(document))
+
     def _explain_from_logs(self, request_id: str, logs: Sequence[str]) -> None:
         texts = [text for name in logs for text in _read_log(name)]
         lines, unparsed = explanation.read_lines(texts)
@@ -270,6 +334,19 @@
     return text.splitlines()
 
 
+def _read_key_digest(name: str) -> str:
+    """Return the digest of a key; the key itself is not kept or sent."""
+    key = ''.join(_read_log(name)).strip()
+    if not key:
+        _exit_with_error(ExitCode.BAD_INPUT, '--key_file: no key in the file')
+    return digest_key(key.encode()).hex()
+
+
+def _join_names(given: object) -> str:
+    parts = given if isinstance(given, tuple | list) else [given]
+    return ','.join(map(str, parts))
+
+
 def _document_or_exit(result: Result[Any, Any]) -> Any:
     match result:
         case Result(tag='ok', ok=value):
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -48,6 +48,8 @@
 from gentianbank.steering.restart_checks import RestartChecks
 from gentianbank.steering.store_following.store_sync import StoreSync
 from gentianbank.steering.usage_caps.admission import UsageCaps
+from gentianbank.steering.where.app import WhereApp
+from gentianbank.steering.where.explainer import Explainer
 from gentianbank.targets.pool import ConnectionPool
 from gentianbank.telemetry.deferred import DeferredMetrics
 from gentianbank.telemetry.logs import open_logs
@@ -201,7 +203,17 @@
             _build_server(addresses.lookups, lookups),
         ]
         if addresses.metrics:
-            app = MetricsApp(self._metrics)
+            explainer = Explainer(
+                vm=settings.vm,
+                cluster_view=self._cluster_view,
+                lookups=lookups,
+                proxy=self._proxy,
+                placer=self._placer,
+                fair_shares=self._fair_shares,
+                usage_caps=self._usage_caps,
+                clock=now_ms,
+            )
+            app = MetricsApp(self._metrics, WhereApp(explainer))
             self._servers.append(_build_server(addresses.metrics, app))
 
     async def run(self) -> None:
--- a/src/gentianbank/policy/fair_shares/service_shares.py
+++ b/src/gentianbank/policy/fair_shares/service_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -118,6 +119,11 @@
         admission = self._admissions.get(key)
         return admission is None or admission.admits(returning=returning)
 
+    def would_admit(self, key: ClassKey, *, returning: bool) -> bool:
+        """Return what ``admits`` would, without counting the request."""
+        admission = copy.deepcopy(self._admissions.get(key))
+        return admission is None or admission.admits(returning=returning)
+
     def on_answered(self) -> None:
         """Count a request that a target answered."""
         self._counter.on_answered()
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import enum
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -164,6 +166,32 @@
     slowdown: float
 
 
+class Estimate(NamedTuple):
+    """Cost of a request at a target, and what it consists of.
+
+    A tuple, since one is made for each target that is considered.
+
+    Parameters
+    ----------
+    cost_ms
+        Expected time with the penalties; the least one decides.
+    """
+
+    cost_ms: float
+    expected_ms: float
+    wait_ms: float
+    is_warm: bool
+    occupancy: float
+    slowdown: float
+
+
+class Unfit(enum.Enum):
+    """Why a target that is considered cannot take a request."""
+
+    FULL = 'full'
+    LATE = 'its queue is too long for the time left'
+
+
 @dataclass(frozen=True, slots=True)
 class BusyTarget:
     """A target without room, and its estimated requests."""
@@ -207,54 +235,72 @@
     """
     if not ordered_targets:
         return NoUsableTarget()
-    best: Placement | None = None
-    best_cost_ms = float('inf')
+    best: Estimate | None = None
+    best_target = ordered_targets[0]
+    for rank, target in enumerate(ordered_targets):
+        estimate = estimate_target(demand, target, rank, now_ms)
+        if isinstance(estimate, Unfit):
+            continue
+        if best is None or estimate.cost_ms < best.cost_ms:
+            best = estimate
+            best_target = target
+    if best is None:
+        return NoCapacity(_describe_busy(ordered_targets, now_ms))
+    return Placement(
+        best_target,
+        best.expected_ms,
+        best.wait_ms,
+        best.is_warm,
+        best.occupancy,
+        now_ms - best_target.report_ms,
+        best.slowdown,
+    )
+
+
+def estimate_target(
+    demand: PlacementInputs, target: TargetLoad, rank: int, now_ms: float
+) -> Estimate | Unfit:
+    """Estimate the cost of a request at one target.
+
+    Parameters
+    ----------
+    rank
+        Position of the target among those that are considered.
+    """
     times = demand.times
     queue_per_slot = MAX_QUEUE_PER_SLOT
     if demand.urgent:
         queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
     if demand.was_refused_before:
         queue_per_slot += EXTRA_RETURNING_QUEUE_PER_SLOT
-    for rank, target in enumerate(ordered_targets):
-        slots = target.registration.slots
-        occupancy = target.occupancy(now_ms)
-        # Requests that would wait, the new one included; not positive if it
-        # gets a slot at once.
-        excess_requests = occupancy - slots + 1
-        slowdown = target.slowdown(now_ms)
-        wait_ms = max(0.0, excess_requests) / slots * times.mean_ms * slowdown
-        if excess_requests > slots * queue_per_slot:
-            continue
-        is_warm = bool(demand.topic) and target.has_warm_object(demand.topic)
-        if is_warm:
-            work_ms = times.warm_ms * slowdown
-        elif not demand.topic:
-            work_ms = times.mean_ms * slowdown
-        else:
-            warm_ramp = min(
-                1.0, (now_ms - target.known_since_ms) / WARM_RAMP_MS
-            )
-            work_ms = _expected_work_ms(times, rank, warm_ramp) * slowdown
-        if target.is_cold(now_ms):
-            # Work is assumed to take twice as long while the target is cold.
-            work_ms *= 2
-        expected_ms = wait_ms + work_ms + ROUND_TRIP_MS
-        if wait_ms and not _is_in_time(demand, expected_ms):
-            continue
-        cost_ms = expected_ms + _transfer_cost_ms(demand, target)
-        cost_ms += target.failure_rate * FAILURE_COST_MS
-        if cost_ms < best_cost_ms:
-            best_cost_ms = cost_ms
-            best = Placement(
-                target,
-                expected_ms,
-                wait_ms,
-                is_warm,
-                occupancy,
-                now_ms - target.report_ms,
-                slowdown,
-            )
-    return best or NoCapacity(_describe_busy(ordered_targets, now_ms))
+    slots = target.registration.slots
+    occupancy = target.occupancy(now_ms)
+    # Requests that would wait, the new one included; not positive if it
+    # gets a slot at once.
+    excess_requests = occupancy - slots + 1
+    if excess_requests > slots * queue_per_slot:
+        return Unfit.FULL
+    slowdown = target.slowdown(now_ms)
+    wait_ms = max(0.0, excess_requests) / slots * times.mean_ms * slowdown
+    is_warm = bool(demand.topic) and target.has_warm_object(demand.topic)
+    if is_warm:
+        work_ms = times.warm_ms * slowdown
+    elif not demand.topic:
+        work_ms = times.mean_ms * slowdown
+    else:
+        warm_ramp = min(1.0, (now_ms - target.known_since_ms) / WARM_RAMP_MS)
+        work_ms = _expected_work_ms(times, rank, warm_ramp) * slowdown
+    if target.is_cold(now_ms):
+        # Work is assumed to take twice as long while the target is cold.
+        work_ms *= 2
+    expected_ms = wait_ms + work_ms + ROUND_TRIP_MS
+    if wait_ms and not _is_in_time(demand, expected_ms):
+        return Unfit.LATE
+    cost_ms = expected_ms + _transfer_cost_ms(demand, target)
+    cost_ms += target.failure_rate * FAILURE_COST_MS
+    return Estimate(
+        cost_ms, expected_ms, wait_ms, is_warm, occupancy, slowdown
+    )
 
 
 def _describe_busy(
--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
+import copy
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from gentianbank.policy.usage_caps.account import Account
@@ -182,6 +184,17 @@
         account.refused += 1
         return self._deny(account, workspace, caller, limit_ms, now_ms)
 
+    def trial(self, workspace: str) -> CapNode:
+        """Return a copy whose ``admit`` changes nothing here.
+
+        Parameters
+        ----------
+        workspace
+            The only workspace that the copy admits requests of.
+        """
+        account = copy.deepcopy(self.accounts[workspace])
+        return replace(self, accounts={workspace: account}, _urgent=set())
+
     def end_wait(self, workspace: str) -> None:
         """Record that a request no longer waits for an owner's answer."""
         account = self.accounts.get(workspace)
--- a/src/gentianbank/steering/apps.py
+++ b/src/gentianbank/steering/apps.py
@@ -12,6 +12,7 @@
 from gentianbank.dataplane.exchange import SendMessage
 from gentianbank.platform import lookup
 from gentianbank.policy.entry_points import choose_entry_points
+from gentianbank.steering.where import query as where_query
 
 if TYPE_CHECKING:
     from gentianbank.domain.registration import NodeRegistration
@@ -64,15 +65,27 @@
 
 
 class MetricsApp:
-    """Serves the metrics of the node on every path."""
+    """Serves the metrics of the node, and explanations of its decisions.
 
-    def __init__(self, metrics: DeferredMetrics) -> None:
+    Parameters
+    ----------
+    where
+        Answers the path of explanations; every other path has the metrics.
+    """
+
+    def __init__(
+        self, metrics: DeferredMetrics, where: App | None = None
+    ) -> None:
         self._metrics = metrics
+        self._where = where
 
     async def __call__(
         self, scope: ASGIMessage, receive: Receive, send: SendMessage
     ) -> None:
         """Answer one scrape; 503 until the metrics are loaded."""
+        if self._where is not None and scope['path'] == where_query.PATH:
+            await self._where(scope, receive, send)
+            return
         text = self._metrics.render()
         await Exchange(scope, receive, send).answer(
             503 if text is None else 200, _METRICS_HEADERS, text or b''
@@ -107,25 +120,40 @@
     async def __call__(
         self, scope: ASGIMessage, receive: Receive, send: SendMessage
     ) -> None:
-        """Answer one look-up.
-
-        If the connections to all candidates are lost, they are named all
-        the same, since the fault may be on the side of this node.
-        """
+        """Answer one look-up."""
         exchange = Exchange(scope, receive, send)
         query = lookup.decode_query(scope.get('query_string', b''))
-        addresses = choose_entry_points(
-            self._connected_nodes(), query.region, query.failure_domain
-        )
-        addresses = addresses or choose_entry_points(
-            self._registered_nodes(), query.region, query.failure_domain
-        )
+        addresses = self.choose(query.region, query.failure_domain)
         if not addresses:
             await exchange.answer(503, _JSON_HEADERS, b'{}')
             return
         body = lookup.encode_answer(addresses, self._cache_s)
         await exchange.answer(200, _JSON_HEADERS, body)
 
+    def choose(self, region: str, failure_domain: str) -> tuple[str, ...]:
+        """Return the addresses of the entry VMs for a caller.
+
+        If the connections to all candidates are lost, they are named all
+        the same, since the fault may be on the side of this node.
+
+        Parameters
+        ----------
+        region, failure_domain
+            Location of the caller; empty if it is not known.
+        """
+        return choose_entry_points(
+            self._connected_nodes(), region, failure_domain
+        ) or choose_entry_points(
+            self._registered_nodes(), region, failure_domain
+        )
+
+    def vm_of(self, address: str) -> str:
+        """Return the VM of a caller-facing address; empty if unknown."""
+        for node in self._registered_nodes():
+            if node.callers == address:
+                return node.vm
+        return ''
+
     def _connected_nodes(self) -> list[NodeRegistration]:
         """Return the registered nodes that are not disconnected peers."""
         disconnected = self._cluster_view.disconnected_peers
--- a/src/gentianbank/steering/caller_checks.py
+++ b/src/gentianbank/steering/caller_checks.py
@@ -19,6 +19,7 @@
     from gentianbank.domain.route_table import Route
     from gentianbank.domain.route_table import RouteTable
     from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.domain.workspaces import KeyDigest
     from gentianbank.steering.cluster_view import ClusterView
 
 # Longer than a watch of the store takes to be answered without changes; a
@@ -62,6 +63,17 @@
         if table.workspaces is None:
             return None
         key = credentials.read_key(exchange.raw_headers)
+        return self.check_key(key, table, route)
+
+    def check_key(
+        self,
+        key: KeyDigest | credentials.NoKey,
+        table: RouteTable,
+        route: Route,
+    ) -> Attributed | Refusal | None:
+        """Return the workspace of a key, as ``check`` does."""
+        if table.workspaces is None:
+            return None
         no_key = isinstance(key, credentials.NoKey)
         result = attribute(
             table.workspaces,
--- a/src/gentianbank/steering/fair_shares/fair_shares.py
+++ b/src/gentianbank/steering/fair_shares/fair_shares.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
+import copy
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from gentianbank.policy.fair_shares.division import ClassKey
@@ -20,6 +22,7 @@
 
     from gentianbank.domain.route_table import RouteTable
     from gentianbank.policy.fair_shares.counts import NodeCounts
+    from gentianbank.policy.fair_shares.service_shares import Share
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.request_log import RequestLog
@@ -32,6 +35,22 @@
 MAX_DETECTORS = 20_000
 
 
+@dataclass(frozen=True, slots=True)
+class SharePreview:
+    """Whether the share of a workspace would admit a request.
+
+    Parameters
+    ----------
+    age_ms
+        Age of the counts on which the share rests.
+    """
+
+    is_admitted: bool
+    share: Share
+    is_returning: bool
+    age_ms: float
+
+
 class FairShares:
     """Shares of all services; off unless there are workspaces.
 
@@ -78,6 +97,39 @@
         self._log_refusal(request, key, shares, is_returning=is_returning)
         return Refusal(503, CAUSE, may_retry_later=True)
 
+    def preview(self, request: CallerRequest) -> SharePreview | None:
+        """Return what ``check`` would say, without counting the request.
+
+        The shares are those that were computed last.
+
+        Returns
+        -------
+        SharePreview or None
+            ``None`` if the room of the service is not divided.
+        """
+        table = self._cluster_view.table
+        shares = self._services.get(request.service)
+        if table is None or table.workspaces is None or shares is None:
+            return None
+        key = self._key_of(request, table)
+        share = shares.shares.get(key)
+        if share is None:
+            return None
+        name = (request.route.name, key.workspace)
+        detector = copy.copy(self._detectors.get(name))
+        patience_ms = request.caller_deadline_ms - request.received_ms
+        is_returning = (
+            detector is not None
+            and patience_ms < MAX_TIME_LEFT_MS
+            and detector.is_returning(patience_ms)
+        )
+        return SharePreview(
+            shares.would_admit(key, returning=is_returning),
+            share,
+            is_returning=is_returning,
+            age_ms=self._clock() - share.counted_ms,
+        )
+
     def on_answered(self, request: CallerRequest) -> None:
         """Count a request that a target answered."""
         shares = self._services.get(request.service)
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -130,11 +130,19 @@
         These are the limit for targets that are or may be cold, and the one
         that the target names.
         """
-        if target.may_be_cold(now_ms) and not (
+        return self.may_send_cold(target, now_ms) and self._may_send_named(
+            target, now_ms
+        )
+
+    def may_send_cold(self, target: TargetLoad, now_ms: float) -> bool:
+        """Return whether the limit for cold targets allows a request."""
+        return not target.may_be_cold(now_ms) or (
             self._takes_parts(now_ms, COLD_WINDOW_MS)
             and target.cold.may_send(now_ms, self._cold_quota(target))
-        ):
-            return False
+        )
+
+    def _may_send_named(self, target: TargetLoad, now_ms: float) -> bool:
+        """Return whether the limit that a target names allows a request."""
         part = self.limit_part(target)
         if part is None:
             return True
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
+import copy
 from dataclasses import dataclass
+import enum
 from typing import TYPE_CHECKING
 import zlib
 
 from gentianbank.policy import rendezvous
 from gentianbank.policy.placement import choose_target
+from gentianbank.policy.placement import Estimate
+from gentianbank.policy.placement import estimate_target
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.policy.placement import NoUsableTarget
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.placement import PlacementInputs
 from gentianbank.policy.placement import RouteTimes
+from gentianbank.policy.placement import Unfit
 from gentianbank.policy.region_shares import BUSY_FRACTION
 from gentianbank.policy.region_shares import BUSY_FRACTION_OF_LARGE
 from gentianbank.policy.region_shares import RegionLoad
@@ -21,8 +27,6 @@
 from gentianbank.steering.fleet_quotas import FleetQuotas
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from gentianbank.domain.route_table import Route
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.domain.workspaces import Workspace
@@ -40,6 +44,7 @@
 # limits the shift from one window of ``SHIFT_WINDOW_S`` to the next.
 USED_SHIFT_FRACTION = 0.4
 SHIFT_WINDOW_S = 2.0
+Ranking = Callable[['PlacementRequest', str], list['TargetLoad']]
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +83,78 @@
     workspace: Workspace | None = None
 
 
+class PassedOver(enum.Enum):
+    """Why a target is not among those that are considered."""
+
+    TRIED = 'tried for this request already'
+    NO_OVERFLOW = 'the region is full and too much has overflowed lately'
+    NOT_WORTH_QUOTA = 'names a limit and is not the first for the object'
+    COLD_LIMIT = 'cold; its limit is used up'
+    NAMED_LIMIT = 'the limit that it names is used up'
+    SUSPECT = 'suspect after failures'
+    UNCONFIRMED = 'unconfirmed; its entry may be gone'
+    OTHER_OBJECTS = 'not among the targets of the object'
+
+
+@dataclass(frozen=True, slots=True)
+class RegionPreview:
+    """What would be found in a region.
+
+    Parameters
+    ----------
+    considered
+        Targets among which the least cost decides, in their order.
+    passed_over
+        The others, each with the reason.
+    limited_only
+        Whether only targets that name a limit are used.
+    """
+
+    region: str
+    considered: tuple[tuple[TargetLoad, Estimate | Unfit], ...]
+    passed_over: tuple[tuple[TargetLoad, str], ...]
+    limited_only: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPreview:
+    """What ``Placer.choose`` would return, and why.
+
+    Parameters
+    ----------
+    regions
+        The regions in which a target is sought, in order.
+    """
+
+    planned_region: str
+    result: PlacementResult
+    regions: tuple[RegionPreview, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _RegionStep:
+    """A region in which a target is sought."""
+
+    region: str
+    limited_only: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Decision:
+    """The choice for a request.
+
+    Parameters
+    ----------
+    is_unplanned
+        Whether the request leaves a full region and counts as overflow.
+    """
+
+    planned_region: str
+    result: PlacementResult
+    steps: list[_RegionStep]
+    is_unplanned: bool = False
+
+
 class Placer:
     """Chooses targets and keeps the measured times of routes.
 
@@ -157,9 +234,77 @@
         self._drop_stale_caches()
         now_ms = self._clock()
         shares = self._update_shares(request, now_ms)
+        decision = self._decide(request, shares, now_ms, self._ranked_targets)
+        if decision.is_unplanned:
+            shares.on_overflow(now_ms)
+        return decision.result
+
+    def preview(self, request: PlacementRequest) -> PlacementPreview:
+        """Return what ``choose`` would, without counting the request."""
+        now_ms = self._clock()
+        key = (request.service, request.route.large)
+        known = self._shares.get(key)
+        shares = (
+            self._new_shares(request, now_ms)
+            if known is None
+            else copy.deepcopy(known)
+        )
+        self._advance(shares, {**self._shares, key: shares}, request, now_ms)
+        decision = self._decide(request, shares, now_ms, self._rank_targets)
+        regions = [
+            self._preview_region(request, step, now_ms)
+            for step in decision.steps
+        ]
+        return PlacementPreview(
+            decision.planned_region, decision.result, tuple(regions)
+        )
+
+    def _preview_region(
+        self, request: PlacementRequest, step: _RegionStep, now_ms: float
+    ) -> RegionPreview:
+        order = self._order(request, step.region, self._rank_targets)
+        considered = self._consider(
+            request, order, now_ms, limited_only=step.limited_only
+        )
+        demand = self._inputs(request)
+        passed_over: list[tuple[TargetLoad, str]] = []
+        for rank, target in enumerate(order):
+            reason = self._why_not_eligible(
+                target, rank, request, now_ms, limited_only=step.limited_only
+            )
+            if reason is None and target not in considered:
+                reason = _why_not_preferred(target, now_ms)
+            if reason is not None:
+                passed_over.append((target, reason.value))
+        estimates = [
+            (target, estimate_target(demand, target, rank, now_ms))
+            for rank, target in enumerate(considered)
+        ]
+        return RegionPreview(
+            step.region,
+            tuple(estimates),
+            tuple(passed_over),
+            limited_only=step.limited_only,
+        )
+
+    def _decide(
+        self,
+        request: PlacementRequest,
+        shares: RegionShares,
+        now_ms: float,
+        rank: Ranking,
+    ) -> _Decision:
+        """Choose without counting anything.
+
+        Parameters
+        ----------
+        rank
+            Returns the targets of a region in the object's order.
+        """
         planned_region = shares.region_of(
             request.topic or str(request.spread_key)
         )
+        steps: list[_RegionStep] = []
         regions = [
             planned_region,
             *(r for r in self._regions if r != planned_region),
@@ -173,36 +318,65 @@
             limited_only = is_overflow and not shares.may_overflow(now_ms)
             if limited_only and region != self._region:
                 continue
+            steps.append(_RegionStep(region, limited_only=limited_only))
+            order = self._order(request, region, rank)
             placement = self._choose_in_region(
-                request, region, now_ms, limited_only=limited_only
+                request, order, now_ms, limited_only=limited_only
             )
             if isinstance(placement, Placement):
-                if is_overflow and not limited_only:
-                    shares.on_overflow(now_ms)
-                return placement
+                is_unplanned = is_overflow and not limited_only
+                return _Decision(
+                    planned_region,
+                    placement,
+                    steps,
+                    is_unplanned=is_unplanned,
+                )
             if isinstance(first_failure, NoUsableTarget):
                 first_failure = placement
-        return first_failure
+        return _Decision(planned_region, first_failure, steps)
 
     def _choose_in_region(
         self,
         request: PlacementRequest,
-        region: str,
+        order: list[TargetLoad],
         now_ms: float,
         *,
         limited_only: bool,
     ) -> PlacementResult:
-        order = self._ranked_targets(request, region)
+        considered = self._consider(
+            request, order, now_ms, limited_only=limited_only
+        )
+        placement = choose_target(self._inputs(request), considered, now_ms)
+        if isinstance(placement, NoUsableTarget) and order:
+            return NoCapacity()
+        return placement
+
+    def _order(
+        self, request: PlacementRequest, region: str, rank: Ranking
+    ) -> list[TargetLoad]:
+        """Return a region's targets in the order for the request."""
+        order = rank(request, region)
         if order and not request.topic:
             start = zlib.crc32(request.spread_key) % len(order)
             order = order[start:] + order[:start]
+        return order
+
+    def _consider(
+        self,
+        request: PlacementRequest,
+        order: list[TargetLoad],
+        now_ms: float,
+        *,
+        limited_only: bool,
+    ) -> list[TargetLoad]:
+        """Return the targets among which the estimates decide."""
         eligible = [
             target
             for rank, target in enumerate(order)
-            if target.registration.target_id not in request.tried_targets
-            and (target.limit.is_named or not limited_only)
-            and _is_worth_its_quota(target, rank, request.topic)
-            and self._quotas.may_send(target, now_ms)
+            if self._why_not_eligible(
+                target, rank, request, now_ms, limited_only=limited_only
+            )
+            is None
         ]
         preferred = [
             target
@@ -211,20 +385,43 @@
         ]
         if request.topic:
             preferred = preferred[:TARGETS_PER_OBJECT]
-        demand = PlacementInputs(
+        return preferred or eligible
+
+    def _why_not_eligible(
+        self,
+        target: TargetLoad,
+        rank: int,
+        request: PlacementRequest,
+        now_ms: float,
+        *,
+        limited_only: bool,
+    ) -> PassedOver | None:
+        """Return why a target is left out; ``None`` if it is not."""
+        if target.registration.target_id in request.tried_targets:
+            return PassedOver.TRIED
+        if limited_only and not target.limit.is_named:
+            return PassedOver.NO_OVERFLOW
+        if not _is_worth_its_quota(target, rank, request.topic):
+            return PassedOver.NOT_WORTH_QUOTA
+        if self._quotas.may_send(target, now_ms):
+            return None
+        if self._quotas.may_send_cold(target, now_ms):
+            return PassedOver.NAMED_LIMIT
+        return PassedOver.COLD_LIMIT
+
+    def _inputs(self, request: PlacementRequest) -> PlacementInputs:
+        route = request.route
+        times = self._route_times.get(route.name)
+        return PlacementInputs(
             topic=request.topic,
             region=self._region,
             failure_domain=self._failure_domain,
-            times=self.route_times(request.route),
+            times=times or RouteTimes.initial(route.latency_objective_ms),
             urgent=self._is_urgent(request),
             was_refused_before=request.was_refused_before,
             objective_left_ms=request.objective_left_ms,
             time_left_ms=request.time_left_ms,
         )
-        placement = choose_target(demand, preferred or eligible, now_ms)
-        if isinstance(placement, NoUsableTarget) and order:
-            return NoCapacity()
-        return placement
 
     def _is_urgent(self, request: PlacementRequest) -> bool:
         """Return whether there are workspaces or routes of lower priority.
@@ -244,17 +441,25 @@
 
     def _ranked_targets(
         self, request: PlacementRequest, region: str
+    ) -> list[TargetLoad]:
+        """Return a region's ranked targets, from the cache if possible."""
+        key = (request.service, region, request.topic, request.route.large)
+        order = self._rankings.get(key)
+        if order is None:
+            order = self._rank_targets(request, region)
+            if len(self._rankings) >= MAX_CACHED_RANKINGS:
+                self._rankings.clear()
+            self._rankings[key] = order
+        return order
+
+    def _rank_targets(
+        self, request: PlacementRequest, region: str
     ) -> list[TargetLoad]:
         """Return a region's targets, ranked for the request's object.
 
         For large answers the targets of this node's failure domain come
         first.
         """
-        large = request.route.large
-        key = (request.service, region, request.topic, large)
-        order = self._rankings.get(key)
-        if order is not None:
-            return order
         targets = {
             target.registration.target_id: target
             for target in self._cluster_view.usable_targets(request.service)
@@ -264,11 +469,8 @@
             targets[name]
             for name in rendezvous.rank_names(targets, request.topic)
         ]
-        if large:
+        if request.route.large:
             order.sort(key=self._is_in_other_domain)
-        if len(self._rankings) >= MAX_CACHED_RANKINGS:
-            self._rankings.clear()
-        self._rankings[key] = order
         return order
 
     def _is_in_other_domain(self, target: TargetLoad) -> bool:
@@ -286,24 +488,39 @@
         key = (request.service, request.route.large)
         shares = self._shares.get(key)
         if shares is None:
-            large = request.route.large
-            shares = RegionShares(
-                self._region,
-                _max_shift_per_s(self._bounds),
-                BUSY_FRACTION_OF_LARGE if large else BUSY_FRACTION,
+            shares = self._shares[key] = self._new_shares(request, now_ms)
+        self._advance(shares, self._shares, request, now_ms)
+        return shares
+
+    def _new_shares(
+        self, request: PlacementRequest, now_ms: float
+    ) -> RegionShares:
+        large = request.route.large
+        shares = RegionShares(
+            self._region,
+            _max_shift_per_s(self._bounds),
+            BUSY_FRACTION_OF_LARGE if large else BUSY_FRACTION,
+        )
+        if not large:
+            shares.set_initial_shares(
+                self._region_loads(request.service, now_ms)
             )
-            self._shares[key] = shares
-            if not request.route.large:
-                shares.set_initial_shares(
-                    self._region_loads(request.service, now_ms)
-                )
+        return shares
+
+    def _advance(
+        self,
+        shares: RegionShares,
+        all_shares: dict[tuple[str, bool], RegionShares],
+        request: PlacementRequest,
+        now_ms: float,
+    ) -> None:
+        """Count a request and adapt the shares if that is due."""
         shares.on_request(now_ms)
         if shares.is_due(now_ms):
             loads = self._region_loads(request.service, now_ms)
-            total = sum(s.request_count(now_ms) for s in self._shares.values())
+            total = sum(s.request_count(now_ms) for s in all_shares.values())
             traffic_fraction = shares.request_count(now_ms) / max(1, total)
             shares.step(loads, now_ms, traffic_fraction)
-        return shares
 
     def _region_loads(
         self, service: str, now_ms: float
@@ -343,6 +560,14 @@
     return not rank or target.has_warm_object(topic)
 
 
+def _why_not_preferred(target: TargetLoad, now_ms: float) -> PassedOver:
+    if target.is_unconfirmed:
+        return PassedOver.UNCONFIRMED
+    if target.is_suspect(now_ms):
+        return PassedOver.SUSPECT
+    return PassedOver.OTHER_OBJECTS
+
+
 def _max_shift_per_s(bounds: Bounds) -> float:
     """Return how fast the shares of the regions may change."""
     return bounds.max_region_shift * USED_SHIFT_FRACTION / SHIFT_WINDOW_S
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import copy
+from dataclasses import dataclass
 import functools
 from typing import TYPE_CHECKING
 
@@ -38,7 +40,12 @@
 
     from gentianbank.dataplane.exchange import Exchange
     from gentianbank.domain.route_table import CallerLimits
+    from gentianbank.domain.route_table import Route
+    from gentianbank.domain.route_table import RouteTable
     from gentianbank.domain.steering_settings import Bounds
+    from gentianbank.domain.workspaces import KeyDigest
+    from gentianbank.platform.credentials import NoKey
+    from gentianbank.policy.attribution import Attributed
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.fair_shares.fair_shares import FairShares
     from gentianbank.steering.placer import Placer
@@ -52,6 +59,30 @@
 # Targets close a connection on which an answer is left unread for longer.
 MAX_UNREAD_MS = 3_000.0
 _MIN_SERVER_ERROR = 500
+_STOPPING = Refusal(503, 'this node stops', may_retry_later=True)
+
+
+@dataclass(frozen=True, slots=True)
+class _Identified:
+    """The route and the caller of a request."""
+
+    table: RouteTable
+    route: Route
+    caller: Attributed | None
+
+
+@dataclass(frozen=True, slots=True)
+class Preview:
+    """A request as it would be read.
+
+    Parameters
+    ----------
+    too_large
+        The refusal for its size, if any.
+    """
+
+    request: CallerRequest
+    too_large: Refusal | None
 
 
 class Proxy:
@@ -136,62 +167,107 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         now_ms = self._clock()
-        table = self._cluster_view.table
-        if table is None:
-            refusal = Refusal(
-                503, 'no configuration yet', may_retry_later=True
-            )
-            await self._replies.send_refusal(exchange, None, refusal)
-            return
-        if self._refuses_new_requests:
-            await self._refuse_as_stopping(exchange, None)
-            return
-        host = (exchange.header(b'host') or '').lower()
-        path = exchange.path.partition(b'?')[0].decode('latin-1')
-        route = table.find(host, path)
-        if route is None:
-            await self._replies.send_refusal(
-                exchange, None, Refusal(404, 'no such route')
-            )
-            return
-        if isinstance(route, UnusableRoute):
-            refusal = Refusal(503, 'the route cannot be read')
-            await self._replies.send_refusal(exchange, None, refusal)
-            return
-        if not _has_one_id(exchange):
-            # No answer of a target could be told from one to another request.
-            refusal = Refusal(400, 'the request must have one request id')
-            await self._replies.send_refusal(exchange, None, refusal)
-            return
-        caller = self._caller_checks.check(exchange, table, route)
-        if isinstance(caller, Refusal):
-            await self._replies.send_refusal(exchange, None, caller)
+        check = functools.partial(self._caller_checks.check, exchange)
+        found = self._identify(exchange, check)
+        if isinstance(found, Refusal):
+            await self._replies.send_refusal(exchange, None, found)
             return
+        route = found.route
         service_turns = self._service_turns.setdefault(
             route.name, WeightedRoundRobin()
         )
-        service = service_turns.choose(route.parts)
         patience = self._patience.setdefault(
             route.name, ReturningCallerDetector()
         )
         request = read_request(
-            exchange, route, service, patience, now_ms, caller
+            exchange,
+            route,
+            service_turns.choose(route.parts),
+            patience,
+            now_ms,
+            found.caller,
         )
-        if _declared_bytes(exchange) > table.limits.max_body_bytes:
-            refusal = Refusal(413, 'body too large')
-            await self._replies.send_refusal(exchange, request, refusal)
+        limits = found.table.limits
+        too_large = _check_size(exchange, limits)
+        if too_large is not None:
+            await self._replies.send_refusal(exchange, request, too_large)
             return
         try:
-            await self._serve_with_body(exchange, request, table.limits)
+            await self._serve_with_body(exchange, request, limits)
         except BodyTooLargeError:
             refusal = Refusal(413, 'body too large', closes_connection=True)
             await self._replies.send_refusal(exchange, request, refusal)
 
+    def preview(
+        self, exchange: Exchange, key: KeyDigest | NoKey
+    ) -> Preview | Refusal:
+        """Return how a request would be read, without counting it.
+
+        What counts requests is asked on copies.
+
+        Parameters
+        ----------
+        key
+            Digest of the caller's key, which is not in the headers here.
+        """
+
+        def check(
+            table: RouteTable, route: Route
+        ) -> Attributed | Refusal | None:
+            return self._caller_checks.check_key(key, table, route)
+
+        found = self._identify(exchange, check)
+        if isinstance(found, Refusal):
+            return found
+        route = found.route
+        turns = self._service_turns.get(route.name, WeightedRoundRobin())
+        patience = self._patience.get(route.name, ReturningCallerDetector())
+        request = read_request(
+            exchange,
+            route,
+            copy.copy(turns).choose(route.parts),
+            copy.copy(patience),
+            self._clock(),
+            found.caller,
+        )
+        return Preview(request, _check_size(exchange, found.table.limits))
+
+    def _identify(
+        self,
+        exchange: Exchange,
+        check: Callable[[RouteTable, Route], Attributed | Refusal | None],
+    ) -> _Identified | Refusal:
+        """Return the route and the caller of a request, or its refusal.
+
+        Parameters
+        ----------
+        check
+            Returns the caller's workspace, or the refusal of the request.
+        """
+        table = self._cluster_view.table
+        if table is None:
+            return Refusal(503, 'no configuration yet', may_retry_later=True)
+        if self._refuses_new_requests:
+            return _STOPPING
+        host = (exchange.header(b'host') or '').lower()
+        path = exchange.path.partition(b'?')[0].decode('latin-1')
+        route = table.find(host, path)
+        if route is None:
+            return Refusal(404, 'no such route')
+        if isinstance(route, UnusableRoute):
+            return Refusal(503, 'the route cannot be read')
+        if not _has_one_id(exchange):
+            # No answer of a target could be told from one to another request.
+            return Refusal(400, 'the request must have one request id')
+        caller = check(table, route)
+        if isinstance(caller, Refusal):
+            return caller
+        return _Identified(table, route, caller)
+
     async def _refuse_as_stopping(
         self, exchange: Exchange, request: CallerRequest | None
     ) -> None:
-        refusal = Refusal(503, 'this node stops', may_retry_later=True)
-        await self._replies.send_refusal(exchange, request, refusal)
+        await self._replies.send_refusal(exchange, request, _STOPPING)
 
     async def _serve_with_body(
         self, exchange: Exchange, request: CallerRequest, limits: CallerLimits
@@ -269,7 +345,7 @@
         while True:
             now_ms = self._clock()
             placement = self._placer.choose(
-                self._placement_request(request, history)
+                self.placement_request(request, history)
             )
             history.placement = placement
             if isinstance(
@@ -402,9 +478,10 @@
         self._reporter.on_retry(request.service)
         return True
 
-    def _placement_request(
+    def placement_request(
         self, request: CallerRequest, history: AttemptHistory
     ) -> PlacementRequest:
+        """Return what decides on the target of a request."""
         now_ms = self._clock()
         return PlacementRequest(
             route=request.route,
@@ -481,6 +558,12 @@
     return len(ids) == 1 and bool(ids[0])
 
 
+def _check_size(exchange: Exchange, limits: CallerLimits) -> Refusal | None:
+    if _declared_bytes(exchange) > limits.max_body_bytes:
+        return Refusal(413, 'body too large')
+    return None
+
+
 def _declared_bytes(exchange: Exchange) -> int:
     length = exchange.header(b'content-length') or '0'
     return int(length) if length.isdecimal() else 0
--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -129,7 +129,9 @@
             self._tick_safely()
         if workspace.name not in self.node.accounts:
             return None
-        decision = self._decide(request, workspace.name, has_waited=False)
+        decision = self._decide(
+            self.node, request, workspace.name, has_waited=False
+        )
         if isinstance(decision, MustAsk):
             try:
                 await self._ask_now(decision.owner, workspace.name, request)
@@ -137,12 +139,30 @@
                 self.node.end_wait(workspace.name)
             if workspace.name not in self.node.accounts:
                 return None
-            decision = self._decide(request, workspace.name, has_waited=True)
+            decision = self._decide(
+                self.node, request, workspace.name, has_waited=True
+            )
         if isinstance(decision, Denied):
             return _refuse(decision)
         assert isinstance(decision, Token)
         return decision
 
+    def preview(
+        self, request: CallerRequest
+    ) -> Token | MustAsk | Denied | None:
+        """Return what ``admit`` would find first, without taking a token.
+
+        Returns
+        -------
+        Token, MustAsk, Denied or None
+            ``None`` if the workspace has no cap that is applied yet.
+        """
+        workspace = request.workspace
+        if workspace is None or workspace.name not in self.node.accounts:
+            return None
+        trial = self.node.trial(workspace.name)
+        return self._decide(trial, request, workspace.name, has_waited=False)
+
     def give_back(self, token: Token) -> None:
         """Take back the token of a request that did not run."""
         self.node.give_back(token, self._boot_clock())
@@ -202,11 +222,16 @@
             logging.exception('usage caps not updated')
 
     def _decide(
-        self, request: CallerRequest, name: str, *, has_waited: bool
+        self,
+        node: CapNode,
+        request: CallerRequest,
+        name: str,
+        *,
+        has_waited: bool,
     ) -> Token | MustAsk | Denied:
-        owner = self.node.owners.owner_of(name)
+        owner = node.owners.owner_of(name)
         left_ms = request.caller_deadline_ms - self._clock()
-        return self.node.admit(
+        return node.admit(
             name,
             request.request_id,
             max(0.0, left_ms) * MAX_RETRY_AFTER_FRACTION,
--- /dev/null
+++ b/src/gentianbank/steering/where/__init__.py
@@ -0,0 +1,1 @@
+"""Explanations of where a request would go, without sending it."""
