--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -136,6 +136,20 @@
     held_bytes_per_node: int = schema.integer(0, 1 << 30, default=16 << 20)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pace:
+    """Pace of targets that have just started or recovered.
+
+    Parameters
+    ----------
+    enabled
+        Whether such targets get requests at a pace that follows from their
+        answers.
+    """
+
+    enabled: bool = schema.flag(default=False)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SteeringSettings:
     """Settings of one node.
@@ -159,5 +173,6 @@
     ahead: RequestsAhead = schema.nested(
         RequestsAhead, default=RequestsAhead()
     )
+    pace: Pace = schema.nested(Pace, default=Pace())
     logging: Logging = schema.nested(Logging, default=Logging())
     first_start: bool = schema.flag(default=False)
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -143,6 +143,7 @@
             bounds=bounds,
             started_ms=started_ms,
             clock=now_ms,
+            with_pace=settings.pace.enabled,
         )
         log = RequestLog(settings.logging.request_lines_per_s, now_ms)
         self._fair_shares = FairShares(
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -81,6 +81,13 @@
             'Targets that name a limit on their requests.',
             lambda: float(cluster_view.limited_target_count),
         ),
+        Gauge(
+            'targets.paced',
+            'Targets under pace.',
+            lambda: float(
+                placer.pacing.paced_target_count if placer.pacing else 0
+            ),
+        ),
         Gauge(
             'requests.in_flight',
             'Requests that are being served.',
--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from gentianbank.policy.cold_ratio import INITIAL_COLD_RATIO
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -123,6 +125,8 @@
         Time until the latency objective is missed.
     time_left_ms
         Time until the deadline of the request.
+    cold_ratio
+        Work time at a cold target, relative to a warm one.
     """
 
     topic: str
@@ -133,6 +137,7 @@
     was_refused_before: bool
     objective_left_ms: float
     time_left_ms: float
+    cold_ratio: float = INITIAL_COLD_RATIO
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,8 +241,7 @@
             )
             work_ms = _expected_work_ms(times, rank, warm_ramp) * slowdown
         if target.is_cold(now_ms):
-            # Work is assumed to take twice as long while the target is cold.
-            work_ms *= 2
+            work_ms *= demand.cold_ratio
         expected_ms = wait_ms + work_ms + ROUND_TRIP_MS
         if wait_ms and not _is_in_time(demand, expected_ms):
             continue
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -14,10 +14,12 @@
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.restart_suspicion import RestartSuspicion
 from gentianbank.policy.target_limit import TargetLimit
+from gentianbank.policy.target_pace import TargetPace
 
 if TYPE_CHECKING:
     from gentianbank.domain.load_report import LoadReport
     from gentianbank.domain.registration import TargetRegistration
+    from gentianbank.policy.target_pace import PaceNews
 
 # Number of objects that a target is assumed to keep warm.
 MAX_WARM_OBJECTS = 30
@@ -88,6 +90,10 @@
         Limit that the target itself names.
     restart
         Suspicion that the target has started again.
+    pace
+        Pace after a start or errors; ``None`` if there never was one.
+    paced_until_ms
+        The ``cold_until_ms`` for which a pace was started.
     """
 
     registration: TargetRegistration
@@ -108,6 +114,8 @@
     cold: ColdRateLimit = field(default_factory=ColdRateLimit)
     limit: TargetLimit = field(default_factory=TargetLimit)
     restart: RestartSuspicion = field(default_factory=RestartSuspicion)
+    pace: TargetPace | None = None
+    paced_until_ms: float = float('-inf')
     _reported_slowdown: float = DEFAULT_SLOWDOWN
     _slowdown_reported_ms: float = float('-inf')
     _unsent_report: LoadReport | None = None
@@ -282,6 +290,16 @@
         self._has_unsent_cold = False
         return self.restart_cold_until_ms
 
+    def ensure_pace(self) -> TargetPace:
+        """Return the pace of the target, whether active or not."""
+        if self.pace is None:
+            self.pace = TargetPace(self.registration.slots)
+        return self.pace
+
+    def pop_pace_news(self) -> PaceNews | None:
+        """Return what others are to be told of the pace, if anything."""
+        return self.pace.pop_news() if self.pace is not None else None
+
     def clear_warm_objects(self) -> None:
         """Clear the warm objects, as the target comes back cold."""
         self._warm_objects.clear()
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -7,6 +7,7 @@
 
 from gentianbank.policy import rendezvous
 from gentianbank.policy.fleet_limits import cold_target_quota
+from gentianbank.policy.fleet_limits import COLD_USABLE_FRACTION
 from gentianbank.policy.fleet_limits import COLD_WINDOW_MS
 from gentianbank.policy.fleet_limits import LIMIT_WINDOW_MS
 from gentianbank.policy.fleet_limits import limited_target_quota
@@ -48,6 +49,22 @@
     nodes: int
 
 
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """Position of this node among those that take turns at a target.
+
+    Parameters
+    ----------
+    rank
+        Position of this node, from 0; nodes beyond the last take no turn.
+    nodes
+        Number of nodes that take turns.
+    """
+
+    rank: int
+    nodes: int
+
+
 class FleetQuotas:
     """Divides limits among the nodes that may send.
 
@@ -84,6 +101,7 @@
         self._clock = clock
         self._cold_quotas: dict[str, int] = {}
         self._limit_parts: dict[str, LimitPart] = {}
+        self._turns: dict[str, Turn] = {}
         self._cached_generations = (-1, -1)
 
     def apply_bounds(self, bounds: Bounds) -> None:
@@ -184,18 +202,41 @@
         entry = target.registration
         quota = self._cold_quotas.get(entry.target_id)
         if quota is None:
-            assert self._cluster_view.table is not None
-            policy = self._cluster_view.table.services.get(entry.service)
-            rate = policy.cold_per_s if policy else 0.0
             quota = cold_target_quota(
                 entry.target_id,
                 self._vm,
                 tuple(self._region_by_node()),
-                rate * self._bounds.cold_factor + self._bounds.cold_slack,
+                self._cold_per_s(target),
             )
             self._cold_quotas[entry.target_id] = quota
         return quota
 
+    def turn(self, target: TargetLoad, now_ms: float) -> Turn:
+        """Return this node's position among those that may send.
+
+        Only the first nodes have a quota for a cold target if there are
+        more nodes than requests per second.
+        """
+        self._drop_stale_caches()
+        target_id = target.registration.target_id
+        turn = self._turns.get(target_id)
+        if turn is None:
+            order = rendezvous.rank_names(self._region_by_node(), target_id)
+            turn = Turn(order.index(self._vm), len(order))
+            self._turns[target_id] = turn
+        if not target.may_be_cold(now_ms):
+            return turn
+        total = int(self._cold_per_s(target) * COLD_USABLE_FRACTION)
+        return Turn(turn.rank, max(1, min(turn.nodes, total)))
+
+    def _cold_per_s(self, target: TargetLoad) -> float:
+        """Return the requests per second of all nodes to a cold target."""
+        assert self._cluster_view.table is not None
+        services = self._cluster_view.table.services
+        policy = services.get(target.registration.service)
+        rate = policy.cold_per_s if policy else 0.0
+        return rate * self._bounds.cold_factor + self._bounds.cold_slack
+
     def _divide_limit(
         self, target: TargetLoad, requests_per_s: float
     ) -> LimitPart:
@@ -239,3 +280,4 @@
             self._cached_generations = generations
             self._cold_quotas.clear()
             self._limit_parts.clear()
+            self._turns.clear()
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -213,6 +213,7 @@
                 row.limit or (pending.limit if pending else None),
                 row.cold_until_ms
                 or (pending.cold_until_ms if pending else None),
+                row.pace or (pending.pace if pending else None),
             )
 
     def _pop_changed_rows(self) -> list[TargetRow]:
@@ -258,6 +259,8 @@
                 self._apply_limit(target, row.limit)
             if row.cold_until_ms is not None:
                 target.on_restart(row.cold_until_ms, now_ms)
+            if row.pace is not None:
+                target.ensure_pace().on_peer_news(row.pace, now_ms)
 
     def _apply_limit(self, target: TargetLoad, news: LimitNews) -> None:
         changed = target.limit.on_peer_news(news)
--- a/src/gentianbank/steering/load_update.py
+++ b/src/gentianbank/steering/load_update.py
@@ -13,6 +13,7 @@
 from gentianbank.control.messages import register_message
 from gentianbank.domain import schema
 from gentianbank.policy.target_limit import LimitNews
+from gentianbank.policy.target_pace import PaceNews
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,9 +29,10 @@
 _OBJECT_ENTRY = struct.Struct('>HI')
 _LIMIT_ENTRY = struct.Struct('>HdI')
 _COLD_ENTRY = struct.Struct('>HI')
-# Sent in place of a limit that has ended.
-_ENDED_PER_S = -1.0
-MAX_LIMIT_AGE_MS = 2**32 - 1
+_PACE_ENTRY = struct.Struct('>HfI')
+# Sent in place of a limit or of an allowance that has ended.
+_ENDED = -1.0
+MAX_AGE_MS = 2**32 - 1
 # Longer times for which a target is said to be cold are cut to this.
 MAX_COLD_LEFT_MS = 600_000.0
 
@@ -63,6 +65,10 @@
     colds
         Targets that the sending node found to be cold after a restart, each
         as the index of the target and the time left in milliseconds.
+    paces
+        Targets under pace, each as the index of the target, the allowance
+        (negative: the pace has ended), and the time in milliseconds since
+        the pace started.
     """
 
     targets: bytes = schema.binary()
@@ -71,6 +77,7 @@
     objects: bytes = schema.binary()
     limits: bytes = schema.binary(default=b'')
     colds: bytes = schema.binary(default=b'')
+    paces: bytes = schema.binary(default=b'')
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +96,7 @@
     objects: tuple[int, ...] = ()
     limit: LimitNews | None = None
     cold_until_ms: float | None = None
+    pace: PaceNews | None = None
 
 
 def build_row(target: TargetLoad | None, target_id: str) -> TargetRow:
@@ -114,6 +122,7 @@
         objects,
         limit,
         target.pop_unsent_cold_ms(),
+        target.pop_pace_news(),
     )
 
 
@@ -138,6 +147,11 @@
             for index, row in enumerate(rows)
             if row.cold_until_ms is not None
         ),
+        paces=b''.join(
+            _pack_pace(index, row.pace, now_ms)
+            for index, row in enumerate(rows)
+            if row.pace is not None
+        ),
     )
 
 
@@ -156,6 +170,13 @@
         index: now_ms + min(left_ms, MAX_COLD_LEFT_MS)
         for index, left_ms in _unpack(_COLD_ENTRY, update.colds)
     }
+    paces: dict[int, PaceNews] = {}
+    for index, allowance, age_ms in _unpack(_PACE_ENTRY, update.paces):
+        # Also false for what is no number.
+        if allowance < math.inf:
+            paces[index] = PaceNews(
+                None if allowance < 0 else allowance, now_ms - age_ms
+            )
     rows = zip(
         _split_target_ids(update.targets),
         update.in_flight,
@@ -170,6 +191,7 @@
             tuple(objects[index]),
             limits.get(index),
             colds.get(index),
+            paces.get(index),
         )
         for index, (target_id, in_flight, steps) in enumerate(rows)
     ]
@@ -177,10 +199,8 @@
 
 def _pack_limit(index: int, news: LimitNews, now_ms: float) -> bytes:
     per_s = news.requests_per_s
-    age_ms = min(MAX_LIMIT_AGE_MS, max(0, round(now_ms - news.heard_ms)))
-    return _LIMIT_ENTRY.pack(
-        index, _ENDED_PER_S if per_s is None else per_s, age_ms
-    )
+    age_ms = min(MAX_AGE_MS, max(0, round(now_ms - news.heard_ms)))
+    return _LIMIT_ENTRY.pack(index, _ENDED if per_s is None else per_s, age_ms)
 
 
 def _pack_cold(index: int, cold_until_ms: float, now_ms: float) -> bytes:
@@ -188,6 +208,12 @@
     return _COLD_ENTRY.pack(index, round(left_ms))
 
 
+def _pack_pace(index: int, news: PaceNews, now_ms: float) -> bytes:
+    age_ms = min(MAX_AGE_MS, max(0, round(now_ms - news.started_ms)))
+    allowance = _ENDED if news.allowance is None else news.allowance
+    return _PACE_ENTRY.pack(index, allowance, age_ms)
+
+
 def _split_target_ids(joined: bytes) -> list[str]:
     if not joined:
         return []
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -8,6 +8,7 @@
 import zlib
 
 from gentianbank.policy import rendezvous
+from gentianbank.policy.cold_ratio import INITIAL_COLD_RATIO
 from gentianbank.policy.placement import choose_target
 from gentianbank.policy.placement import NoCapacity
 from gentianbank.policy.placement import NoUsableTarget
@@ -19,6 +20,7 @@
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
 from gentianbank.steering.fleet_quotas import FleetQuotas
+from gentianbank.steering.pacing import Pacing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,6 +89,8 @@
         Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
+    with_pace
+        Whether targets that have just started or recovered get a pace.
     """
 
     def __init__(
@@ -99,6 +103,7 @@
         bounds: Bounds,
         started_ms: float,
         clock: Callable[[], float],
+        with_pace: bool = False,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
@@ -113,6 +118,9 @@
             started_ms=started_ms,
             clock=clock,
         )
+        self.pacing: Pacing | None = None
+        if with_pace:
+            self.pacing = Pacing(self._quotas, cluster_view, clock)
         self._route_times: dict[str, RouteTimes] = {}
         self._shares: dict[tuple[str, bool], RegionShares] = {}
         self._regions = sorted({*cluster_view.regions.values()})
@@ -203,6 +211,7 @@
             and (target.limit.is_named or not limited_only)
             and _is_worth_its_quota(target, rank, request.topic)
             and self._quotas.may_send(target, now_ms)
+            and (self.pacing is None or self.pacing.may_send(target, now_ms))
         ]
         preferred = [
             target
@@ -220,12 +229,18 @@
             was_refused_before=request.was_refused_before,
             objective_left_ms=request.objective_left_ms,
             time_left_ms=request.time_left_ms,
+            cold_ratio=self._cold_ratio(request.service),
         )
         placement = choose_target(demand, preferred or eligible, now_ms)
         if isinstance(placement, NoUsableTarget) and order:
             return NoCapacity()
         return placement
 
+    def _cold_ratio(self, service: str) -> float:
+        if self.pacing is None:
+            return INITIAL_COLD_RATIO
+        return self.pacing.cold_ratio(service)
+
     def _is_urgent(self, request: PlacementRequest) -> bool:
         """Return whether there are workspaces or routes of lower priority.
 
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -127,11 +127,36 @@
     ) -> Outcome:
         """Send a request to the chosen target."""
         target = placed.target
-        target.on_send(self._clock(), request.topic)
+        sent_ms = self._clock()
+        target.on_send(sent_ms, request.topic)
         try:
-            return await self._send(exchange, request, body, placed)
+            outcome = await self._send(exchange, request, body, placed)
         finally:
             target.on_end()
+        self._record_pace(request, placed, outcome, sent_ms)
+        return outcome
+
+    def _record_pace(
+        self,
+        request: CallerRequest,
+        placed: Placement,
+        outcome: Outcome,
+        sent_ms: float,
+    ) -> None:
+        pacing = self._placer.pacing
+        if pacing is None:
+            return
+        match outcome:
+            case Rejected():
+                pacing.on_rejected(placed.target)
+            case Delivered(status) if status in _SUCCESS_STATUSES:
+                times = self._placer.route_times(request.route)
+                time_ms = self._clock() - sent_ms
+                pacing.on_success(placed, times, request.topic, time_ms)
+            case Delivered(status) if status < _MIN_SERVER_ERROR:
+                pass
+            case _:
+                pacing.on_failed(placed.target)
 
     async def _send(
         self,
