--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -149,6 +149,7 @@
             bounds=bounds,
             started_ms=started_ms,
             clock=now_ms,
+            with_pace=settings.pace.enabled,
         )
         log = RequestLog(settings.logging.request_lines_per_s, now_ms)
         self._fair_shares = FairShares(
@@ -217,10 +218,6 @@
             ),
         ]
         if addresses.metrics:
-            app = MetricsApp(self._metrics)
-            ledger = self._build_ledger('metrics', CHECK_PART)
-            server = _build_server(addresses.metrics, app, ledger)
-            self._servers.append(server)
             explainer = Explainer(
                 vm=settings.vm,
                 cluster_view=self._cluster_view,
@@ -232,7 +229,9 @@
                 clock=now_ms,
             )
             app = MetricsApp(self._metrics, WhereApp(explainer))
-            self._servers.append(_build_server(addresses.metrics, app))
+            ledger = self._build_ledger('metrics', CHECK_PART)
+            server = _build_server(addresses.metrics, app, ledger)
+            self._servers.append(server)
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully.
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -11,6 +11,7 @@
 import zlib
 
 from gentianbank.policy import rendezvous
+from gentianbank.policy.cold_ratio import INITIAL_COLD_RATIO
 from gentianbank.policy.placement import choose_target
 from gentianbank.policy.placement import Estimate
 from gentianbank.policy.placement import estimate_target
@@ -25,6 +26,7 @@
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
 from gentianbank.steering.fleet_quotas import FleetQuotas
+from gentianbank.steering.pacing import Pacing
 
 if TYPE_CHECKING:
     from gentianbank.domain.route_table import Route
@@ -90,6 +92,7 @@
     NO_OVERFLOW = 'the region is full and too much has overflowed lately'
     NOT_WORTH_QUOTA = 'names a limit and is not the first for the object'
     COLD_LIMIT = 'cold; its limit is used up'
+    PACED = 'has just started or recovered; its allowance is used up'
     NAMED_LIMIT = 'the limit that it names is used up'
     SUSPECT = 'suspect after failures'
     UNCONFIRMED = 'unconfirmed; its entry may be gone'
@@ -164,6 +167,8 @@
         Time when the node started.
     clock
         Returns the monotonic time in milliseconds.
+    with_pace
+        Whether targets that have just started or recovered get a pace.
     """
 
     def __init__(
@@ -176,6 +181,7 @@
         bounds: Bounds,
         started_ms: float,
         clock: Callable[[], float],
+        with_pace: bool = False,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
@@ -190,6 +196,9 @@
             started_ms=started_ms,
             clock=clock,
         )
+        self.pacing: Pacing | None = None
+        if with_pace:
+            self.pacing = Pacing(self._quotas, cluster_view, clock)
         self._route_times: dict[str, RouteTimes] = {}
         self._shares: dict[tuple[str, bool], RegionShares] = {}
         self._regions = sorted({*cluster_view.regions.values()})
@@ -404,7 +413,10 @@
         if not _is_worth_its_quota(target, rank, request.topic):
             return PassedOver.NOT_WORTH_QUOTA
         if self._quotas.may_send(target, now_ms):
-            return None
+            pacing = self.pacing
+            if pacing is None or pacing.may_send(target, now_ms):
+                return None
+            return PassedOver.PACED
         if self._quotas.may_send_cold(target, now_ms):
             return PassedOver.NAMED_LIMIT
         return PassedOver.COLD_LIMIT
@@ -421,8 +433,14 @@
             was_refused_before=request.was_refused_before,
             objective_left_ms=request.objective_left_ms,
             time_left_ms=request.time_left_ms,
+            cold_ratio=self._cold_ratio(request.service),
         )
 
+    def _cold_ratio(self, service: str) -> float:
+        if self.pacing is None:
+            return INITIAL_COLD_RATIO
+        return self.pacing.cold_ratio(service)
+
     def _is_urgent(self, request: PlacementRequest) -> bool:
         """Return whether there are workspaces or routes of lower priority.
 
