Keep tokens for refused callers only where they come back

Cause: a node kept tokens for each refused caller's next attempt. Attempts have ids of their own and go to other nodes, so that nobody was recognized: nodes got 14.6 tokens a second of a workspace and used none, and requests waited 150 ms for tokens that were not asked for. Change: tokens are kept in the proportion in which booked callers did come back at this node, none at first. An ask that the least gap delays is sent as soon as the gap has passed.

--- a/src/gentianbank/policy/usage_caps/demand.py
+++ b/src/gentianbank/policy/usage_caps/demand.py
@@ -21,6 +21,8 @@
 LEAD_MS = 20.0
 KEPT_MS = 400.0
 MAX_BOOKED = 2_000
+# Part of each new outcome in the fraction of booked callers that come back.
+RETURN_SMOOTHING = 0.05
 _MS_PER_S = 1_000
 
 
@@ -65,6 +67,9 @@
 
     A caller that comes back at its time has priority over those without a
     time. One that comes earlier loses the priority and is refused until then.
+    Tokens are kept for those who come only in the proportion in which booked
+    callers did come back here: where each attempt has an id of its own, or
+    goes to another node, kept tokens would expire unused.
     """
 
     _due_ms: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
@@ -72,6 +77,7 @@
         default_factory=OrderedDict
     )
     _last_ms: float = float('-inf')
+    _return_fraction: float = 0.0
 
     def book(
         self, caller: bytes, per_s: float, limit_ms: float, now_ms: float
@@ -111,9 +117,14 @@
 
     def remove(self, caller: bytes) -> None:
         """Drop the time of a caller that was admitted."""
-        self._due_ms.pop(caller, None)
+        if self._due_ms.pop(caller, None) is not None:
+            self._on_outcome(returned=True)
         self._refused_until_ms.pop(caller, None)
 
+    def kept_tokens(self, now_ms: float) -> int:
+        """Return how many tokens to keep for callers with priority."""
+        return int(self.due_count(now_ms) * self._return_fraction)
+
     def due_count(self, now_ms: float) -> int:
         """Return how many callers may come back now with priority."""
         self._drop_old(now_ms)
@@ -135,3 +146,8 @@
             if due_ms + KEPT_MS > now_ms:
                 return
             del self._due_ms[caller]
+            self._on_outcome(returned=False)
+
+    def _on_outcome(self, *, returned: bool) -> None:
+        change = float(returned) - self._return_fraction
+        self._return_fraction += RETURN_SMOOTHING * change
--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -196,6 +196,11 @@
         account = copy.deepcopy(self.accounts[workspace])
         return replace(self, accounts={workspace: account}, _urgent=set())
 
+    @property
+    def has_urgent_asks(self) -> bool:
+        """Return whether waiting requests were not asked for yet."""
+        return bool(self._urgent)
+
     def end_wait(self, workspace: str) -> None:
         """Record that a request no longer waits for an owner's answer."""
         account = self.accounts.get(workspace)
@@ -274,7 +279,7 @@
         reserved = (
             0
             if bookings.is_due(caller, now_ms)
-            else bookings.due_count(now_ms)
+            else bookings.kept_tokens(now_ms)
         )
         if account.in_hand(now_ms) > reserved:
             expires_ms = account.take(now_ms)
@@ -370,7 +375,7 @@
             account.asked = 0
         tokens = (
             account.waiting
-            + max(hold, account.bookings.due_count(now_ms))
+            + max(hold, account.bookings.kept_tokens(now_ms))
             - account.in_hand(now_ms)
             - account.asked
         )
--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -252,9 +252,7 @@
         self._send_asks(self._boot_clock())
         if self._flush is None:
             # For requests that arrived too soon after the last ask.
-            self._flush = asyncio.get_running_loop().call_later(
-                MIN_ASK_GAP_MS / _MS_PER_S, self._flush_asks
-            )
+            self._schedule_flush()
         left_ms = max(0.0, request.deadline_ms - self._clock())
         try:
             async with asyncio.timeout(min(MAX_WAIT_MS, left_ms) / _MS_PER_S):
@@ -265,9 +263,17 @@
             if waiter in self._waiters[name]:
                 self._waiters[name].remove(waiter)
 
+    def _schedule_flush(self) -> None:
+        self._flush = asyncio.get_running_loop().call_later(
+            MIN_ASK_GAP_MS / _MS_PER_S, self._flush_asks
+        )
+
     def _flush_asks(self) -> None:
         self._flush = None
         self._send_asks(self._boot_clock())
+        if self.node.has_urgent_asks:
+            # The timer may end a little before the least gap.
+            self._schedule_flush()
 
     def _send_asks(self, now_ms: float) -> None:
         for owner, ask in self.node.asks(now_ms).items():
--- a/tests/policy/usage_caps/test_demand.py
+++ b/tests/policy/usage_caps/test_demand.py
@@ -60,3 +60,25 @@
     assert bookings.book(b'x', 1.0, 500.0, 0.0) == 1_000.0
     assert bookings.is_early(b'x', 500.0)
     assert bookings.due_count(1_000.0) == 0
+
+
+def test_no_token_is_kept_where_booked_callers_do_not_come_back() -> None:
+    """Guards against tokens that expire unused.
+
+    Attempts that have ids of their own are never recognized.
+    """
+    bookings = Bookings()
+    for number in range(100):
+        bookings.book(b'%d' % number, 10.0, 500.0, number * 1_000.0)
+    assert bookings.due_count(99_100.0) == 1
+    assert bookings.kept_tokens(99_100.0) == 0
+
+
+def test_tokens_are_kept_where_booked_callers_come_back() -> None:
+    bookings = Bookings()
+    for number in range(200):
+        bookings.book(b'x', 10.0, 500.0, number * 1_000.0)
+        bookings.remove(b'x')
+    for number in range(10):
+        bookings.book(b'%d' % number, 100.0, 500.0, 200_000.0)
+    assert bookings.kept_tokens(200_200.0) >= 9
