Keep the cost of choosing a target close to what it was

Change: the loop passes plain tuples, and the limit for cold targets costs a call only if a target may be cold.

--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -169,8 +169,6 @@
 class Estimate(NamedTuple):
     """Cost of a request at a target, and what it consists of.
 
-    A tuple, since one is made for each target that is considered.
-
     Parameters
     ----------
     cost_ms
@@ -185,6 +183,9 @@
     slowdown: float
 
 
+_Figures = tuple[float, float, float, bool, float, float]
+
+
 class Unfit(enum.Enum):
     """Why a target that is considered cannot take a request."""
 
@@ -235,17 +236,21 @@
     """
     if not ordered_targets:
         return NoUsableTarget()
-    best: Estimate | None = None
+    best_figures: _Figures | None = None
+    best_cost_ms = float('inf')
     best_target = ordered_targets[0]
+    queue_per_slot = _max_queue_per_slot(demand)
     for rank, target in enumerate(ordered_targets):
-        estimate = estimate_target(demand, target, rank, now_ms)
-        if isinstance(estimate, Unfit):
+        figures = _estimate(demand, target, rank, queue_per_slot, now_ms)
+        if isinstance(figures, Unfit):
             continue
-        if best is None or estimate.cost_ms < best.cost_ms:
-            best = estimate
+        if figures[0] < best_cost_ms:
+            best_cost_ms = figures[0]
+            best_figures = figures
             best_target = target
-    if best is None:
+    if best_figures is None:
         return NoCapacity(_describe_busy(ordered_targets, now_ms))
+    best = Estimate(*best_figures)
     return Placement(
         best_target,
         best.expected_ms,
@@ -267,12 +272,32 @@
     rank
         Position of the target among those that are considered.
     """
-    times = demand.times
+    queue_per_slot = _max_queue_per_slot(demand)
+    figures = _estimate(demand, target, rank, queue_per_slot, now_ms)
+    return figures if isinstance(figures, Unfit) else Estimate(*figures)
+
+
+def _max_queue_per_slot(demand: PlacementInputs) -> float:
     queue_per_slot = MAX_QUEUE_PER_SLOT
     if demand.urgent:
         queue_per_slot = MAX_URGENT_QUEUE_PER_SLOT
     if demand.was_refused_before:
         queue_per_slot += EXTRA_RETURNING_QUEUE_PER_SLOT
+    return queue_per_slot
+
+
+def _estimate(
+    demand: PlacementInputs,
+    target: TargetLoad,
+    rank: int,
+    queue_per_slot: float,
+    now_ms: float,
+) -> _Figures | Unfit:
+    """Return the figures of an ``Estimate``, in their order.
+
+    A plain tuple, since one is made for each target of each request.
+    """
+    times = demand.times
     slots = target.registration.slots
     occupancy = target.occupancy(now_ms)
     # Requests that would wait, the new one included; not positive if it
@@ -298,9 +323,7 @@
         return Unfit.LATE
     cost_ms = expected_ms + _transfer_cost_ms(demand, target)
     cost_ms += target.failure_rate * FAILURE_COST_MS
-    return Estimate(
-        cost_ms, expected_ms, wait_ms, is_warm, occupancy, slowdown
-    )
+    return cost_ms, expected_ms, wait_ms, is_warm, occupancy, slowdown
 
 
 def _describe_busy(
--- a/src/gentianbank/steering/fleet_quotas.py
+++ b/src/gentianbank/steering/fleet_quotas.py
@@ -130,19 +130,10 @@
         These are the limit for targets that are or may be cold, and the one
         that the target names.
         """
-        return self.may_send_cold(target, now_ms) and self._may_send_named(
+        if target.may_be_cold(now_ms) and not self._may_send_cold(
             target, now_ms
-        )
-
-    def may_send_cold(self, target: TargetLoad, now_ms: float) -> bool:
-        """Return whether the limit for cold targets allows a request."""
-        return not target.may_be_cold(now_ms) or (
-            self._takes_parts(now_ms, COLD_WINDOW_MS)
-            and target.cold.may_send(now_ms, self._cold_quota(target))
-        )
-
-    def _may_send_named(self, target: TargetLoad, now_ms: float) -> bool:
-        """Return whether the limit that a target names allows a request."""
+        ):
+            return False
         part = self.limit_part(target)
         if part is None:
             return True
@@ -171,6 +162,17 @@
             self._limit_parts[target_id] = part
         return part
 
+    def is_cold_limit_used(self, target: TargetLoad, now_ms: float) -> bool:
+        """Return whether a target is cold and may get no request now."""
+        return target.may_be_cold(now_ms) and not self._may_send_cold(
+            target, now_ms
+        )
+
+    def _may_send_cold(self, target: TargetLoad, now_ms: float) -> bool:
+        return self._takes_parts(
+            now_ms, COLD_WINDOW_MS
+        ) and target.cold.may_send(now_ms, self._cold_quota(target))
+
     def _takes_parts(self, now_ms: float, window_ms: float) -> bool:
         """Return whether this node takes its part of limits for a window."""
         has_window = now_ms >= self._started_ms + window_ms
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -270,7 +270,7 @@
         passed_over: list[tuple[TargetLoad, str]] = []
         for rank, target in enumerate(order):
             reason = self._why_not_eligible(
-                target, rank, request, now_ms, limited_only=step.limited_only
+                target, rank, request, now_ms, step.limited_only
             )
             if reason is None and target not in considered:
                 reason = _why_not_preferred(target, now_ms)
@@ -370,13 +370,11 @@
         limited_only: bool,
     ) -> list[TargetLoad]:
         """Return the targets among which the estimates decide."""
+        why_not = self._why_not_eligible
         eligible = [
             target
             for rank, target in enumerate(order)
-            if self._why_not_eligible(
-                target, rank, request, now_ms, limited_only=limited_only
-            )
-            is None
+            if why_not(target, rank, request, now_ms, limited_only) is None
         ]
         preferred = [
             target
@@ -393,7 +391,6 @@
         rank: int,
         request: PlacementRequest,
         now_ms: float,
-        *,
         limited_only: bool,
     ) -> PassedOver | None:
         """Return why a target is left out; ``None`` if it is not."""
@@ -405,9 +402,9 @@
             return PassedOver.NOT_WORTH_QUOTA
         if self._quotas.may_send(target, now_ms):
             return None
-        if self._quotas.may_send_cold(target, now_ms):
-            return PassedOver.NAMED_LIMIT
-        return PassedOver.COLD_LIMIT
+        if self._quotas.is_cold_limit_used(target, now_ms):
+            return PassedOver.COLD_LIMIT
+        return PassedOver.NAMED_LIMIT
 
     def _inputs(self, request: PlacementRequest) -> PlacementInputs:
         route = request.route
