--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -186,7 +186,7 @@
         return self._deny(account, workspace, caller, limit_ms, now_ms)
 
     def trial(self, workspace: str) -> CapNode:
-        """Return a copy whose ``admit`` changes nothing here.
+        """Return a copy whose calls change nothing here.
 
         Parameters
         ----------
@@ -194,7 +194,14 @@
             The only workspace that the copy admits requests of.
         """
         account = copy.deepcopy(self.accounts[workspace])
-        return replace(self, accounts={workspace: account}, _urgent=set())
+        return replace(
+            self,
+            accounts={workspace: account},
+            _stamps=dict(self._stamps),
+            _asked_ms=dict(self._asked_ms),
+            _urgent=set(self._urgent),
+            _leaving_until_ms=dict(self._leaving_until_ms),
+        )
 
     @property
     def has_urgent_asks(self) -> bool:
