Leave large changes to the store instead of passing them on

Cause: a follower sent a configuration of 400 kB to a dozen nodes of its region. Change: changes up to the last one above 16 kB count as not held, so that nodes read them themselves. The test of loaded targets in where plays more requests, as a target is no longer full by requests without a report.

--- a/tests/steering/store_following/test_updates.py
+++ b/tests/steering/store_following/test_updates.py
@@ -8,6 +8,7 @@
 from gentianbank.steering.store_following import catch_up
 from gentianbank.steering.store_following import store_sync
 from gentianbank.steering.store_following.updates import build_updates
+from gentianbank.steering.store_following.updates import MAX_PASSED_ON_BYTES
 from tests.platform.test_documents import ENTRY
 
 if TYPE_CHECKING:
@@ -54,3 +55,21 @@
     assert not update.changes
     assert update.after_revision == copy.sync.revision
     assert update.oldest_revision > first
+
+
+def test_large_change_is_left_to_the_store(copy: Copy) -> None:
+    # On a link of 5 Mbit/s a configuration for a dozen nodes would hold up
+    # the follower's own requests for seconds.
+    first = copy.sync.revision
+    copy.store.write('servers/x-1', ENTRY)
+    copy.store.write('servers/x-2', {'text': 'x' * MAX_PASSED_ON_BYTES})
+    copy.wait(1.0)
+    large = copy.sync.revision
+    copy.store.write('servers/x-3', ENTRY)
+    copy.wait(1.0)
+    (update,) = build(copy, first)
+    assert [change.key for change in update.changes] == ['servers/x-3']
+    assert update.after_revision == update.oldest_revision == large
+    (update,) = build(copy, large)
+    assert update.after_revision == large
+    assert update.oldest_revision < large
--- a/tests/steering/where/test_explainer.py
+++ b/tests/steering/where/test_explainer.py
@@ -114,7 +114,7 @@
     statuses = set()
     for number in range(10):
         target = path.cluster_view.targets[f'desk-{number % 4 + 1}']
-        running = (number * 3) % 5
+        running = (number * 3) % 7
         target.on_report(
             LoadReport(running, 0, 2, 1 + number / 5), path.loop.now_ms()
         )
