Read a large change as soon as a follower tells of it

Cause: a node that missed a large change read the store only 1.2 s later, when nothing had confirmed its copy for that long. Change: what a follower tells of a gap that it cannot fill drops all confirmations, so that the node reads at once.

--- a/src/gentianbank/policy/follower_trust.py
+++ b/src/gentianbank/policy/follower_trust.py
@@ -104,6 +104,11 @@
         if vm in self._followers:
             self._followers[vm].confirmed_ms = None
 
+    def distrust_all(self) -> None:
+        """Drop all confirmations, as the copy misses known changes."""
+        for follower in self._followers.values():
+            follower.confirmed_ms = None
+
     def forget(self, vm: str) -> None:
         """Drop a follower whose connection has ended."""
         self._followers.pop(vm, None)
--- a/src/gentianbank/steering/store_following/following.py
+++ b/src/gentianbank/steering/store_following/following.py
@@ -249,6 +249,9 @@
             and max(held, update.revision) >= update.held_revision
         )
         confirmed_ms = None
+        if held and update.oldest_revision > held:
+            # Only the store can tell what this node misses.
+            self._trust.distrust_all()
         if not update.is_reachable:
             self._trust.distrust(vm)
         elif held and is_complete:
--- a/tests/policy/test_follower_trust.py
+++ b/tests/policy/test_follower_trust.py
@@ -76,3 +76,14 @@
     last = trust.last_confirmed()
     assert last is not None
     assert last[0] == 'vm-1'
+
+
+def test_known_gap_drops_the_confirmations_of_all(
+    trust: FollowerTrust,
+) -> None:
+    # A follower that lags would otherwise go on confirming an old copy.
+    trust.on_echo('vm-2', 1_000.0, 1_000.0)
+    trust.confirm('vm-1', 1_000.0)
+    trust.confirm('vm-2', 500.0)
+    trust.distrust_all()
+    assert trust.last_confirmed() is None
