Keep keys out of copies of a configuration that is odd

Cause: read once more, the copy that leaves the adapter still held keys where the list of workspaces was no list or had entries that are no objects, or where an escape sequence wrote the name of the field. A document that could be read but not written again would have failed the whole listing. Change: whatever is no workspace is replaced by a mark, which keeps it known that there are workspaces that cannot be read; a document that cannot be written is dropped. Result: five new cases; the case of a loose key, which an old test allowed, is no longer allowed.

--- a/src/gentianbank/platform/credentials.py
+++ b/src/gentianbank/platform/credentials.py
@@ -19,8 +19,11 @@
 # Replaces ``KEYS_FIELD`` in every copy of the configuration that leaves the
 # adapter of the store.
 DIGESTS_FIELD = 'apiKeyDigests'
+# Replaces what is no workspace, as it may hold keys too.
+UNREADABLE = 'unreadable'
 _SCHEME = b'token'
 _WORKSPACES_FIELD = 'tenants'
+_MARKS = (_WORKSPACES_FIELD.encode(), b'\\u')
 # No key of the platform is nearly as long; a longer one is not hashed.
 _MAX_KEY_BYTES = 1_024
 _DIGEST_BYTES = 16
@@ -78,22 +81,33 @@
     the store; neither copy may have a key. A document that cannot be read
     has none that could be used and is dropped, as it may still hold keys.
     """
-    if KEYS_FIELD.encode() not in configuration:
+    # An escape sequence may hide the name of the field.
+    if not any(mark in configuration for mark in _MARKS):
         return configuration
     try:
         document = json.loads(configuration)
+        if not isinstance(document, dict):
+            return b''
+        _replace_keys(document)
+        return json.dumps(document).encode()
     except (ValueError, RecursionError):
         return b''
-    workspaces = (
-        document.get(_WORKSPACES_FIELD) if isinstance(document, dict) else None
-    )
+
+
+def _replace_keys(document: dict[str, Any]) -> None:
+    workspaces = document.get(_WORKSPACES_FIELD)
+    if workspaces is None:
+        return
     if not isinstance(workspaces, list):
-        return configuration
-    for workspace in workspaces:
-        if isinstance(workspace, dict) and KEYS_FIELD in workspace:
+        # It stays known that there are workspaces which cannot be read.
+        document[_WORKSPACES_FIELD] = UNREADABLE
+        return
+    for position, workspace in enumerate(workspaces):
+        if not isinstance(workspace, dict):
+            workspaces[position] = UNREADABLE
+        elif KEYS_FIELD in workspace:
             keys = workspace.pop(KEYS_FIELD)
             workspace[DIGESTS_FIELD] = _digest_all(keys)
-    return json.dumps(document).encode()
 
 
 def _digest_all(keys: Any) -> list[str | None] | None:
--- a/tests/platform/test_credentials.py
+++ b/tests/platform/test_credentials.py
@@ -115,13 +115,46 @@
 def test_no_copy_and_no_error_shows_a_key(odd: Any) -> None:
     data = _document([odd])
     redacted = without_keys(data)
-    assert KEY.encode() not in redacted or odd == [KEY]
+    assert KEY.encode() not in redacted
     for copy in (data, redacted):
         match decode_configuration(copy):
             case Result(tag='ok', ok=table):
                 assert KEY not in str(table.problems)
 
 
+@pytest.mark.parametrize(
+    'workspaces', [{'lab': {'apiKeys': [KEY]}}, f'apiKeys {KEY}', 7]
+)
+def test_unreadable_workspaces_lose_their_keys_but_stay_known(
+    workspaces: Any,
+) -> None:
+    # Without any workspace known, no key would be asked for.
+    redacted = without_keys(_document(workspaces))
+    assert KEY.encode() not in redacted
+    table = _decode_data(redacted).workspaces
+    assert table is not None
+    assert not table.has_all_keys
+
+
+def test_escaped_field_name_hides_no_key() -> None:
+    data = _document([{'name': 'a', 'apiKeys': [KEY]}])
+    escaped = data.replace(b'apiKeys', b'api\\u004beys')
+    redacted = without_keys(escaped)
+    assert KEY.encode() not in redacted
+    assert _decode_data(redacted).workspaces == _decode_data(data).workspaces
+
+
+def test_document_that_cannot_be_written_again_is_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Else a deeply nested document would fail the whole listing.
+    def fail(_: Any) -> str:
+        raise RecursionError
+
+    monkeypatch.setattr(json, 'dumps', fail)
+    assert without_keys(b'{"tenants": [{"apiKeys": ["x"]}]}') == b''
+
+
 def test_configuration_cut_short_loses_its_keys() -> None:
     assert without_keys(_document([{'apiKeys': [KEY]}])[:-3]) == b''
 
