Take a new token when a request is sent again late

Cause: read once more, a request that a target rejected after a while was sent again under the token of its first attempt, so that it could add to a later window of the cap. Two maps by VM kept entries of VMs that are gone. Change: a token that is older than its lifetime is given back, and another one is asked for; the maps drop VMs that have no entry. Result: the new test fails without the check (one token for two) and passes with it; tests of caps, proxy and where pass.

--- a/src/gentianbank/policy/usage_caps/node.py
+++ b/src/gentianbank/policy/usage_caps/node.py
@@ -133,6 +133,8 @@
         self._apply_caps(caps)
         for vm in self._leaving_until_ms.keys() - view.registered:
             del self._leaving_until_ms[vm]
+        for vm in self._asked_ms.keys() - view.registered:
+            del self._asked_ms[vm]
         for vm, (_, received_ms) in list(self._stamps.items()):
             if now_ms - received_ms >= self.pace.promise_ms:
                 del self._stamps[vm]
--- a/src/gentianbank/steering/admission.py
+++ b/src/gentianbank/steering/admission.py
@@ -51,6 +51,12 @@
             return None
         return await self._usage_caps.admit(request)
 
+    def is_current(self, token: Token | None) -> bool:
+        """Return whether a token may still be used for a request."""
+        if self._usage_caps is None or token is None:
+            return True
+        return self._usage_caps.is_current(token)
+
     def give_back(self, token: Token | None) -> None:
         """Take back the token of a request that has not run."""
         if self._usage_caps is not None and token is not None:
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -448,9 +448,16 @@
     async def _admit_again(
         self, request: CallerRequest, history: AttemptHistory
     ) -> bool:
-        """Take another token if a request that may have run may run again."""
+        """Take another token if the last one is used up or too old.
+
+        A token counts for a short time only. One that was taken long before
+        the request is sent again would add to a later window of the cap.
+        """
         if not history.may_have_run:
-            return True
+            if self._admission.is_current(history.cap_token):
+                return True
+            self._admission.give_back(history.cap_token)
+            history.cap_token = None
         admitted = await self._admission.admit_run(request)
         if isinstance(admitted, Refusal):
             return False
--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -175,6 +175,16 @@
         trial.end_wait(name)
         return self._decide(trial, request, name, has_waited=True)
 
+    def is_current(self, token: Token) -> bool:
+        """Return whether a token has not expired.
+
+        One of the equal part counts for as long as one of an owner.
+        """
+        now_ms = self._boot_clock()
+        if token.part_ms is not None:
+            return now_ms - token.part_ms < self.node.pace.grant_ms
+        return now_ms < token.expires_ms
+
     def give_back(self, token: Token) -> None:
         """Take back the token of a request that did not run."""
         self.node.give_back(token, self._boot_clock())
--- a/src/gentianbank/steering/usage_caps/links.py
+++ b/src/gentianbank/steering/usage_caps/links.py
@@ -50,5 +50,7 @@
         last_ms = self._dialled_ms.get(vm, float('-inf'))
         if node is None or now_ms - last_ms < DIAL_PERIOD_MS:
             return
+        for name in self._dialled_ms.keys() - self.cluster_view.nodes.keys():
+            del self._dialled_ms[name]
         self._dialled_ms[vm] = now_ms
         self.peers.dial(vm, node.peers)
--- a/tests/steering/usage_caps/test_fleet.py
+++ b/tests/steering/usage_caps/test_fleet.py
@@ -159,6 +159,23 @@
     assert account.used_count == 2
 
 
+@pytest.mark.parametrize(('rejected_after_s', 'tokens'), [(0.05, 1), (0.7, 2)])
+def test_request_that_is_sent_again_late_takes_a_new_token(
+    fleet: CapFleet, rejected_after_s: float, tokens: int
+) -> None:
+    """Guards against tokens of one window that are used in a later one."""
+    path = _domain(fleet)[0]
+    rejection = replace(SHED, after_s=rejected_after_s)
+    fleet.targets.scripts = {
+        target.registration.address: [rejection]
+        for target in path.cluster_view.targets.values()
+    }
+    reply = path.ask(headers={'authorization': 'Token secret'})
+    account = path.usage_caps.node.accounts['lab']
+    assert account.used_count == tokens
+    assert reply.status == 503
+
+
 def test_workspaces_without_a_cap_cost_nothing() -> None:
     """Guards against messages and timers of a feature that is not used."""
     fleet = CapFleet(2, 0.0, 0.0)
