--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -18,8 +18,12 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT / 'target/deps'), str(ROOT / 'src')]
 
-from gentianbank_standins.serving import build_quiet_server  # noqa: E402
-from gentianbank_standins.users_store import UsersStore  # noqa: E402
+try:
+    from gentianbank_standins.serving import build_quiet_server
+    from gentianbank_standins.users_store import UsersStore
+except ImportError as missing:
+    print(f'not built: {missing!r}', file=sys.stderr)
+    sys.exit(2)
 
 HOST = 'shop.example'
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
