--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -24,6 +24,7 @@
 from gentianbank.storage.prefix_store import PrefixStore
 from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import StoredValue
+from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -242,8 +243,15 @@
                     if len(data) > MAX_ANSWER_BYTES:
                         cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
                         return Error(StoreUnavailable(cause))
-        except (TruncatedBodyError, TimeoutError) as error:
-            return Error(StoreUnavailable(f'the answer was cut: {error}'))
+        except TruncatedBodyError as error:
+            cause = f'the answer was cut after {len(data)} bytes: {error}'
+            return Error(StoreUnavailable(cause))
+        except TimeoutError:
+            cause = (
+                f'the answer was not whole after {self._timeout_ms:.0f} ms, '
+                f'{len(data)} of {_declared_bytes(answer)} bytes'
+            )
+            return Error(StoreUnavailable(cause))
         finally:
             await answer.close()
         if answer.status != _HTTP_OK:
@@ -257,6 +265,12 @@
         return Ok(raw)
 
 
+def _declared_bytes(answer: TargetAnswer) -> str:
+    """Return the length that an answer states, as text for logs."""
+    length = find_header(answer.headers, b'content-length')
+    return length.decode('latin-1') if length else 'unknown'
+
+
 def _to_unavailable(error: int | StoreUnavailable) -> StoreUnavailable:
     if isinstance(error, StoreUnavailable):
         return error
