Bound the silence within an answer of the store, not its whole length

Each watch that was given up was begun again, with more versions to bring. A listing with one larger value was never read at all.

An answer may now take as long as its size demands, while bytes come: a silence of store.timeout_ms ends it, and so does a mean rate under 6 KiB/s. Its size stays bounded by 32 MiB. Reading a body within such bounds is a module of its own (targets/whole_body.py).

On the code before, test_largest_value_is_read_over_the_slowest_link and test_largest_versions_at_once_are_read_over_the_slowest_link fail (1 MiB, and six of them, at 5 Mbit/s).

--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -41,7 +41,8 @@
     Parameters
     ----------
     timeout_ms
-        Time that a call may take, beyond the wait of a watch.
+        Time until an answer begins, beyond the wait of a watch, and longest
+        silence within it.
     watch_ms
         Longest time that a watch waits for changes.
     retry_ms
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import binascii
 import json
@@ -24,9 +23,11 @@
 from gentianbank.storage.prefix_store import PrefixStore
 from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import StoredValue
-from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import TargetRequest
-from gentianbank.targets.transport import TruncatedBodyError
+from gentianbank.targets.whole_body import BodyLimits
+from gentianbank.targets.whole_body import BodyLost
+from gentianbank.targets.whole_body import BodyTooLarge
+from gentianbank.targets.whole_body import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,10 +41,11 @@
 CONNECT_TIMEOUT_MS = 500.0
 # Several times a page or the changes within the history of the store.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# A hundredth of the slowest links that nodes have, which callers share.
+MIN_BYTES_PER_S = 6 * 1024
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
-_MS_PER_S = 1_000
 # Raised by the conversion of a malformed answer.
 _MALFORMED = (
     AttributeError,
@@ -62,7 +64,8 @@
     address
         Address of the store, as ``IP:port``.
     timeout_ms
-        Time that a call may take, beyond the wait that a watch asks for.
+        Time until the head of an answer, beyond the wait that a watch asks
+        for, and longest silence within its body.
     transport
         HTTP client that holds the connections to the store.
     on_call
@@ -235,29 +238,23 @@
     async def _read_answer(
         self, answer: TargetAnswer
     ) -> Result[dict[str, Any], int | StoreUnavailable]:
-        data = bytearray()
-        try:
-            async with asyncio.timeout(self._timeout_ms / _MS_PER_S):
-                async for chunk in answer.chunks():
-                    data += chunk
-                    if len(data) > MAX_ANSWER_BYTES:
-                        cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
-                        return Error(StoreUnavailable(cause))
-        except TruncatedBodyError as error:
-            cause = f'the answer was cut after {len(data)} bytes: {error}'
-            return Error(StoreUnavailable(cause))
-        except TimeoutError:
-            cause = (
-                f'the answer was not whole after {self._timeout_ms:.0f} ms, '
-                f'{len(data)} of {_declared_bytes(answer)} bytes'
-            )
-            return Error(StoreUnavailable(cause))
-        finally:
-            await answer.close()
+        limits = BodyLimits(
+            silence_ms=self._timeout_ms,
+            min_bytes_per_s=MIN_BYTES_PER_S,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+        match await read_body(answer, limits):
+            case Result(tag='ok', ok=body):
+                pass
+            case Result(error=BodyLost(cause)):
+                return Error(StoreUnavailable(cause))
+            case Result(error=BodyTooLarge()):
+                cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
+                return Error(StoreUnavailable(cause))
         if answer.status != _HTTP_OK:
             return Error(answer.status)
         try:
-            raw = json.loads(data or b'{}')
+            raw = json.loads(body.data or b'{}')
         except (ValueError, RecursionError):
             return Error(StoreUnavailable('the answer is not JSON'))
         if not isinstance(raw, dict):
@@ -265,12 +262,6 @@
         return Ok(raw)
 
 
-def _declared_bytes(answer: TargetAnswer) -> str:
-    """Return the length that an answer states, as text for logs."""
-    length = find_header(answer.headers, b'content-length')
-    return length.decode('latin-1') if length else 'unknown'
-
-
 def _to_unavailable(error: int | StoreUnavailable) -> StoreUnavailable:
     if isinstance(error, StoreUnavailable):
         return error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from dataclasses import replace
 import json
 from typing import Any
 from typing import TYPE_CHECKING
@@ -28,6 +29,9 @@
     from collections.abc import Coroutine
 
 ADDRESS = '10.200.1.7:8169'
+# The largest value that the store takes, and a link of 5 Mbit/s.
+LARGEST = b'c' * 1_048_576
+SLOWEST_LINK_BYTES_PER_S = 5_000_000 / 8
 
 
 class StoreHarness:
@@ -73,6 +77,11 @@
     return {'key': key, 'value': encoded, 'revision': revision}
 
 
+def slow(document: Any, bytes_per_s: float) -> Script:
+    """Return a scripted answer that comes at the speed of a link."""
+    return replace(reply(document), bytes_per_s=bytes_per_s)
+
+
 def test_listing_reads_every_page() -> None:
     first_page = {'items': [item('a', 1)], 'hasMore': True, 'currentRev': 5}
     second_page = {
@@ -148,6 +157,42 @@
     assert error == StoreUnavailable('the answer is over 200000 bytes')
 
 
+def test_largest_value_is_read_over_the_slowest_link() -> None:
+    # A limit on the whole body made such an answer unreadable for ever.
+    page = {'items': [item('op/config', 2, LARGEST)], 'currentRev': 3}
+    harness = StoreHarness(slow(page, SLOWEST_LINK_BYTES_PER_S))
+    values = harness.run(harness.store.list_prefix('')).values
+    assert [len(value.value) for value in values] == [len(LARGEST)]
+
+
+def test_largest_versions_at_once_are_read_over_the_slowest_link() -> None:
+    events = [item('op/config', 2 + n, LARGEST) for n in range(6)]
+    changes = {'events': events, 'currentRev': 7}
+    harness = StoreHarness(slow(changes, SLOWEST_LINK_BYTES_PER_S))
+    answer = harness.run(harness.store.wait_for_changes('', 1, 250))
+    assert len(answer.events) == 6
+
+
+def test_body_that_stops_is_given_up_after_the_silence() -> None:
+    body = reply({'items': [], 'currentRev': 1}).body
+    stopping = Script(body=body, chunk_bytes=1, bytes_per_s=1.0)
+    harness = StoreHarness(stopping)
+    began_s = harness.loop.time()
+    error = harness.run(harness.store.list_prefix(''))
+    assert isinstance(error, StoreUnavailable)
+    assert error.cause.endswith('0 of unknown bytes')
+    assert harness.loop.time() - began_s < 1.2
+
+
+def test_body_that_trickles_is_given_up() -> None:
+    trickling = Script(body=b' ' * 100_000, chunk_bytes=1, bytes_per_s=2.0)
+    harness = StoreHarness(trickling)
+    began_s = harness.loop.time()
+    error = harness.run(harness.store.list_prefix(''))
+    assert isinstance(error, StoreUnavailable)
+    assert harness.loop.time() - began_s < 1.2
+
+
 def test_write_is_bound_to_the_lease() -> None:
     harness = StoreHarness(reply({'revision': 12}))
     put = Put('nodes/vm-1', b'me', 77)
