Count the age of a copy from the begin of a long transfer

A copy counted as current at the end of the store's answer. The content is as old as its head: a configuration of 1 MiB takes 2.2 s at 5 Mbit/s, during which withdrawals may be confirmed that the copy does not have. What asks for the age (caps, unknown keys, strict withdrawals) was told 0 ms. Nodes with followers counted from the call already.

test_age_of_the_copy_includes_a_long_transfer fails on the code before.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -140,7 +140,7 @@
             observer.on_read_sent()
         match await self._store.list_prefix(keyspace.ALL_KEYS_PREFIX):
             case Result(tag='ok', ok=listing):
-                self._on_store_answer()
+                self._on_store_answer(listing.transfer_ms)
                 self._apply_listing(listing)
                 if observer:
                     observer.on_read_answered(0.0)
@@ -211,7 +211,7 @@
             Time that the store is known to have waited before the answer.
         """
         observer = self._observer
-        self._on_store_answer()
+        self._on_store_answer(changes.transfer_ms)
         self._apply_changes(changes)
         if observer:
             observer.on_read_answered(waited_ms)
@@ -299,9 +299,10 @@
             return min(self._settings.watch_ms, CAPS_WATCH_MS)
         return self._settings.watch_ms
 
-    def _on_store_answer(self) -> None:
-        now_ms = self._clock()
-        self._cluster_view.store_answered_ms = now_ms
+    def _on_store_answer(self, transfer_ms: float) -> None:
+        """Handle an answer, which is as old as its transfer took."""
+        answered_ms = self._clock() - transfer_ms
+        self._cluster_view.store_answered_ms = answered_ms
         self._cluster_view.is_store_reachable = True
         if self._down_since_ms is not None:
             self._end_outage()
--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -149,6 +149,19 @@
     assert copy.cluster_view.targets['i-1'].registration.draining
 
 
+def test_age_of_the_copy_includes_a_long_transfer(copy: Copy) -> None:
+    # The copy counted as new at the end of a transfer of any length.
+    copy.store.bytes_per_s = SLOWEST_LINK_BYTES_PER_S
+    copy.wait(5.0)
+    write_version(copy, 8, 1_048_576)
+    read_s = copy.loop.time()
+    while version_in_force(copy) < 8:
+        copy.wait(0.01)
+    answered_ms = copy.cluster_view.store_answered_ms
+    assert answered_ms is not None
+    assert answered_ms <= (read_s + 0.1) * 1_000
+
+
 def test_listing_that_does_not_show_the_changes_is_not_asked_for_at_once(
     copy: Copy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
