Take a peer whose long message is arriving for alive

Heartbeats wait behind a long message of the same connection. A message of 1 MiB takes 1.7 s on a link of 5 Mbit/s, one of 2 MiB 3.4 s, and a peer counted as silent after 1.5 s on the platform (and as down after 3 s on the own interface). Its connection was closed in the middle of the message, which was then asked for again: it never arrived.

The connections count the bytes since the last whole message (transport/arrivals.py). A peer of which more than 16 KiB have come, the last within a second, is neither silent nor down.

Without the check these fail: long_message_arrives_is_not_silent (gossip), long_message_arrives_is_not_declared_down (own interface, with its opposite in the same test) and, as the method is new, peer_of_which_a_long_message_arrives_is_known over real sockets, dialled and accepted.

--- a/src/gentianbank/control/agent.py
+++ b/src/gentianbank/control/agent.py
@@ -240,6 +240,8 @@
                 return self.state.declare_down()
             case _Tick():
                 self._adjust_connections(time_ms)
+                for vm in self._peers.receiving_from():
+                    self.state.on_message_part(vm, time_ms)
                 return self.state.on_tick(time_ms)
         return []
 
--- a/src/gentianbank/control/peers.py
+++ b/src/gentianbank/control/peers.py
@@ -86,6 +86,13 @@
     def send_to_each(self, vms: Iterable[str], message: Message) -> None:
         """Queue a message to those of the peers that are connected."""
 
+    def receiving_from(self) -> frozenset[str]:
+        """Return the peers of which a long message is arriving.
+
+        They are alive, although nothing else of them can arrive meanwhile.
+        """
+        return frozenset()
+
     @abstractmethod
     async def request(
         self, vm: str, address: str, message: RequestOrReply, timeout_ms: float
--- a/src/gentianbank/control/state.py
+++ b/src/gentianbank/control/state.py
@@ -239,6 +239,11 @@
             effects += [Send(vm, heartbeat) for vm in self._peers]
         return effects
 
+    def on_message_part(self, vm: str, now_ms: float) -> None:
+        """Handle that a long message of a connected peer is arriving."""
+        if vm in self._peers:
+            self._peers[vm].last_heard_ms = now_ms
+
     def on_message(
         self, vm: str, message: Message, now_ms: float
     ) -> list[Effect]:
--- a/src/gentianbank/steering/load_gossip.py
+++ b/src/gentianbank/steering/load_gossip.py
@@ -166,7 +166,8 @@
     def _silent_peers(self, now_ms: float) -> list[str]:
         near, far = self._peers_by_distance()
         schedule = self.schedule
-        return [
+        receiving = self._peers.receiving_from()
+        silent = [
             *self._peer_loads.silent_nodes(
                 near, now_ms, schedule.near_silence_ms
             ),
@@ -174,6 +175,7 @@
                 far, now_ms, schedule.far_silence_ms
             ),
         ]
+        return [vm for vm in silent if vm not in receiving]
 
     def _send_changes(self, now_ms: float) -> None:
         self._ticks += 1
--- a/src/gentianbank/transport/admission.py
+++ b/src/gentianbank/transport/admission.py
@@ -11,6 +11,8 @@
 from websockets.protocol import CLOSED
 from websockets.protocol import CLOSING
 
+from gentianbank.transport.arrivals import MessageArrival
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -65,7 +67,7 @@
         self._opened_s.pop(connection, None)
 
 
-class BoundedServerConnection(ServerConnection):
+class BoundedServerConnection(MessageArrival, ServerConnection):
     """Connection that counts as unauthenticated until it is admitted."""
 
     def __init__(
--- a/src/gentianbank/transport/peers.py
+++ b/src/gentianbank/transport/peers.py
@@ -31,8 +31,10 @@
 from gentianbank.control.peers import Unreachable
 from gentianbank.domain.addresses import parse_address
 from gentianbank.transport import handshake
+from gentianbank.transport.admission import BoundedServerConnection
 from gentianbank.transport.admission import MAX_UNAUTHENTICATED
 from gentianbank.transport.admission import PeerAdmission
+from gentianbank.transport.arrivals import PeerClientConnection
 from gentianbank.transport.channel import RequestChannel
 
 if TYPE_CHECKING:
@@ -40,7 +42,6 @@
     from collections.abc import Coroutine
     from collections.abc import Iterable
 
-    from websockets.asyncio.client import ClientConnection
     from websockets.asyncio.server import Server
     from websockets.asyncio.server import ServerConnection
 
@@ -64,7 +65,7 @@
     """
 
     vm: str
-    socket: ClientConnection | ServerConnection
+    socket: PeerClientConnection | BoundedServerConnection
     outbox: asyncio.Queue[bytes | None] = field(
         default_factory=lambda: asyncio.Queue(MAX_OUTBOX_MESSAGES)
     )
@@ -108,6 +109,7 @@
         malformed = 0
         unknown = 0
         async for data in self.socket:
+            self.socket.on_message_read()
             raw = data.encode() if isinstance(data, str) else data
             match decode_message(raw):
                 case Result(tag='ok', ok=message):
@@ -252,6 +254,13 @@
                 connection.put_encoded(data)
                 break
 
+    def receiving_from(self) -> frozenset[str]:
+        return frozenset(
+            vm
+            for vm, connections in self._connections.items()
+            if any(c.socket.is_receiving for c in connections)
+        )
+
     async def request(
         self, vm: str, address: str, message: RequestOrReply, timeout_ms: float
     ) -> Result[RequestOrReply, PeerUnreachable]:
@@ -266,9 +275,9 @@
             cause = f'{type(error).__name__} {error}'.strip()
             return Error(PeerUnreachable(vm, cause))
 
-    async def _connect(self, address: str) -> ClientConnection:
+    async def _connect(self, address: str) -> PeerClientConnection:
         peer = parse_address(address)
-        return await connect(
+        socket = await connect(
             f'ws://{address}/',
             local_addr=(self._address.host, 0),
             host=peer.host,
@@ -279,7 +288,10 @@
             open_timeout=DIAL_TIMEOUT_S,
             close_timeout=1,
             proxy=None,
+            create_connection=PeerClientConnection,
         ).__aenter__()
+        assert isinstance(socket, PeerClientConnection)
+        return socket
 
     def _credentials(self, vm: str) -> handshake.Credentials:
         """Return the credentials for the handshake with a dialled VM."""
@@ -341,6 +353,7 @@
         self._on_event(Unreachable(vm))
 
     async def _accept(self, socket: ServerConnection) -> None:
+        assert isinstance(socket, BoundedServerConnection)
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 result = await handshake.authenticate_as_server(
--- a/tests/control/test_agent.py
+++ b/tests/control/test_agent.py
@@ -10,6 +10,7 @@
 from gentianbank.control.agent import ControlAgent
 from gentianbank.control.messages import Heartbeat
 from gentianbank.control.peers import Received
+from tests.support.control_world import ControlWorld
 from tests.support.virtual_loop import VirtualLoop
 
 BACKGROUND = (
@@ -76,3 +77,25 @@
 ) -> None:
     with pytest.raises(AssertionError):
         play(AssertionError, monkeypatch)
+
+
+@pytest.mark.parametrize('is_receiving', [False, True])
+def test_node_whose_long_message_arrives_is_not_declared_down(
+    is_receiving: bool,
+) -> None:
+    world = ControlWorld({'east': 3})
+    world.start_all()
+    world.advance(5.0)
+    vm = min(world.nodes)
+    others = [node for name, node in world.nodes.items() if name != vm]
+    for node in others:
+        if is_receiving:
+            node.peers.receiving = frozenset((vm,))
+    world.freeze(vm, 8.0)
+    world.advance(7.0)
+    are_down = {
+        vm not in [member.vm for member in node.state.members.running()]
+        for node in others
+    }
+    world.close()
+    assert are_down == {not is_receiving}
--- a/tests/steering/test_load_gossip.py
+++ b/tests/steering/test_load_gossip.py
@@ -108,6 +108,22 @@
     assert hub.nodes['vm-1'].occupancy(hub) == 4
 
 
+def test_peer_of_which_a_long_message_arrives_is_not_silent(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Its heartbeats wait behind the message, which takes seconds on a slow
+    # link; the message was lost with the connection.
+    hub = Hub('vm-1', 'vm-2')
+    hub.nodes['vm-1'].peers.receiving = frozenset(('vm-2',))
+    hub.nodes['vm-2'].peers.receiving = frozenset(('vm-1',))
+    hub.cut = {'vm-2'}
+    hub.advance_ms(10_000.0)
+    assert 'peer is silent' not in caplog.text
+    hub.nodes['vm-1'].peers.receiving = frozenset()
+    hub.advance_ms(2_000.0)
+    assert 'peer is silent' in caplog.text
+
+
 def test_loads_of_unknown_targets_are_ignored() -> None:
     hub = Hub('vm-1', 'vm-2')
     other = hub.nodes['vm-2'].cluster_view
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -349,6 +349,10 @@
         self._vm = vm
         self.connected: set[str] = set()
         self._dialling: set[str] = set()
+        self.receiving: frozenset[str] = frozenset()
+
+    def receiving_from(self) -> frozenset[str]:
+        return self.receiving
 
     def dial(self, vm: str, address: str) -> None:
         if vm in self.connected or vm in self._dialling:
--- a/tests/support/gossip_hub.py
+++ b/tests/support/gossip_hub.py
@@ -70,6 +70,10 @@
         self._hub = hub
         self._vm = vm
         self.connected: set[str] = set()
+        self.receiving: frozenset[str] = frozenset()
+
+    def receiving_from(self) -> frozenset[str]:
+        return self.receiving
 
     def dial(self, vm: str, address: str) -> None:
         if self._hub.cut & {vm, self._vm}:
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 import socket
 from typing import Any
@@ -13,6 +14,7 @@
 from websockets.asyncio.client import connect
 
 from gentianbank.control import messages
+from gentianbank.control.messages import Bodies
 from gentianbank.control.messages import decode_message
 from gentianbank.control.messages import encode_message
 from gentianbank.control.messages import Heartbeat
@@ -25,7 +27,9 @@
 from gentianbank.control.peers import PeerEvent
 from gentianbank.control.peers import Received
 from gentianbank.control.peers import Unreachable
+from gentianbank.domain.addresses import parse_address
 from gentianbank.transport import admission
+from gentianbank.transport import arrivals
 from gentianbank.transport import handshake
 from gentianbank.transport.handshake import Credentials
 from gentianbank.transport.peers import MAX_MALFORMED_MESSAGES
@@ -39,6 +43,7 @@
 
 KEY = b'a-key-of-the-fleet'
 EVENT_TIMEOUT_S = 10
+HELD_AFTER_BYTES = 100_000
 
 
 class Node:
@@ -299,3 +304,83 @@
         assert await second.next_event() == Received('vm-1', heartbeat)
 
     run_with_two_nodes(test)
+
+
+class HeldLink:
+    """A proxy to a peer that holds what follows after some bytes."""
+
+    def __init__(self, target: str, source_host: str) -> None:
+        self._target = parse_address(target)
+        self._source_host = source_host
+        self.held_after_bytes = HELD_AFTER_BYTES
+        self.is_free = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(
+            self._target.host,
+            self._target.port,
+            local_addr=(self._source_host, 0),
+        )
+        await asyncio.gather(
+            self._pass(reader, far_writer), self._pass(far_reader, writer)
+        )
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        passed_bytes = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(8_192):
+                passed_bytes += len(data)
+                if passed_bytes > self.held_after_bytes:
+                    await self.is_free.wait()
+                writer.write(data)
+        writer.close()
+
+
+@pytest.mark.parametrize('is_dialled', [False, True])
+def test_peer_of_which_a_long_message_arrives_is_known(
+    is_dialled: bool,
+) -> None:
+    # Such a peer counted as silent, and the message was lost with it.
+    async def test(first: Node, second: Node) -> None:
+        link = HeldLink(second.address, '127.0.0.1')
+        address = free_address('127.0.0.3')
+        host, port = address.split(':')
+        server = await asyncio.start_server(link.serve, host, int(port))
+        first.peers.dial('vm-2', address)
+        assert await first.next_event() == Connected('vm-2')
+        assert await second.next_event() == Connected('vm-1')
+        assert not first.peers.receiving_from()
+        message = Bodies(bodies={'0' * 32: b'x' * 2 * HELD_AFTER_BYTES})
+        sender, receiver = (first, second) if is_dialled else (second, first)
+        name = 'vm-1' if is_dialled else 'vm-2'
+        sender.peers.send('vm-2' if is_dialled else 'vm-1', message)
+        async with asyncio.timeout(EVENT_TIMEOUT_S):
+            while name not in receiver.peers.receiving_from():
+                await asyncio.sleep(0.01)
+        assert receiver.events.empty()
+        link.is_free.set()
+        assert await receiver.next_event() == Received(name, message)
+        assert not receiver.peers.receiving_from()
+        server.close()
+
+    run_with_two_nodes(test)
+
+
+def test_peer_whose_long_message_stops_is_not_receiving_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    class Connection(arrivals.MessageArrival, asyncio.Protocol):
+        """A connection whose library does nothing."""
+
+        def data_received(self, data: bytes) -> None:
+            super().data_received(data)
+
+    connection = Connection()
+    connection.data_received(b'x' * (arrivals.LONG_MESSAGE_BYTES + 1))
+    assert connection.is_receiving
+    monkeypatch.setattr(arrivals, 'STALLED_S', 0.0)
+    assert not connection.is_receiving
