Send peers the newest of many large versions, and ask once at a time

A node that the store turns away asks its peers for changes each 300 ms. Each answer had all versions of a large configuration since the revision that the node had, also while earlier answers were on their way: on a link of 5 Mbit/s the answers queued up faster than they arrived.

An answer leaves out values over 16 KiB that a later change replaces, and a node does not ask while a long message is arriving.

test_versions_that_follow_fast_arrive_in_time_over_a_slow_link (six versions of 277 KB in two seconds, 3 s to apply the last one) fails with both switched off.

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -27,6 +27,7 @@
 # Longer lists of changes are split over several answers.
 MAX_CHANGES_PER_ANSWER = 200
 MAX_ANSWER_BYTES = 2 * 1024 * 1024
+LARGE_VALUE_BYTES = 16 * 1024
 # Size up to which the store takes values.
 MAX_VALUE_BYTES = 1024 * 1024
 _MAX_REVISION = 2**53
@@ -90,7 +91,8 @@
         """Ask the next peer for changes if the store is unreachable.
 
         Does nothing if this node has no listing of the store to apply
-        changes to, or within ``REQUEST_PERIOD_MS`` after the last request.
+        changes to, within ``REQUEST_PERIOD_MS`` after the last request, or
+        while a long message is arriving, which may be the answer.
 
         Parameters
         ----------
@@ -102,6 +104,8 @@
             return
         if now_ms - self._last_request_ms < REQUEST_PERIOD_MS:
             return
+        if self._peers.receiving_from():
+            return
         self._last_request_ms = now_ms
         names = sorted(connected)
         if not names:
@@ -123,9 +127,10 @@
         changes = self._sync.changes_after(after_revision)
         if changes is None or not changes.events:
             return
-        events = first_answer(changes.events)
+        newest = without_replaced(changes.events)
+        events = first_answer(newest)
         revision = changes.revision
-        if len(events) < len(changes.events):
+        if len(events) < len(newest):
             revision = events[-1].mod_revision
         rows = encode_changes(events)
         self._peers.send(vm, StoreChanges(revision=revision, changes=rows))
@@ -145,6 +150,28 @@
         self._sync.apply_peer_changes(Changes(events, answer.revision))
 
 
+def without_replaced(
+    events: tuple[StoredValue | Removal, ...],
+) -> tuple[StoredValue | Removal, ...]:
+    """Leave out the large values that a later event replaces.
+
+    Many versions of a large value would take longer to arrive than new ones
+    take to come up.
+    """
+    last_revisions = {event.key: event.mod_revision for event in events}
+    return tuple(
+        event
+        for event in events
+        if event.mod_revision == last_revisions[event.key]
+        or not is_large(event)
+    )
+
+
+def is_large(event: StoredValue | Removal) -> bool:
+    """Return whether the value of an event is large for a message."""
+    return _size_bytes(event) > LARGE_VALUE_BYTES
+
+
 def first_answer(
     events: tuple[StoredValue | Removal, ...],
 ) -> tuple[StoredValue | Removal, ...]:
--- a/src/gentianbank/steering/store_following/updates.py
+++ b/src/gentianbank/steering/store_following/updates.py
@@ -6,17 +6,11 @@
 
 from gentianbank.steering.store_following.catch_up import encode_changes
 from gentianbank.steering.store_following.catch_up import first_answer
+from gentianbank.steering.store_following.catch_up import is_large
 from gentianbank.steering.store_following.messages import StoreUpdate
-from gentianbank.storage.prefix_store import Removal
 
 if TYPE_CHECKING:
     from gentianbank.steering.store_following.store_sync import StoreSync
-    from gentianbank.storage.store import StoredValue
-
-
-# A configuration of hundreds of routes, sent to a dozen nodes, would fill a
-# link of 5 Mbit/s for seconds and hold up the follower's own requests.
-MAX_PASSED_ON_BYTES = 16 * 1024
 
 
 def build_updates(
@@ -32,7 +26,9 @@
 
     There is always at least one message. Without changes, or if they are no
     longer held, it only tells the state of the follower's view. Changes up to
-    the last large one count as not held, so that nodes read them themselves.
+    the last large one count as not held, so that nodes read them themselves:
+    a configuration of hundreds of routes, sent to a dozen nodes, would fill a
+    link of 5 Mbit/s for seconds and hold up the follower's own requests.
 
     Parameters
     ----------
@@ -43,7 +39,7 @@
     held = sync.revision
     events = changes.events if changes else ()
     after = after_revision if changes and after_revision <= held else held
-    large = max((e.mod_revision for e in events if _is_large(e)), default=0)
+    large = max((e.mod_revision for e in events if is_large(e)), default=0)
     if large:
         events = tuple(e for e in events if e.mod_revision > large)
         after = large
@@ -68,10 +64,3 @@
         after = revision
         if not events:
             return updates
-
-
-def _is_large(event: StoredValue | Removal) -> bool:
-    return (
-        not isinstance(event, Removal)
-        and len(event.value) > MAX_PASSED_ON_BYTES
-    )
--- a/tests/steering/store_following/test_catch_up.py
+++ b/tests/steering/store_following/test_catch_up.py
@@ -16,16 +16,23 @@
 from gentianbank.control.peers import PeerConnections
 from gentianbank.control.peers import PeerUnreachable
 from gentianbank.steering.store_following import catch_up
+from gentianbank.steering.store_following.catch_up import LARGE_VALUE_BYTES
 from gentianbank.steering.store_following.catch_up import StoreCatchUp
+from gentianbank.steering.store_following.catch_up import without_replaced
 from gentianbank.steering.store_following.store_sync import MAX_RECENT_CHANGES
 from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import StoredValue
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
 from tests.support.odd_entries import MAX_VALUE_BYTES
 from tests.support.odd_entries import ODD_KEYS
 from tests.support.odd_entries import ODD_VALUES
+from tests.support.store_copy import APPLY_S
 from tests.support.store_copy import Copy
+from tests.support.store_copy import SLOWEST_LINK_BYTES_PER_S
+from tests.support.store_copy import version_in_force
+from tests.support.store_copy import write_version
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,6 +59,23 @@
         if len(data) > MAX_MESSAGE_BYTES:
             # The receiver ends the connection.
             return
+        if not self._pair.bytes_per_s:
+            self._deliver(data)
+            return
+        # Messages to one node share the speed of its link.
+        loop = self._pair.refused.loop
+        start_s = max(loop.time(), self._pair.free_s.get(self._to, 0.0))
+        arrival_s = start_s + len(data) / self._pair.bytes_per_s
+        self._pair.free_s[self._to] = arrival_s
+        loop.call_at(arrival_s, self._deliver, data)
+
+    def receiving_from(self) -> frozenset[str]:
+        own = 'refused' if self._to == 'served' else 'served'
+        now_s = self._pair.refused.loop.time()
+        is_receiving = self._pair.free_s.get(own, 0.0) > now_s
+        return frozenset(('other',)) if is_receiving else frozenset()
+
+    def _deliver(self, data: bytes) -> None:
         match decode_message(data):
             case Result(tag='ok', ok=decoded):
                 self._pair.sent.append(decoded)
@@ -67,9 +91,19 @@
 
 
 class Pair:
-    """Two nodes, each with a copy of a store of the same content."""
+    """Two nodes, each with a copy of a store of the same content.
+
+    Attributes
+    ----------
+    bytes_per_s
+        Speed of the link to each node; 0 for no limit.
+    free_s
+        Time at which the link to a node has transferred all messages.
+    """
 
     def __init__(self) -> None:
+        self.bytes_per_s = 0.0
+        self.free_s: dict[str, float] = {}
         self.sent: list[Message] = []
         self.copies = {'served': Copy()}
         loop = self.copies['served'].loop
@@ -221,3 +255,31 @@
     copy.sync.apply_peer_changes(Changes((older,), first))
     assert copy.cluster_view.targets['i-1'].registration.draining
     assert copy.sync.revision == first + 1
+
+
+def test_versions_that_follow_fast_arrive_in_time_over_a_slow_link(
+    pair: Pair,
+) -> None:
+    # Each request was answered with every version, also while an answer to
+    # the one before was arriving.
+    pair.refuse_store_calls()
+    pair.bytes_per_s = SLOWEST_LINK_BYTES_PER_S
+    for version in range(8, 14):
+        write_version(pair.refused, version, 277_000)
+        write_version(pair.copies['served'], version, 277_000)
+        pair.wait(0.33)
+    pair.wait(APPLY_S - 0.33)
+    assert version_in_force(pair.refused) == 13
+
+
+def test_other_large_keys_are_kept_where_versions_are_left_out() -> None:
+    large = b'x' * (LARGE_VALUE_BYTES + 1)
+    events = (
+        StoredValue('a', large, 2),
+        StoredValue('b', large, 3),
+        StoredValue('c', b'small', 4),
+        StoredValue('a', large, 5),
+        StoredValue('c', b'small', 6),
+        Removal('b', 7),
+    )
+    assert without_replaced(events) == events[2:]
--- a/tests/steering/store_following/test_following.py
+++ b/tests/steering/store_following/test_following.py
@@ -9,7 +9,7 @@
 
 from gentianbank.policy.store_followers import MIN_REGION_NODES
 from gentianbank.policy.store_followers import StoreRole
-from gentianbank.steering.store_following.updates import MAX_PASSED_ON_BYTES
+from gentianbank.steering.store_following.catch_up import LARGE_VALUE_BYTES
 from tests.support.store_fleet import StoreFleet
 
 if TYPE_CHECKING:
@@ -162,7 +162,7 @@
     # Waiting until nothing has confirmed the copy for a while left too little
     # of the time in which a configuration must be in force.
     before = {node.sync.revision for node in fleet.nodes.values()}
-    padding = b' ' * MAX_PASSED_ON_BYTES
+    padding = b' ' * LARGE_VALUE_BYTES
     fleet.log.write('op/evacuate/east-1', b'{' + padding + b'}')
     fleet.advance(0.6)
     assert all(
--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from expression import Ok
@@ -15,12 +14,12 @@
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
+from tests.support.store_copy import APPLY_S
 from tests.support.store_copy import Copy
 from tests.support.store_copy import GRACE_MS
-
-# A link of 5 Mbit/s, and the time within which a version must be in force.
-SLOWEST_LINK_BYTES_PER_S = 5_000_000 / 8
-APPLY_S = 3.0
+from tests.support.store_copy import SLOWEST_LINK_BYTES_PER_S
+from tests.support.store_copy import version_in_force
+from tests.support.store_copy import write_version
 
 
 def test_listing_applies_configuration_and_targets(copy: Copy) -> None:
@@ -81,20 +80,6 @@
     assert gone or copy.cluster_view.targets['i-2'].is_unconfirmed
 
 
-def write_version(copy: Copy, version: int, size_bytes: int) -> None:
-    """Write a version of the configuration that is padded to a size."""
-    padding = 'x' * (size_bytes - len(json.dumps(CONFIGURATION)))
-    copy.store.write(
-        'op/config',
-        CONFIGURATION | {'version': version, 'padding': padding},
-    )
-
-
-def version_in_force(copy: Copy) -> int:
-    assert copy.cluster_view.table is not None
-    return copy.cluster_view.table.version
-
-
 @pytest.mark.parametrize('size_bytes', [277_000, 543_000, 1_048_576])
 def test_large_version_is_in_force_in_time_on_a_slow_link(
     copy: Copy, size_bytes: int
--- a/tests/steering/store_following/test_updates.py
+++ b/tests/steering/store_following/test_updates.py
@@ -7,8 +7,8 @@
 
 from gentianbank.steering.store_following import catch_up
 from gentianbank.steering.store_following import store_sync
+from gentianbank.steering.store_following.catch_up import LARGE_VALUE_BYTES
 from gentianbank.steering.store_following.updates import build_updates
-from gentianbank.steering.store_following.updates import MAX_PASSED_ON_BYTES
 from tests.platform.test_documents import ENTRY
 
 if TYPE_CHECKING:
@@ -62,7 +62,7 @@
     # the follower's own requests for seconds.
     first = copy.sync.revision
     copy.store.write('servers/x-1', ENTRY)
-    copy.store.write('servers/x-2', {'text': 'x' * MAX_PASSED_ON_BYTES})
+    copy.store.write('servers/x-2', {'text': 'x' * LARGE_VALUE_BYTES})
     copy.wait(1.0)
     large = copy.sync.revision
     copy.store.write('servers/x-3', ENTRY)
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -38,6 +38,9 @@
 
 CALL_S = 0.004
 GRACE_MS = 2_000.0
+# A link of 5 Mbit/s, and the time within which a version must be in force.
+SLOWEST_LINK_BYTES_PER_S = 5_000_000 / 8
+APPLY_S = 3.0
 # Of an answer, beside a value.
 EVENT_BYTES = 100
 
@@ -210,6 +213,21 @@
         return set(self.cluster_view.targets)
 
 
+def write_version(copy: Copy, version: int, size_bytes: int) -> None:
+    """Write a version of the configuration that is padded to a size."""
+    padding = 'x' * (size_bytes - len(json.dumps(CONFIGURATION)))
+    copy.store.write(
+        'op/config',
+        CONFIGURATION | {'version': version, 'padding': padding},
+    )
+
+
+def version_in_force(copy: Copy) -> int:
+    """Return the version of the configuration that a node uses."""
+    assert copy.cluster_view.table is not None
+    return copy.cluster_view.table.version
+
+
 def answer_bytes(events: Iterable[StoredValue | Removal]) -> int:
     """Return about how long an answer of the store is."""
     return sum(
