Ask again for a page of a listing that failed, not for the whole listing

A listing of many pages was given up when one call failed, and was begun again with its first page. A fleet of thousands of entries has dozens of pages, so that with a call lost now and then (429, 503, a reset) a node that starts, or whose history is gone, does not get ready.

A page after the first gets up to three calls, 200 ms apart.

test_failed_page_does_not_cost_the_pages_before (31 pages, each lost once and refused once) fails on the code before.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -42,6 +42,9 @@
     from gentianbank.targets.transport import TargetTransport
 
 MAX_PAGES = 10_000
+# Calls for a page of a listing that is not the first.
+LATER_PAGE_ATTEMPTS = 3
+PAGE_RETRY_MS = 200.0
 MAX_CONNECTIONS = 8
 CONNECT_TIMEOUT_MS = 500.0
 # Several times a page of a listing.
@@ -112,14 +115,11 @@
         loop = asyncio.get_running_loop()
         first_answer_s: float | None = None
         for _ in range(MAX_PAGES):
-            query = {'prefix': prefix}
-            if after:
-                query['after'] = after
-            match await self._call('GET', '/kv-range', query=query):
+            match await self._read_page(prefix, after):
                 case Result(tag='ok', ok=_Document(raw, transfer_ms)):
                     pass
                 case Result(error=error):
-                    return Error(_to_unavailable(error))
+                    return Error(error)
             if first_answer_s is None:
                 first_answer_s = loop.time() - transfer_ms / _MS_PER_S
             try:
@@ -135,6 +135,24 @@
             after = page[-1].key
         return Error(StoreUnavailable(f'more than {MAX_PAGES} pages'))
 
+    async def _read_page(
+        self, prefix: str, after: str
+    ) -> Result[_Document, StoreUnavailable]:
+        """Read a page; a later one is asked for again, as others are held."""
+        query = {'prefix': prefix}
+        if after:
+            query['after'] = after
+        attempts = LATER_PAGE_ATTEMPTS if after else 1
+        for attempt in range(attempts):
+            if attempt:
+                await asyncio.sleep(PAGE_RETRY_MS / _MS_PER_S)
+            match await self._call('GET', '/kv-range', query=query):
+                case Result(tag='ok', ok=document):
+                    return Ok(document)
+                case Result(error=error):
+                    pass
+        return Error(_to_unavailable(error))
+
     async def wait_for_changes(
         self,
         prefix: str,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,6 +98,29 @@
     assert harness.paths[1] == 'GET /kv-range?prefix=&after=a'
 
 
+def test_failed_page_does_not_cost_the_pages_before() -> None:
+    # With a call lost now and then a long listing was never complete.
+    pages = [
+        {'items': [item(f'a{n:02}', n)], 'hasMore': n < 30, 'currentRev': 99}
+        for n in range(31)
+    ]
+    scripts = [reply(pages[0])]
+    for page in pages[1:]:
+        scripts += [LOST, reply({}, 503), reply(page)]
+    harness = StoreHarness(*scripts)
+    values = harness.run(harness.store.list_prefix('')).values
+    assert len(values) == len(pages)
+
+
+def test_listing_is_given_up_where_the_store_stays_away() -> None:
+    first = {'items': [item('a', 1)], 'hasMore': True, 'currentRev': 5}
+    scripts = [reply(first), *[reply({}, 503)] * 10]
+    harness = StoreHarness(*scripts)
+    error = harness.run(harness.store.list_prefix(''))
+    assert error == StoreUnavailable('HTTP 503')
+    assert len(harness.paths) == 4
+
+
 def test_changes_are_decoded() -> None:
     events = [item('a', 7, b'\xff'), {'key': 'b', 'revision': 8, 'removed': 1}]
     harness = StoreHarness(reply({'events': events, 'currentRev': 8}))
