Show that an answer with a status that does not exist is no answer

Users of similar systems saw an answer with the status 000 passed on. This one does not do that, so nothing in the product is changed. Played here, with odd statuses (000, 001, 099, 600, 999, none, letters, 2e2, 0200), also behind an interim answer:

--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -321,6 +321,21 @@
     run_with_server([[answer('r-1').replace(old, new)]], test)
 
 
+@pytest.mark.parametrize('before', [b'', b'HTTP/1.1 100 Continue\r\n\r\n'])
+@pytest.mark.parametrize(
+    'status', ['000', '001', '099', '101', '600', '', 'abc', '2e2', '0200']
+)
+def test_status_that_does_not_exist_is_no_answer(
+    status: str, before: bytes
+) -> None:
+    async def test(pool: ConnectionPool, server: Server) -> None:
+        sent = await pool.send(build_request(server.address))
+        assert isinstance(sent.error, MaybeSent)
+
+    odd = answer('r-1').replace(b' 200 ', f' {status} '.encode())
+    run_with_server([[before + odd]], test)
+
+
 def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_retry() -> None:
     async def test(pool: ConnectionPool, server: Server) -> None:
         for status in (503, 200):
