--- a/src/gentianbank_standins/soak/links.py
+++ b/src/gentianbank_standins/soak/links.py
@@ -9,6 +9,7 @@
 from gentianbank.domain.addresses import parse_address
 
 CHUNK_BYTES = 64 * 1024
+SLOW_CHUNK_BYTES = 8 * 1024
 _MS_PER_S = 1_000
 _FAILURES = (OSError, EOFError)
 
@@ -31,11 +32,20 @@
         Where the link listens.
     server
         Address that it connects to.
+
+    Attributes
+    ----------
+    delay_ms
+        Time that each chunk takes longer.
+    bytes_per_s
+        Speed that all bytes of the server share; 0 for no limit.
     """
 
     def __init__(self, address: str, server: str) -> None:
         self.address = address
         self.delay_ms = 0.0
+        self.bytes_per_s = 0.0
+        self._free_s = 0.0
         self._server_address = parse_address(server)
         self._state = LinkState.WHOLE
         self._open = asyncio.Event()
@@ -103,6 +113,7 @@
                         far_reader,
                         writer,
                         (LinkState.SILENT, LinkState.DEAF),
+                        is_answer=True,
                     ),
                 )
             finally:
@@ -122,9 +133,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         holding: tuple[LinkState, ...],
+        *,
+        is_answer: bool = False,
     ) -> None:
-        while data := await reader.read(CHUNK_BYTES):
+        while data := await reader.read(self._chunk_bytes()):
             await asyncio.sleep(self.delay_ms / _MS_PER_S)
+            if is_answer and self.bytes_per_s:
+                await self._wait_transfer(len(data))
             while self._state in holding:
                 await self._open.wait()
             writer.write(data)
@@ -132,3 +147,12 @@
         # The end of one direction ends the connection, as servers here
         # close both at once.
         raise EOFError
+
+    def _chunk_bytes(self) -> int:
+        return SLOW_CHUNK_BYTES if self.bytes_per_s else CHUNK_BYTES
+
+    async def _wait_transfer(self, size_bytes: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        transfer_s = size_bytes / self.bytes_per_s
+        self._free_s = max(now_s, self._free_s) + transfer_s
+        await asyncio.sleep(self._free_s - now_s)
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -6,6 +6,7 @@
 import contextlib
 from dataclasses import dataclass
 from dataclasses import field
+import json
 import os
 from pathlib import Path
 import signal
@@ -146,8 +147,14 @@
         """Count a node as disturbed for a while."""
         node.disturbed_s = max(node.disturbed_s, until_s)
 
-    def write_configuration(self) -> None:
-        """Write the next version of the configuration, as the operator."""
+    def write_configuration(self, size_bytes: int = 0) -> None:
+        """Write the next version of the configuration, as the operator.
+
+        Parameters
+        ----------
+        size_bytes
+            Size up to which the document is padded.
+        """
         self.version += 1
         limits = {
             'maxHeaderBytes': 16_384,
@@ -176,7 +183,8 @@
                 }
             ],
         }
-        self.store.put('op/config', document)
+        data = json.dumps(document).encode()
+        self.store.write('op/config', data.ljust(size_bytes))
 
     def register(self, target: SoakTarget, state: str = 'ready') -> None:
         """Write the entry of a target, as the target does."""
