Bound the batches of a handover by their bytes

At a planned stop of the own interface outcomes went to the heir in batches of 100, whatever their retained answers took. 100 answers of the default limit make 6.5 MB: over the limit on messages, which ends the connection, and 10 s on a link of 5 Mbit/s with a timeout of 2 s. The handover failed, for each heir that was tried, and retries of what had been answered got "unknown".

A batch now has 256 KiB of bodies at most, and an outcome whose body is over 512 KiB goes to other nodes without it, as not retained.

On the code before, handed_over_on_a_slow_link fails with 100, 101 and 1,000 answers, and answer_that_fits_no_message.

--- a/src/gentianbank/control/wire_outcomes.py
+++ b/src/gentianbank/control/wire_outcomes.py
@@ -14,12 +14,20 @@
 from gentianbank.policy.run_evidence import NOT_RUN_STATUSES
 
 MAX_CAUSE_LENGTH = 1_000
+# A larger body is not sent to other nodes: it would hold up the connection,
+# and beyond the limit on messages end it.
+MAX_BODY_BYTES = 512 * 1024
 
 
 def encode_outcome(outcome: Outcome | Pending | Mismatch) -> WireOutcome:
-    """Return the wire form of an outcome."""
+    """Return the wire form of an outcome.
+
+    A body over ``MAX_BODY_BYTES`` counts as not retained.
+    """
     match outcome:
         case Answered(status, headers, body):
+            if body is not None and len(body) > MAX_BODY_BYTES:
+                body = None
             return WireOutcome(
                 kind='answered',
                 status=status,
--- a/src/gentianbank/requests.py
+++ b/src/gentianbank/requests.py
@@ -25,12 +25,16 @@
 from gentianbank.domain.request_key import RequestKey
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from gentianbank.control.loans import RegionBudgetLender
     from gentianbank.control.peers import PeerConnections
     from gentianbank.control.state import ControlState
     from gentianbank.dataplane.outcomes import KeyAdmission
 
 HANDOVER_BATCH_SIZE = 100
+# A message of this size arrives well within the timeout on any link.
+HANDOVER_BATCH_BYTES = 256 * 1024
 HANDOVER_TIMEOUT_MS = 2_000
 MAX_HANDOVER_PEERS = 3
 MAX_OWNER_TIMEOUT_MS = 10_000
@@ -149,28 +153,25 @@
 
     async def _hand_over_to(self, vm: str, address: str) -> bool:
         table = self._key_admission.table
-        items = table.items()
+        outcomes = [
+            HandedOverOutcome(
+                service=_encode_key(key)[0],
+                key=_encode_key(key)[1],
+                fingerprint=fingerprint,
+                outcome=encode_outcome(outcome),
+            )
+            for key, fingerprint, outcome in table.items()
+        ]
         # An empty handover is sent, too: it tells the heir that the outcomes
         # of this incarnation are complete.
-        batch_starts = range(0, max(len(items), 1), HANDOVER_BATCH_SIZE)
-        for start in batch_starts:
-            held = [
-                HandedOverOutcome(
-                    service=_encode_key(key)[0],
-                    key=_encode_key(key)[1],
-                    fingerprint=fingerprint,
-                    outcome=encode_outcome(outcome),
-                )
-                for key, fingerprint, outcome in items[
-                    start : start + HANDOVER_BATCH_SIZE
-                ]
-            ]
+        batches = split_outcomes(outcomes) or [()]
+        for number, batch in enumerate(batches, start=1):
             message = Handover(
                 request_id=0,
                 incarnation=table.incarnation,
                 oldest_epoch=table.oldest_epoch,
-                last=start + HANDOVER_BATCH_SIZE >= len(items),
-                outcomes=tuple(held),
+                last=number == len(batches),
+                outcomes=batch,
             )
             match await self._peers.request(
                 vm, address, message, HANDOVER_TIMEOUT_MS
@@ -215,6 +216,29 @@
         return HandoverReply(request_id=message.request_id)
 
 
+def split_outcomes(
+    outcomes: Sequence[HandedOverOutcome],
+) -> list[tuple[HandedOverOutcome, ...]]:
+    """Split outcomes into batches, each for one message.
+
+    A batch of one outcome may be larger than ``HANDOVER_BATCH_BYTES``.
+    """
+    batches: list[list[HandedOverOutcome]] = []
+    size_bytes = 0
+    for outcome in outcomes:
+        outcome_bytes = len(outcome.outcome.body)
+        is_full = not batches or (
+            len(batches[-1]) >= HANDOVER_BATCH_SIZE
+            or size_bytes + outcome_bytes > HANDOVER_BATCH_BYTES
+        )
+        if is_full:
+            batches.append([])
+            size_bytes = 0
+        batches[-1].append(outcome)
+        size_bytes += outcome_bytes
+    return [tuple(batch) for batch in batches]
+
+
 def _encode_key(key: RequestKey) -> tuple[str, str]:
     if isinstance(key, OpaqueKey):
         return key.service, key.value
