Judge a refusal of the store by its status, however long its body

A refusal with a body over the limit for changes counted as a large change, and cost the calls that read the newest values. Found on reading.

test_refusal_with_a_long_body_is_no_large_change fails on the code before.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -299,15 +299,17 @@
             min_bytes_per_s=MIN_BYTES_PER_S,
             max_bytes=max_bytes,
         )
-        match await read_body(answer, limits):
+        read = await read_body(answer, limits)
+        if answer.status != _HTTP_OK:
+            # Its body is not needed, however much of it has come.
+            return Error(answer.status)
+        match read:
             case Result(tag='ok', ok=body):
                 pass
             case Result(error=BodyLost(cause)):
                 return Error(StoreUnavailable(cause))
             case Result(error=BodyTooLarge() as too_large):
                 return Error(too_large)
-        if answer.status != _HTTP_OK:
-            return Error(answer.status)
         try:
             raw = json.loads(body.data or b'{}')
         except (ValueError, RecursionError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.platform import store as store_module
 from gentianbank.platform.store import PlatformStore
+from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import LeaseExpired
 from gentianbank.storage.prefix_store import Removal
@@ -98,6 +99,24 @@
     assert harness.paths[1] == 'GET /kv-range?prefix=&after=a'
 
 
+@pytest.mark.parametrize('status', [410, 429, 503])
+def test_refusal_with_a_long_body_is_no_large_change(status: int) -> None:
+    refusal = Script(status=status, body=b'x' * 300_000)
+    harness = StoreHarness(refusal)
+    watch = harness.store.wait_for_changes('', 6, 250, max_bytes=1_000)
+    gone = HistoryCompacted()
+    refused = StoreUnavailable(f'HTTP {status}')
+    assert harness.run(watch) == (gone if status == 410 else refused)
+
+
+def test_changes_over_the_asked_size_are_not_read() -> None:
+    events = [item('op/config', 7, b'x' * 10_000)]
+    script = reply({'events': events, 'currentRev': 7})
+    harness = StoreHarness(script)
+    watch = harness.store.wait_for_changes('', 6, 250, max_bytes=10_000)
+    assert harness.run(watch) == ChangesTooLarge()
+
+
 def test_failed_page_does_not_cost_the_pages_before() -> None:
     # With a call lost now and then a long listing was never complete.
     pages = [
