List the store where the changes of entries are too large

Reading the newest values watches targets and nodes with the limit of 32 MiB. An answer over it had no end defined: the copy asked again at once, for ever. It lists the store now, which has the newest values of all. Found on reading.

test_too_many_changes_of_entries_lead_to_a_listing fails on the code before.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -172,6 +172,9 @@
             case Result(error=HistoryCompacted()):
                 logging.info('store dropped needed history; listing again')
                 self._revision = 0
+            case Result(error=ChangesTooLarge()):
+                logging.warning('changes of entries too large; listing again')
+                self._revision = 0
             case Result(error=StoreUnavailable() as error):
                 if observer:
                     observer.on_read_failed()
--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -4,12 +4,14 @@
 
 from typing import Any
 
+from expression import Error
 from expression import Ok
 import pytest
 
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.fleet_members import MEMORY_MS
 from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
@@ -147,6 +149,25 @@
     assert answered_ms <= (read_s + 0.1) * 1_000
 
 
+def test_too_many_changes_of_entries_lead_to_a_listing(
+    copy: Copy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wait_for_changes = copy.store.wait_for_changes
+
+    async def watch(prefix: str, *arguments: Any) -> Any:
+        if prefix == 'servers/':
+            return Error(ChangesTooLarge())
+        return await wait_for_changes(prefix, *arguments)
+
+    monkeypatch.setattr(copy.store, 'wait_for_changes', watch)
+    write_version(copy, 8, 277_000)
+    copy.store.write('servers/i-3', ENTRY)
+    copy.wait(1.0)
+    assert version_in_force(copy) == 8
+    assert 'i-3' in copy.targets
+    assert copy.store.calls < 20
+
+
 def test_listing_that_does_not_show_the_changes_is_not_asked_for_at_once(
     copy: Copy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
