Leave no removal out beside large versions

Changes that are merged from a listing have the newest value of each key of the operator, and removals of what the copy had before. Two copies can have more: the own one, which may get changes from peers during the reads, and that of a peer at a revision in between, which asks this node for changes. Both kept a domain that was evacuated and taken back in between.

The keys are collected after the reads, and removals are stated for each failure domain that the settings name. A removal of what a copy does not have does nothing, also in the log. The state machine's nodes know all of its domains, as nodes do.

--- a/src/gentianbank/steering/store_following/newest_values.py
+++ b/src/gentianbank/steering/store_following/newest_values.py
@@ -20,6 +20,7 @@
 from gentianbank.storage.prefix_store import Removal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
 
@@ -44,7 +45,9 @@
 
 
 async def read_newest(
-    store: PrefixStore, after_revision: int, held_keys: Collection[str]
+    store: PrefixStore,
+    after_revision: int,
+    possible_keys: Callable[[], Collection[str]],
 ) -> Result[Changes, WatchError]:
     """Return the changes after a revision, with the newest values only.
 
@@ -53,8 +56,10 @@
 
     Parameters
     ----------
-    held_keys
-        Keys of the operator that the copy has.
+    possible_keys
+        Returns the removable keys of the operator that this copy, or that
+        of a peer, may have. It is called after the reads, as the copy may
+        get changes from peers meanwhile.
     """
     match await store.list_prefix(OPERATOR_PREFIX):
         case Result(tag='ok', ok=listing):
@@ -78,12 +83,12 @@
                 return Error(failure)
     if any(changes.revision < listing.revision for changes in others):
         return Error(StoreUnavailable('changes are older than a listing'))
-    return Ok(merge(listing, held_keys, others, after_revision))
+    return Ok(merge(listing, possible_keys(), others, after_revision))
 
 
 def merge(
     listing: Listing,
-    held_keys: Collection[str],
+    possible_keys: Collection[str],
     others: Iterable[Changes],
     after_revision: int,
 ) -> Changes:
@@ -93,8 +98,10 @@
     ----------
     listing
         Values of the keys whose versions are left out.
-    held_keys
-        Those of these keys that the copy has; missing ones were removed.
+    possible_keys
+        Those of these keys that a copy may have; missing ones were removed.
+        A peer whose copy is of a revision in between may have one that this
+        copy never had, and gets these changes from here.
     others
         Changes of the other keys, read after the listing.
     after_revision
@@ -112,7 +119,7 @@
     ]
     events += listing.values
     listed_keys = {stored.key for stored in listing.values}
-    removed_keys = sorted(set(held_keys) - listed_keys)
+    removed_keys = sorted(set(possible_keys) - listed_keys)
     events += [Removal(key, revision) for key in removed_keys]
     new = [e for e in events if after_revision < e.mod_revision <= revision]
     new.sort(key=lambda event: event.mod_revision)
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -185,11 +185,8 @@
         if self._observer:
             self._observer.on_read_sent()
         began_ms = self._clock()
-        domains = self._cluster_view.evacuated
         answer = await newest_values.read_newest(
-            self._store,
-            self._revision,
-            [keyspace.evacuation_key(domain) for domain in domains],
+            self._store, self._revision, self._possible_evacuations
         )
         match answer:
             case Result(tag='ok', ok=changes):
@@ -205,6 +202,12 @@
                 return Ok(replace(changes, transfer_ms=transfer_ms))
         return answer
 
+    def _possible_evacuations(self) -> list[str]:
+        """Return the keys under which a known failure domain is evacuated."""
+        view = self._cluster_view
+        domains = view.evacuated | view.regions.keys()
+        return [keyspace.evacuation_key(domain) for domain in domains]
+
     async def _on_changes(self, changes: Changes, waited_ms: float) -> None:
         """Apply an answer of the store, and wait a moment for further ones.
 
@@ -454,7 +457,7 @@
                 self._on_node_removed(vm)
             case MemberKey(vm):
                 self._on_member_removed(vm)
-            case EvacuationKey(name):
+            case EvacuationKey(name) if name in self._cluster_view.evacuated:
                 domains = self._cluster_view.evacuated - {name}
                 self._cluster_view.set_evacuated_domains(
                     domains, self._clock()
--- a/tests/steering/store_following/test_catch_up.py
+++ b/tests/steering/store_following/test_catch_up.py
@@ -283,3 +283,25 @@
         Removal('b', 7),
     )
     assert without_replaced(events) == events[2:]
+
+
+def test_peer_of_a_revision_between_large_versions_gets_each_removal(
+    pair: Pair,
+) -> None:
+    # What this node never saw, as it left the versions out, the peer has.
+    served = pair.copies['served']
+    for copy in pair.copies.values():
+        write_version(copy, 8, 277_000)
+        copy.store.write('op/evacuate/east-1', {})
+    pair.refused.wait(0.002)
+    assert not served.cluster_view.evacuated
+    pair.refused.sync.apply_peer_changes(
+        Changes(tuple(served.store.history)[-2:], served.store.revision)
+    )
+    assert pair.refused.cluster_view.evacuated == {'east-1'}
+    pair.refused.store.set_fault('refuse')
+    for copy in pair.copies.values():
+        copy.store.remove('op/evacuate/east-1')
+    pair.wait(2.0)
+    assert not served.cluster_view.evacuated
+    assert pair.refused.cluster_view.evacuated == set()
--- a/tests/steering/store_following/test_machine.py
+++ b/tests/steering/store_following/test_machine.py
@@ -222,7 +222,7 @@
     monkeypatch.setattr(
         newest_values,
         'merge',
-        lambda listing, held_keys, others, after_revision: merge(
+        lambda listing, possible_keys, others, after_revision: merge(
             listing, (), others, after_revision
         ),
     )
--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -149,6 +149,28 @@
     assert answered_ms <= (read_s + 0.1) * 1_000
 
 
+def test_removal_of_what_a_peer_told_during_a_listing_is_applied(
+    copy: Copy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The keys that the copy held were taken before the listing.
+    list_prefix = copy.store.list_prefix
+    held = copy.sync.revision
+
+    async def list_late(prefix: str) -> Any:
+        events = tuple(copy.store.history)[-3:-1]
+        changes = Changes(events, copy.store.revision - 1)
+        assert copy.sync.apply_follower_changes(held, changes)
+        return await list_prefix(prefix)
+
+    monkeypatch.setattr(copy.store, 'list_prefix', list_late)
+    write_version(copy, 8, 277_000)
+    copy.store.write('op/evacuate/east-2', {})
+    copy.store.remove('op/evacuate/east-2')
+    copy.wait(1.0)
+    assert copy.sync.revision == copy.store.revision
+    assert copy.cluster_view.evacuated == set()
+
+
 def test_too_many_changes_of_entries_lead_to_a_listing(
     copy: Copy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -245,7 +245,9 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.store = NodeStore(fleet.log, self)
-        self.cluster_view = ClusterView({'east-1': REGION})
+        self.cluster_view = ClusterView(
+            {f'east-{number}': REGION for number in range(4)}
+        )
         self.is_alive = True
         # Each VM has started at another time.
         clock_offset_ms = float(sum(vm.encode())) * 1_000
