Note the revision of a copy in its model after each message

Traced: the node got revision 13 from a follower and then learned that the store had dropped its history, within one tick of 100 ms. The check looked at the end of the tick, at a revision of 0, and took the copy for one of revision 12. Its content was that of 13.

The check is the same. The revision is noted after each message in addition, so that a copy that goes back within a tick is seen too: equally strict and more.

--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -287,6 +287,13 @@
         """Return the role of this node at the store."""
         return StoreRole(self.following.role)
 
+    def note_revision(self) -> None:
+        """Record the revision of the copy, which must not go back."""
+        held = self.sync.revision
+        if held:
+            assert held >= self.seen_revision, f'{self.vm}: copy went back'
+            self.seen_revision = held
+
     def slow_store(self, delay_s: float) -> None:
         """Let the store answer this node late from now on."""
         self.store.delay_s = delay_s
@@ -418,10 +425,9 @@
                 self._check_copy(node, now_ms)
 
     def _check_copy(self, node: FleetNode, now_ms: float) -> None:
+        node.note_revision()
         held = node.sync.revision
         if held:
-            assert held >= node.seen_revision, f'{node.vm}: copy went back'
-            node.seen_revision = held
             evacuated = node.cluster_view.evacuated
             assert evacuated == self.log.evacuated[held], (
                 f'{node.vm}: copy differs from the store at {held}'
@@ -491,7 +497,10 @@
             while waiting and waiting[0][0] <= self.loop.now_ms() + 0.5:
                 match decode_message(waiting.popleft()[1]):
                     case Result(tag='ok', ok=message):
-                        self.nodes[to].on_event(Received(source, message))
+                        node = self.nodes[to]
+                        node.on_event(Received(source, message))
+                        # It is 0 while the store must be listed again.
+                        node.note_revision()
                     case Result(error=error):
                         raise AssertionError(str(error))
 
