Test that changes older than a listing are not merged with it

The branch had no test: a watch whose answer ends before the listing's revision would leave changes out. The copy stays as it is, and asks again after its pause.

--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -171,6 +171,26 @@
     assert copy.cluster_view.evacuated == set()
 
 
+def test_changes_that_are_older_than_the_listing_are_not_merged(
+    copy: Copy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wait_for_changes = copy.store.wait_for_changes
+    held = copy.sync.revision
+
+    async def watch(prefix: str, *arguments: Any) -> Any:
+        if prefix == 'servers/':
+            return Ok(Changes((), held))
+        return await wait_for_changes(prefix, *arguments)
+
+    monkeypatch.setattr(copy.store, 'wait_for_changes', watch)
+    copy.store.write('servers/i-3', ENTRY)
+    write_version(copy, 8, 277_000)
+    copy.wait(2.0)
+    assert copy.sync.revision == held
+    assert not copy.sync.is_reachable
+    assert copy.store.calls < 40
+
+
 def test_too_many_changes_of_entries_lead_to_a_listing(
     copy: Copy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
