--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -36,6 +36,8 @@
 _TARGET_ID = b'instance-id'
 _COLD_LEFT_MS = b'cold-ms'
 _REQUEST_LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
+_STORE_ERA = b'store-era'
 _NOT_RUN = b'not-executed'
 _MISDIRECTED_STATUS = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
@@ -43,6 +45,7 @@
 _MAX_SLOWDOWN_PERCENT = 100_000.0
 _MAX_REPORTED_REQUESTS = 1_000_000
 _MAX_LIMIT_PER_S = 1e9
+_MAX_ERA = 2**53
 _MAX_COLD_LEFT_MS = 3_600_000.0
 _SHOWN_CHARACTERS = 60
 _CONNECTION_HEADERS = HOP_BY_HOP | {b'expect'}
@@ -212,6 +215,25 @@
     return NamedLimit(requests_per_s)
 
 
+def says_leaving(headers: RawHeaders) -> bool:
+    """Tell whether an answer says that its target leaves."""
+    return b'1' in header_values(headers, _LEAVING)
+
+
+def decode_store_era(headers: RawHeaders) -> int | None:
+    """Return how often the store came back from a copy.
+
+    Returns
+    -------
+    int or None
+        ``None`` if the answer does not say it as a whole number.
+    """
+    raw = find_header(headers, _STORE_ERA)
+    if raw is None:
+        return None
+    return parse_whole(raw.decode('latin-1'), 0, _MAX_ERA)
+
+
 def _headers_named_by_connection(received: RawHeaders) -> frozenset[bytes]:
     value = find_header(received, b'connection')
     if not value:
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
+from absl import logging
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -18,6 +19,7 @@
 from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.platform.credentials import without_keys
 from gentianbank.platform.documents import CONFIGURATION_KEY
+from gentianbank.platform.headers import decode_store_era
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
@@ -105,6 +107,7 @@
         self._timeout_ms = float(timeout_ms)
         self._transport = transport
         self._on_call = on_call
+        self._era: int | None = None
 
     async def list_prefix(
         self, prefix: str
@@ -255,6 +258,7 @@
         request = self._build_request(method, path, query, body, wait_ms)
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
+                self._note_era(answer)
                 result = await self._read_answer(
                     answer, max_bytes or MAX_ANSWER_BYTES
                 )
@@ -265,6 +269,17 @@
         self._on_call(path.split('/')[1], outcome)
         return result
 
+    def _note_era(self, answer: TargetAnswer) -> None:
+        era = decode_store_era(answer.headers)
+        if era is None or era == self._era:
+            return
+        if self._era is not None:
+            logging.warning(
+                'era of the store changed',
+                extra={'era': era, 'was': self._era},
+            )
+        self._era = era
+
     def _build_request(
         self,
         method: str,
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -87,6 +87,8 @@
         self._on_own_entry_gone = on_own_entry_gone
         self._clock = clock
         self._revision = 0
+        # Of the store's last answer.
+        self._answered_revision = 0
         self._down_since_ms: float | None = None
         self._recovered_ms = float('-inf')
         self._has_listed = False
@@ -141,6 +143,7 @@
         match await self._store.list_prefix(keyspace.ALL_KEYS_PREFIX):
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
+                self._check_revision(listing.revision)
                 self._apply_listing(listing)
                 if observer:
                     observer.on_read_answered(0.0)
@@ -218,6 +221,7 @@
         """
         observer = self._observer
         self._on_store_answer(changes.transfer_ms)
+        self._check_revision(changes.revision)
         self._apply_changes(changes)
         if observer:
             observer.on_read_answered(waited_ms)
@@ -313,13 +317,25 @@
         if self._down_since_ms is not None:
             self._end_outage()
 
+    def _check_revision(self, revision: int) -> None:
+        """Log that the store has a lower revision than it had before."""
+        if revision < self._answered_revision:
+            logging.warning(
+                'revision of the store went back',
+                extra={'revision': revision, 'was': self._answered_revision},
+            )
+        self._answered_revision = revision
+
     def _end_outage(self) -> None:
         assert self._down_since_ms is not None
         now_ms = self._clock()
         self._cluster_view.is_store_reachable = True
         logging.info(
             'store answers again',
-            extra={'down_ms': round(now_ms - self._down_since_ms)},
+            extra={
+                'down_ms': round(now_ms - self._down_since_ms),
+                'revision': self._revision,
+            },
         )
         self._down_since_ms = None
         self._recovered_ms = now_ms
@@ -330,7 +346,10 @@
         if self._down_since_ms is None and not is_passive:
             self._down_since_ms = self._clock()
             self._cluster_view.is_store_reachable = False
-            logging.warning('store lost', extra={'cause': error.cause})
+            logging.warning(
+                'store lost',
+                extra={'cause': error.cause, 'revision': self._revision},
+            )
         self._retry_requested.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.retry_ms / _MS_PER_S):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -292,3 +292,23 @@
         harness.run(harness.store.grant_lease_ms(1_000))
     outcomes = ['503', 'no answer', '200']
     assert harness.outcomes == [('kv-lease', outcome) for outcome in outcomes]
+
+
+def test_change_of_the_era_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    eras = (b'3', b'3', b'no number', b'4')
+    harness = StoreHarness(
+        *(
+            replace(reply({'revision': 1}), headers=((b'Store-Era', era),))
+            for era in eras
+        )
+    )
+    for _ in eras:
+        harness.run(harness.store.put(Put('nodes/vm-1', b'v')))
+    logged = [
+        (vars(record)['era'], vars(record)['was'])
+        for record in caplog.records
+        if record.msg == 'era of the store changed'
+    ]
+    assert logged == [(4, 3)]
