--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -247,6 +247,7 @@
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
+            self._record_leaving(request, target, headers)
         unusable: Rejected | Broken | None
         unusable = await self._read_ahead(request, target, status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
@@ -343,6 +344,23 @@
             target.on_report(load, now_ms)
         return load
 
+    def _record_leaving(
+        self, request: CallerRequest, target: TargetLoad, headers: RawHeaders
+    ) -> None:
+        if not wire.says_leaving(headers) or (
+            target.told_leaving_ms is not None
+        ):
+            return
+        target.told_leaving_ms = self._clock()
+        logging.info(
+            'target says that it leaves',
+            extra={
+                'target': target.registration.target_id,
+                'request': request.request_id.decode('latin-1'),
+                'draining': target.registration.draining,
+            },
+        )
+
     def _record_limit(
         self, target: TargetLoad, headers: RawHeaders, sent_ms: float
     ) -> None:
