Let a new route start from the work times of its service

Cause: before its first answer a route was assumed to take 1.3 times its objective. A request waits at a target only if the expected time is within the objective, so those of a new route never waited, and only answers to them could have changed the estimate.

Class: an estimate that only the traffic it forbids could mend. So an estimate without recent answers moves to that of the routes that share the service as well; the wait for room uses the same estimate.

--- a/src/gentianbank/policy/placement.py
+++ b/src/gentianbank/policy/placement.py
@@ -20,13 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from gentianbank.policy.route_times import RouteTimes
     from gentianbank.policy.target_load import TargetLoad
 
-# Assumed work time for a cold and for a warm object before the first answer,
-# relative to the latency objective.
-INITIAL_COLD_GOAL_RATIO = 1.3
-INITIAL_WARM_GOAL_RATIO = 0.4
-TIME_SMOOTHING = 0.05
 # Probability that other nodes' requests have made an object warm at a target,
 # by the target's rank in the object's preference order.
 WARM_PROBABILITY_BY_RANK = (0.8, 0.3, 0.1)
@@ -54,58 +50,6 @@
 WAIT_SAFETY_FACTOR = 1.2
 
 
-@dataclass(slots=True)
-class RouteTimes:
-    """Smoothed work times and answer sizes of a route.
-
-    Parameters
-    ----------
-    warm_ms, cold_ms
-        Work time at a slowdown of 1, for a warm and for a cold object.
-    mean_ms
-        Mean work time over all requests at a slowdown of 1.
-    answer_kb
-        Mean size of an answer body.
-    """
-
-    warm_ms: float
-    cold_ms: float
-    mean_ms: float
-    answer_kb: float = 5.0
-
-    @classmethod
-    def initial(cls, latency_objective_ms: float) -> RouteTimes:
-        """Return the estimates that hold before the first answer.
-
-        Parameters
-        ----------
-        latency_objective_ms
-            Latency objective of the route.
-        """
-        return cls(
-            latency_objective_ms * INITIAL_WARM_GOAL_RATIO,
-            latency_objective_ms * INITIAL_COLD_GOAL_RATIO,
-            latency_objective_ms * INITIAL_COLD_GOAL_RATIO,
-        )
-
-    def on_answer(
-        self, work_ms: float, answer_bytes: int, *, warm: bool
-    ) -> None:
-        """Record an answer that did not wait in the target's queue."""
-        self.answer_kb += TIME_SMOOTHING * (
-            answer_bytes / 1_000 - self.answer_kb
-        )
-        # The bounds keep a few long requests from dominating the estimates.
-        bounded_ms = min(work_ms, 2 * self.cold_ms)
-        self.mean_ms += TIME_SMOOTHING * (bounded_ms - self.mean_ms)
-        if warm:
-            work_ms = min(work_ms, 2 * self.warm_ms)
-            self.warm_ms += TIME_SMOOTHING * (work_ms - self.warm_ms)
-        else:
-            work_ms = min(work_ms, 2 * self.cold_ms)
-            self.cold_ms += TIME_SMOOTHING * (work_ms - self.cold_ms)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementInputs:
     """A request that needs a target, and what limits the choice.
--- a/src/gentianbank/steering/fair_shares/waiting_requests.py
+++ b/src/gentianbank/steering/fair_shares/waiting_requests.py
@@ -121,7 +121,9 @@
         wait_ms = longest_wait_ms(
             request.route.latency_objective_ms - held_ms,
             request.deadline_ms - now_ms,
-            self._placer.route_times(request.route).mean_ms,
+            self._placer.estimated_times(
+                request.route, request.service
+            ).mean_ms,
         )
         return min(wait_ms, MAX_WAIT_MS - held_ms)
 
--- a/src/gentianbank/steering/pacing.py
+++ b/src/gentianbank/steering/pacing.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from gentianbank.policy.placement import Placement
-    from gentianbank.policy.placement import RouteTimes
+    from gentianbank.policy.route_times import RouteTimes
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.policy.target_pace import TargetPace
     from gentianbank.steering.cluster_view import ClusterView
--- a/src/gentianbank/steering/placer.py
+++ b/src/gentianbank/steering/placer.py
@@ -19,12 +19,13 @@
 from gentianbank.policy.placement import NoUsableTarget
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.placement import PlacementInputs
-from gentianbank.policy.placement import RouteTimes
 from gentianbank.policy.placement import Unfit
 from gentianbank.policy.region_shares import BUSY_FRACTION
 from gentianbank.policy.region_shares import BUSY_FRACTION_OF_LARGE
 from gentianbank.policy.region_shares import RegionLoad
 from gentianbank.policy.region_shares import RegionShares
+from gentianbank.policy.route_times import ServiceKind
+from gentianbank.policy.route_times import WorkTimes
 from gentianbank.steering.fleet_quotas import FleetQuotas
 from gentianbank.steering.pacing import Pacing
 
@@ -33,6 +34,8 @@
     from gentianbank.domain.steering_settings import Bounds
     from gentianbank.domain.workspaces import Workspace
     from gentianbank.policy.placement import PlacementResult
+    from gentianbank.policy.route_times import Answer
+    from gentianbank.policy.route_times import RouteTimes
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.cluster_view import ClusterView
 
@@ -199,7 +202,7 @@
         self.pacing: Pacing | None = None
         if with_pace:
             self.pacing = Pacing(self._quotas, cluster_view, clock)
-        self._route_times: dict[str, RouteTimes] = {}
+        self._work_times = WorkTimes()
         self._shares: dict[tuple[str, bool], RegionShares] = {}
         self._regions = sorted({*cluster_view.regions.values()})
         self._rankings: dict[tuple[str, str, str, bool], list[TargetLoad]] = {}
@@ -215,11 +218,28 @@
 
     def route_times(self, route: Route) -> RouteTimes:
         """Return the measured times and sizes of a route's answers."""
-        times = self._route_times.get(route.name)
-        if times is None:
-            times = RouteTimes.initial(route.latency_objective_ms)
-            self._route_times[route.name] = times
-        return times
+        return self._work_times.of_route(
+            route.name, route.latency_objective_ms
+        )
+
+    def estimated_times(self, route: Route, service: str) -> RouteTimes:
+        """Return the times to expect of a route's next answer."""
+        return self._work_times.estimate(
+            route.name,
+            route.latency_objective_ms,
+            ServiceKind(service, route.large),
+            self._clock(),
+        )
+
+    def on_work_done(self, route: Route, service: str, answer: Answer) -> None:
+        """Record an answer that did not wait in the target's queue."""
+        self._work_times.on_answer(
+            route.name,
+            route.latency_objective_ms,
+            ServiceKind(service, route.large),
+            answer,
+            self._clock(),
+        )
 
     @property
     def quotas(self) -> FleetQuotas:
@@ -420,12 +440,11 @@
 
     def _inputs(self, request: PlacementRequest) -> PlacementInputs:
         route = request.route
-        times = self._route_times.get(route.name)
         return PlacementInputs(
             topic=request.topic,
             region=self._region,
             failure_domain=self._failure_domain,
-            times=times or RouteTimes.initial(route.latency_objective_ms),
+            times=self.estimated_times(route, request.service),
             urgent=self._is_urgent(request),
             was_refused_before=request.was_refused_before,
             objective_left_ms=request.objective_left_ms,
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -14,6 +14,7 @@
 from gentianbank.platform import headers as wire
 from gentianbank.policy.buffer_budget import BufferBudget
 from gentianbank.policy.placement import ROUND_TRIP_MS
+from gentianbank.policy.route_times import Answer
 from gentianbank.policy.run_evidence import AnswerMeaning
 from gentianbank.policy.run_evidence import check_promise
 from gentianbank.policy.run_evidence import RunEvidence
@@ -321,8 +322,8 @@
             return
         work_ms = max(0.0, self._clock() - sent_ms - ROUND_TRIP_MS)
         slowdown = load.slowdown if load else 1.0
-        times = self._placer.route_times(request.route)
-        times.on_answer(work_ms / slowdown, size_bytes, warm=placed.warm)
+        answer = Answer(work_ms / slowdown, size_bytes, placed.warm)
+        self._placer.on_work_done(request.route, request.service, answer)
 
     def _record_load(
         self, target: TargetLoad, headers: RawHeaders
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -13,7 +13,7 @@
 from gentianbank.policy.placement import NoUsableTarget
 from gentianbank.policy.placement import Placement
 from gentianbank.policy.placement import PlacementInputs
-from gentianbank.policy.placement import RouteTimes
+from gentianbank.policy.route_times import RouteTimes
 from gentianbank.policy.target_load import TargetLoad
 from tests.support.steering import registration
 
@@ -140,20 +140,6 @@
     assert choose_target(DEMAND, [], NOW_MS) == NoUsableTarget()
 
 
-@pytest.mark.parametrize('warm', [True, False])
-def test_route_times_follow_the_answers(warm: bool) -> None:
-    times = RouteTimes.initial(400)
-    for _ in range(200):
-        times.on_answer(300, 5_000, warm=warm)
-    assert (times.warm_ms if warm else times.cold_ms) == pytest.approx(300, 1)
-
-
-def test_route_times_bound_the_effect_of_a_long_answer() -> None:
-    times = RouteTimes(160, 540, 200)
-    times.on_answer(8_000, 5_000, warm=True)
-    assert times.warm_ms < 170
-
-
 def test_place_lets_returning_callers_exceed_the_objective() -> None:
     target = build_target('a-1', 'read/7')
     occupy(target, 6)
