Read the era of the store in each of its answers

Cause, first part: the client of the store did not read the header in which the store says that it came back from an older copy, so nothing could tell revisions of two histories apart.

Change: each listing and each set of changes names its era. Pages of two eras are no listing, and an answer to a call from before a rise is not used if it states an earlier era. An answer without an era that can be read counts as of the known one, so that no store is given up for it.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -20,6 +20,8 @@
 from gentianbank.platform.credentials import without_keys
 from gentianbank.platform.documents import CONFIGURATION_KEY
 from gentianbank.platform.headers import decode_store_era
+from gentianbank.policy.store_era import EraChange
+from gentianbank.policy.store_era import StoreEra
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
@@ -69,10 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Document:
-    """The document of an answer, and the time that it took to arrive."""
+    """The document of an answer, its transfer time and the store's era."""
 
     raw: dict[str, Any]
     transfer_ms: float
+    era: int
 
 
 # A number is the status of an answer.
@@ -107,7 +110,8 @@
         self._timeout_ms = float(timeout_ms)
         self._transport = transport
         self._on_call = on_call
-        self._era: int | None = None
+        self._era = StoreEra()
+        self._has_unreadable_era = False
 
     async def list_prefix(
         self, prefix: str
@@ -117,14 +121,19 @@
         after = ''
         loop = asyncio.get_running_loop()
         first_answer_s: float | None = None
+        first_era = 0
         for _ in range(MAX_PAGES):
             match await self._read_page(prefix, after):
-                case Result(tag='ok', ok=_Document(raw, transfer_ms)):
+                case Result(tag='ok', ok=_Document(raw, transfer_ms, era)):
                     pass
                 case Result(error=error):
                     return Error(error)
             if first_answer_s is None:
                 first_answer_s = loop.time() - transfer_ms / _MS_PER_S
+                first_era = era
+            if era != first_era:
+                cause = 'the store was restored between pages'
+                return Error(StoreUnavailable(cause))
             try:
                 page = [_decode_value(item) for item in raw['items']]
                 has_more = bool(raw.get('hasMore', False))
@@ -134,7 +143,7 @@
             values += page
             if not has_more or not page:
                 listing_ms = (loop.time() - first_answer_s) * _MS_PER_S
-                return Ok(Listing(tuple(values), revision, listing_ms))
+                return Ok(Listing(tuple(values), revision, listing_ms, era))
             after = page[-1].key
         return Error(StoreUnavailable(f'more than {MAX_PAGES} pages'))
 
@@ -176,7 +185,7 @@
             max_bytes=max_bytes,
         )
         match answer:
-            case Result(tag='ok', ok=_Document(raw, transfer_ms)):
+            case Result(tag='ok', ok=_Document(raw, transfer_ms, era)):
                 pass
             case Result(error=error) if error == _HTTP_GONE:
                 return Error(HistoryCompacted())
@@ -186,7 +195,8 @@
                 return Error(_to_unavailable(error))
         try:
             events = tuple(_decode_event(item) for item in raw['events'])
-            return Ok(Changes(events, int(raw['currentRev']), transfer_ms))
+            revision = int(raw['currentRev'])
+            return Ok(Changes(events, revision, transfer_ms, era))
         except _MALFORMED as error:
             return Error(StoreUnavailable(f'malformed changes: {error!r}'))
 
@@ -256,11 +266,11 @@
     ) -> Result[_Document, _CallError]:
         """Return the document of a 200 answer, another status or an error."""
         request = self._build_request(method, path, query, body, wait_ms)
+        call = self._era.begin_call()
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
-                self._note_era(answer)
                 result = await self._read_answer(
-                    answer, max_bytes or MAX_ANSWER_BYTES
+                    call, answer, max_bytes or MAX_ANSWER_BYTES
                 )
                 outcome = str(answer.status)
             case Result(error=failure):
@@ -269,16 +279,26 @@
         self._on_call(path.split('/')[1], outcome)
         return result
 
-    def _note_era(self, answer: TargetAnswer) -> None:
-        era = decode_store_era(answer.headers)
-        if era is None or era == self._era:
-            return
-        if self._era is not None:
+    def _check_era(self, call: int, answer: TargetAnswer) -> EraChange:
+        """Note the era that an answer states, and log a change."""
+        was = self._era.current
+        stated = decode_store_era(answer.headers)
+        change = self._era.on_answer(call, stated)
+        if change is EraChange.OUTDATED:
+            logging.info(
+                'answer of an earlier era of the store not used',
+                extra={'era': stated, 'current': was},
+            )
+        elif change is not EraChange.NONE:
+            logging.warning(
+                'era of the store changed', extra={'era': stated, 'was': was}
+            )
+        elif stated is None and was and not self._has_unreadable_era:
+            self._has_unreadable_era = True
             logging.warning(
-                'era of the store changed',
-                extra={'era': era, 'was': self._era},
+                'answer of the store without its era', extra={'era': was}
             )
-        self._era = era
+        return change
 
     def _build_request(
         self,
@@ -307,8 +327,12 @@
         )
 
     async def _read_answer(
-        self, answer: TargetAnswer, max_bytes: int
+        self, call: int, answer: TargetAnswer, max_bytes: int
     ) -> Result[_Document, _CallError]:
+        if self._check_era(call, answer) is EraChange.OUTDATED:
+            await answer.close()
+            return Error(StoreUnavailable('the answer is of an earlier era'))
+        era = self._era.current
         limits = BodyLimits(
             silence_ms=self._timeout_ms,
             min_bytes_per_s=MIN_BYTES_PER_S,
@@ -331,7 +355,7 @@
             return Error(StoreUnavailable('the answer is not JSON'))
         if not isinstance(raw, dict):
             return Error(StoreUnavailable('the answer is not an object'))
-        return Ok(_Document(raw, body.transfer_ms))
+        return Ok(_Document(raw, body.transfer_ms, era))
 
 
 def _to_unavailable(error: _CallError) -> StoreUnavailable:
--- a/src/gentianbank/storage/prefix_store.py
+++ b/src/gentianbank/storage/prefix_store.py
@@ -42,11 +42,14 @@
     transfer_ms
         Time from the begin of the store's first answer to the end of the
         last one.
+    era
+        How often the store came back from a copy, see ``Changes``.
     """
 
     values: tuple[StoredValue, ...]
     revision: int
     transfer_ms: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,11 +62,15 @@
         Revision of the store up to which the changes are complete.
     transfer_ms
         Time from the begin of the store's answer to its end.
+    era
+        How often the store came back from an older copy. Revisions of
+        different eras cannot be compared. 0 for a store that does not tell.
     """
 
     events: tuple[StoredValue | Removal, ...]
     revision: int
     transfer_ms: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -294,15 +294,17 @@
     assert harness.outcomes == [('kv-lease', outcome) for outcome in outcomes]
 
 
+def in_era(script: Script, era: bytes) -> Script:
+    """Return an answer that states the era of the store."""
+    return replace(script, headers=((b'Store-Era', era),))
+
+
 def test_change_of_the_era_is_logged(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     eras = (b'3', b'3', b'no number', b'4')
     harness = StoreHarness(
-        *(
-            replace(reply({'revision': 1}), headers=((b'Store-Era', era),))
-            for era in eras
-        )
+        *(in_era(reply({'revision': 1}), era) for era in eras)
     )
     for _ in eras:
         harness.run(harness.store.put(Put('nodes/vm-1', b'v')))
@@ -312,3 +314,41 @@
         if record.msg == 'era of the store changed'
     ]
     assert logged == [(4, 3)]
+    assert 'answer of the store without its era' in caplog.messages
+
+
+def test_changes_and_listings_name_their_era() -> None:
+    harness = StoreHarness(
+        in_era(reply({'items': [], 'currentRev': 4}), b'2'),
+        in_era(reply({'events': [], 'currentRev': 4}), b'3'),
+    )
+    assert harness.run(harness.store.list_prefix('')).era == 2
+    assert harness.run(harness.store.wait_for_changes('', 4, 0)).era == 3
+
+
+def test_pages_of_two_eras_are_no_listing() -> None:
+    first = {'items': [item('a', 2)], 'hasMore': True, 'currentRev': 4}
+    second = {'items': [item('b', 3)], 'hasMore': False, 'currentRev': 3}
+    harness = StoreHarness(
+        in_era(reply(first), b'1'), in_era(reply(second), b'2')
+    )
+    listed = harness.run(harness.store.list_prefix(''))
+    assert isinstance(listed, StoreUnavailable)
+
+
+def test_late_answer_of_an_earlier_era_is_not_used() -> None:
+    changes = {'events': [], 'currentRev': 9}
+    harness = StoreHarness(
+        in_era(reply({'revision': 9}), b'1'),
+        replace(in_era(reply(changes), b'1'), after_s=0.5),
+        in_era(reply({'revision': 3}), b'2'),
+    )
+
+    async def play() -> Result[Any, Any]:
+        await harness.store.put(Put('nodes/vm-1', b'v'))
+        watch = asyncio.create_task(harness.store.wait_for_changes('', 9, 0))
+        await asyncio.sleep(0.01)
+        await harness.store.put(Put('nodes/vm-1', b'v'))
+        return await watch
+
+    assert isinstance(harness.run(play()), StoreUnavailable)
