List the store anew when it was restored, and keep eras apart

Cause: a revision was compared without asking whether the store had been restored since. A copy went on with its watch from a revision of the lost history. Where the store had given out as many revisions again, nothing showed that, and the changes between were skipped.

Change: a copy has an era beside its revision. Changes and listings of another era, or below the revision that was asked for, lead to a new listing; what it lacks gets the grace time of an outage, and the node writes its own entries again. Followers and peers name the era in their messages: a follower of another era confirms nothing, changes of an earlier era are not applied, and a node that the store turns away gets the operator's keys from a peer of the later era. A copy that must be listed keeps its revision, so that peers can go on telling it of changes while the store is away.

The log line on a revision that went back is replaced by one on the restore; its test asks for that line after the same fault.

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -36,9 +36,16 @@
 @register_message('news-request')
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreChangesRequest(Message):
-    """Asks a peer for the changes of the store after a revision."""
+    """Asks a peer for the changes of the store after a revision.
+
+    Parameters
+    ----------
+    era
+        Era of the store that the revision is of.
+    """
 
     after_revision: int = schema.integer(0, _MAX_REVISION)
+    era: int = schema.integer(0, _MAX_REVISION, default=0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,9 +61,10 @@
 @register_message('news')
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreChanges(Message):
-    """Changes of the store in order, up to a revision."""
+    """Changes of the store in order, up to a revision of an era."""
 
     revision: int = schema.integer(0, _MAX_REVISION)
+    era: int = schema.integer(0, _MAX_REVISION, default=0)
     changes: tuple[StoreChange, ...] = schema.sequence(StoreChange)
 
 
@@ -111,20 +119,25 @@
         if not names:
             return
         self._peer_turn += 1
-        request = StoreChangesRequest(after_revision=self._sync.revision)
+        request = StoreChangesRequest(
+            after_revision=self._sync.revision, era=self._sync.era
+        )
         self._peers.send(names[self._peer_turn % len(names)], request)
 
     def on_message(self, vm: str, message: Message) -> None:
         """Handle a request or an answer of a peer."""
         if isinstance(message, StoreChangesRequest):
-            self._answer_request(vm, message.after_revision)
+            self._answer_request(vm, message)
         elif isinstance(message, StoreChanges):
             self._apply_answer(vm, message)
 
-    def _answer_request(self, vm: str, after_revision: int) -> None:
-        if not self._sync.is_reachable:
+    def _answer_request(self, vm: str, request: StoreChangesRequest) -> None:
+        if not self._sync.is_reachable or request.era > self._sync.era:
             return
-        changes = self._sync.changes_after(after_revision)
+        if request.era < self._sync.era:
+            self._send_operator_changes(vm)
+            return
+        changes = self._sync.changes_after(request.after_revision)
         if changes is None or not changes.events:
             return
         newest = without_replaced(changes.events)
@@ -133,10 +146,24 @@
         if len(events) < len(newest):
             revision = events[-1].mod_revision
         rows = encode_changes(events)
-        self._peers.send(vm, StoreChanges(revision=revision, changes=rows))
+        answer = StoreChanges(revision=revision, era=changes.era, changes=rows)
+        self._peers.send(vm, answer)
+
+    def _send_operator_changes(self, vm: str) -> None:
+        """Send what the operator has written, as the peer's era is over."""
+        changes = self._sync.operator_changes()
+        answer = StoreChanges(
+            revision=changes.revision,
+            era=changes.era,
+            changes=encode_changes(changes.events),
+        )
+        self._peers.send(vm, answer)
 
     def _apply_answer(self, vm: str, answer: StoreChanges) -> None:
-        if self._sync.is_reachable or answer.revision <= self._sync.revision:
+        if self._sync.is_reachable or not self._sync.revision:
+            return
+        held = self._sync.era, self._sync.revision
+        if (answer.era, answer.revision) <= held:
             return
         logging.info(
             'store changes received from a peer',
@@ -144,10 +171,13 @@
                 'peer': vm,
                 'changes': len(answer.changes),
                 'revision': answer.revision,
+                'era': answer.era,
             },
         )
         events = tuple(decode_change(change) for change in answer.changes)
-        self._sync.apply_peer_changes(Changes(events, answer.revision))
+        self._sync.apply_peer_changes(
+            Changes(events, answer.revision, era=answer.era)
+        )
 
 
 def without_replaced(
--- a/src/gentianbank/steering/store_following/following.py
+++ b/src/gentianbank/steering/store_following/following.py
@@ -98,6 +98,8 @@
         self._read_sent_ms = 0.0
         self._is_reachable = True
         self._pushed_revision = 0
+        # Era of the copy that the followers' confirmations are for.
+        self._era = 0
         # An answer that is read now has arrived after the tick before the
         # last, as the process has run since.
         self._last_tick_ms = float('-inf')
@@ -179,12 +181,21 @@
         self._is_reachable = True
         # An answer may have been on its way, or unread in a frozen process,
         # for all the time after the wait.
+        self._check_era()
         confirmed_ms = min(self._boot_clock(), self._read_sent_ms + waited_ms)
         self._own_confirmed_ms = confirmed_ms
         self._on_confirmed(max(confirmed_ms, self._tick_before_ms))
         if self._role is StoreRole.FOLLOWER:
             self._push()
 
+    def _check_era(self) -> None:
+        """Drop what followers have confirmed of the copy of another era."""
+        if self._sync.era == self._era:
+            return
+        self._era = self._sync.era
+        self._trust.distrust_all()
+        self._pushed_revision = self._sync.revision
+
     def on_read_failed(self) -> None:
         was_reachable = self._is_reachable
         self._is_reachable = False
@@ -201,7 +212,8 @@
         self._followers = choose_followers(vms, disconnected, self._count)
 
     def _update_role(self, now_ms: float) -> None:
-        last = self._trust.last_confirmed() if self._sync.revision else None
+        needs_listing = self._sync.needs_listing
+        last = None if needs_listing else self._trust.last_confirmed()
         age_ms = now_ms - last[1] if last else None
         role = decide_role(self._me.vm, self._followers, age_ms)
         if role is self._role:
@@ -243,7 +255,10 @@
         now_ms = self._boot_clock()
         if update.echo_ms:
             self._trust.on_echo(vm, update.echo_ms, update.sent_ms)
-        held = self._sync.revision
+        if update.era != self._sync.era and self._sync.revision:
+            self._on_other_era(vm, update)
+            return
+        held = 0 if self._sync.needs_listing else self._sync.revision
         is_complete = (
             update.after_revision <= held
             and max(held, update.revision) >= update.held_revision
@@ -263,7 +278,7 @@
             # Before the changes: an outage may have made entries lapse.
             self._sync.on_confirmed_by_follower()
         events = tuple(decode_change(change) for change in update.changes)
-        changes = Changes(events, update.revision)
+        changes = Changes(events, update.revision, era=update.era)
         is_applied = self._sync.apply_follower_changes(
             update.after_revision, changes
         )
@@ -273,6 +288,19 @@
         self._update_role(now_ms)
         self._update_age(now_ms)
 
+    def _on_other_era(self, vm: str, update: StoreUpdate) -> None:
+        """Believe nothing that a follower of another era says of the copy.
+
+        If its era is the later one, only the store can tell what this node
+        misses.
+        """
+        if update.era > self._sync.era:
+            self._trust.distrust_all()
+            self._sync.request_listing()
+        else:
+            self._trust.distrust(vm)
+        self._update_role(self._boot_clock())
+
     def _ask(self, vm: str, update: StoreUpdate, now_ms: float) -> None:
         """Ask a follower for missing changes or its clock, as far as due.
 
@@ -280,7 +308,7 @@
         node reads the store itself.
         """
         held = self._sync.revision
-        if not held:
+        if self._sync.needs_listing:
             return
         is_behind = update.oldest_revision <= held < update.held_revision
         is_urgent = is_behind or not self._trust.knows_clock(vm)
@@ -289,18 +317,23 @@
             return
         self._asked_ms[vm] = now_ms
         request = StoreUpdateRequest(
-            after_revision=held, asked_ms=max(0.0, now_ms)
+            era=self._sync.era,
+            after_revision=held,
+            asked_ms=max(0.0, now_ms),
         )
         self._peers.send(vm, request)
 
     def _on_request(self, vm: str, request: StoreUpdateRequest) -> None:
         if self._role is StoreRole.FOLLOWER:
-            updates = self._updates(request.after_revision, request.asked_ms)
+            after_revision = request.after_revision
+            if request.era != self._sync.era:
+                after_revision = self._sync.revision
+            updates = self._updates(after_revision, request.asked_ms)
             for update in updates:
                 self._peers.send(vm, update)
 
     def _push(self) -> None:
-        if not self._sync.revision:
+        if self._sync.needs_listing:
             return
         nodes = self._cluster_view.nodes
         receivers = [
@@ -315,7 +348,7 @@
     def _updates(
         self, after_revision: int, echo_ms: float = 0.0
     ) -> list[StoreUpdate]:
-        if self._own_confirmed_ms is None or not self._sync.revision:
+        if self._own_confirmed_ms is None or self._sync.needs_listing:
             return []
         return build_updates(
             self._sync,
--- a/src/gentianbank/steering/store_following/messages.py
+++ b/src/gentianbank/steering/store_following/messages.py
@@ -20,6 +20,8 @@
 
     Parameters
     ----------
+    era
+        Era of the store that all revisions are of.
     oldest_revision
         The follower holds all changes after this revision.
     after_revision, revision
@@ -35,6 +37,7 @@
         ``asked_ms`` of the request that is answered; 0 if there is none.
     """
 
+    era: int = schema.integer(0, _MAX_REVISION, default=0)
     oldest_revision: int = schema.integer(0, _MAX_REVISION)
     after_revision: int = schema.integer(0, _MAX_REVISION)
     revision: int = schema.integer(0, _MAX_REVISION)
@@ -53,9 +56,12 @@
 
     Parameters
     ----------
+    era
+        Era of the store that the revision is of.
     asked_ms
         Time on the clock of the node that asks, suspended time counted.
     """
 
+    era: int = schema.integer(0, _MAX_REVISION, default=0)
     after_revision: int = schema.integer(0, _MAX_REVISION)
     asked_ms: float = schema.number(0, _MAX_MS)
--- a/src/gentianbank/steering/store_following/newest_values.py
+++ b/src/gentianbank/steering/store_following/newest_values.py
@@ -17,6 +17,7 @@
 from gentianbank.platform import keyspace
 from gentianbank.platform.documents import OPERATOR_PREFIX
 from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import HistoryCompacted
 from gentianbank.storage.prefix_store import Removal
 
 if TYPE_CHECKING:
@@ -66,7 +67,10 @@
             pass
         case Result(error=error):
             return Error(error)
-    if listing.revision <= after_revision:
+    if listing.revision < after_revision:
+        # The store was restored from an older copy.
+        return Error(HistoryCompacted())
+    if listing.revision == after_revision:
         return Error(StoreUnavailable('a listing is older than changes'))
     answers = await asyncio.gather(
         *(
@@ -81,6 +85,8 @@
                 others.append(changes)
             case Result(error=failure):
                 return Error(failure)
+    if any(changes.era != listing.era for changes in others):
+        return Error(HistoryCompacted())
     if any(changes.revision < listing.revision for changes in others):
         return Error(StoreUnavailable('changes are older than a listing'))
     return Ok(merge(listing, possible_keys(), others, after_revision))
@@ -123,4 +129,4 @@
     events += [Removal(key, revision) for key in removed_keys]
     new = [e for e in events if after_revision < e.mod_revision <= revision]
     new.sort(key=lambda event: event.mod_revision)
-    return Changes(tuple(new), revision)
+    return Changes(tuple(new), revision, era=listing.era)
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -20,6 +20,7 @@
 from gentianbank.domain.route_table import RouteTable
 from gentianbank.platform import keyspace
 from gentianbank.platform.documents import CONFIGURATION_KEY
+from gentianbank.platform.documents import OPERATOR_PREFIX
 from gentianbank.platform.keyspace import ConfigurationKey
 from gentianbank.platform.keyspace import EvacuationKey
 from gentianbank.platform.keyspace import MemberKey
@@ -87,8 +88,8 @@
         self._on_own_entry_gone = on_own_entry_gone
         self._clock = clock
         self._revision = 0
-        # Of the store's last answer.
-        self._answered_revision = 0
+        self._era = 0
+        self._must_list = True
         self._down_since_ms: float | None = None
         self._recovered_ms = float('-inf')
         self._has_listed = False
@@ -98,15 +99,29 @@
             maxlen=MAX_RECENT_CHANGES
         )
         self._configuration_bytes = 0
+        self._operator_values: dict[str, StoredValue] = {}
         # All changes after this revision are in ``_recent_changes``.
         self._recent_after_revision = 0
         self._observer: ReadObserver | None = None
 
     @property
     def revision(self) -> int:
-        """Return the revision of the copy; 0 if the store must be listed."""
+        """Return the revision of the copy; 0 before the first listing."""
         return self._revision
 
+    @property
+    def needs_listing(self) -> bool:
+        """Return whether only a listing can bring the copy up to date."""
+        return self._must_list
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store that the copy is of.
+
+        Revisions of another era cannot be compared with ``revision``.
+        """
+        return self._era
+
     @property
     def is_reachable(self) -> bool:
         """Return whether the last call to the store succeeded."""
@@ -131,19 +146,27 @@
         while True:
             if self._observer:
                 await self._observer.wait_for_turn()
-            if not self._revision:
+            if self._must_list:
                 await self._list_store()
             else:
                 await self._watch_changes()
 
     async def _list_store(self) -> None:
         observer = self._observer
+        held_era = self._era
+        held_revision = self._revision
         if observer:
             observer.on_read_sent()
         match await self._store.list_prefix(keyspace.ALL_KEYS_PREFIX):
+            case Result(tag='ok', ok=listing) if (
+                held_era != self._era and listing.era < self._era
+            ):
+                # A peer has told of the present era meanwhile.
+                logging.info('listing of an earlier era; listing again')
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
-                self._check_revision(listing.revision)
+                if self._is_other_history(listing, held_revision):
+                    self._on_restored(listing)
                 self._apply_listing(listing)
                 if observer:
                     observer.on_read_answered(0.0)
@@ -154,13 +177,14 @@
 
     async def _watch_changes(self) -> None:
         observer = self._observer
+        after_revision = self._revision
         wait_ms = self._watch_time_ms()
         if observer:
             wait_ms = observer.choose_wait_ms(wait_ms)
             observer.on_read_sent()
         answer = await self._store.wait_for_changes(
             keyspace.ALL_KEYS_PREFIX,
-            self._revision,
+            after_revision,
             wait_ms,
             newest_values.max_changes_bytes(self._configuration_bytes),
         )
@@ -168,21 +192,61 @@
             case Result(error=ChangesTooLarge()):
                 answer = await self._read_newest()
         match answer:
+            case Result(tag='ok', ok=changes) if self._is_other_history(
+                changes, after_revision
+            ):
+                self._on_store_answer(changes.transfer_ms)
+                self._must_list = True
+                logging.info('changes of another history; listing again')
             case Result(tag='ok', ok=changes):
                 # The store answers without changes after the wait only.
                 waited_ms = 0.0 if changes.events else float(wait_ms)
                 await self._on_changes(changes, waited_ms)
             case Result(error=HistoryCompacted()):
                 logging.info('store dropped needed history; listing again')
-                self._revision = 0
+                self._must_list = True
             case Result(error=ChangesTooLarge()):
                 logging.warning('changes of entries too large; listing again')
-                self._revision = 0
+                self._must_list = True
             case Result(error=StoreUnavailable() as error):
                 if observer:
                     observer.on_read_failed()
                 await self._on_failure(error)
 
+    def _is_other_history(
+        self, answer: Changes | Listing, held_revision: int
+    ) -> bool:
+        """Return whether the store was restored since the copy was read.
+
+        Parameters
+        ----------
+        held_revision
+            Revision of the copy when the store was asked. Without an era, a
+            lower one in the answer is what tells of a restore.
+        """
+        return answer.era != self._era or answer.revision < held_revision
+
+    def _on_restored(self, listing: Listing) -> None:
+        """Begin anew with the content of a restored store.
+
+        What its copy does not have was perhaps written after the copy was
+        taken, and is written again by its owner.
+        """
+        if not self._has_listed:
+            return
+        self._recovered_ms = self._clock()
+        logging.warning(
+            'store was restored from a copy',
+            extra={
+                'era': listing.era,
+                'revision': listing.revision,
+                'held_era': self._era,
+                'held_revision': self._revision,
+            },
+        )
+        for source in MemberSource:
+            self._on_own_entry_gone(source)
+
     async def _read_newest(self) -> Result[Changes, WatchError]:
         """Read the changes without the versions that were replaced."""
         if self._observer:
@@ -221,7 +285,6 @@
         """
         observer = self._observer
         self._on_store_answer(changes.transfer_ms)
-        self._check_revision(changes.revision)
         self._apply_changes(changes)
         if observer:
             observer.on_read_answered(waited_ms)
@@ -249,10 +312,32 @@
         events = tuple(
             e for e in self._recent_changes if e.mod_revision > revision
         )
-        return Changes(events, self._revision)
+        return Changes(events, self._revision, era=self._era)
+
+    def operator_changes(self) -> Changes:
+        """Return the operator's keys, for a copy of an earlier era."""
+        values = tuple(self._operator_values.values())
+        missing = set(self._possible_evacuations()) - {v.key for v in values}
+        removals = tuple(Removal(k, self._revision) for k in sorted(missing))
+        return Changes(values + removals, self._revision, era=self._era)
 
     def apply_peer_changes(self, changes: Changes) -> None:
-        """Apply changes that a peer received from the store."""
+        """Apply changes that a peer received from the store.
+
+        Those of a later era replace what the copy has of the same keys. Its
+        other keys are taken from the store when that can be reached.
+        """
+        if changes.era < self._era:
+            return
+        if changes.era > self._era:
+            logging.warning(
+                'peer told of a restored store',
+                extra={'era': changes.era, 'held_era': self._era},
+            )
+            self._era = changes.era
+            self._revision = 0
+            self._must_list = True
+            self._forget_changes(0)
         self._apply_changes(changes)
 
     def apply_follower_changes(
@@ -268,10 +353,12 @@
         Returns
         -------
         bool
-            ``False`` if changes before them are missing here, or if the
-            store must be listed first.
+            ``False`` if changes before them are missing here, if they are of
+            another era, or if the store must be listed first.
         """
-        if not self._revision or after_revision > self._revision:
+        if self._must_list or changes.era != self._era:
+            return False
+        if after_revision > self._revision:
             return False
         self._apply_changes(changes)
         return True
@@ -285,6 +372,10 @@
         if self._down_since_ms is not None:
             self._end_outage()
 
+    def request_listing(self) -> None:
+        """List the store next, as the copy is of an earlier era."""
+        self._must_list = True
+
     def retry_now(self) -> None:
         """End the pause after a failure and call the store at once.
 
@@ -317,15 +408,6 @@
         if self._down_since_ms is not None:
             self._end_outage()
 
-    def _check_revision(self, revision: int) -> None:
-        """Log that the store has a lower revision than it had before."""
-        if revision < self._answered_revision:
-            logging.warning(
-                'revision of the store went back',
-                extra={'revision': revision, 'was': self._answered_revision},
-            )
-        self._answered_revision = revision
-
     def _end_outage(self) -> None:
         assert self._down_since_ms is not None
         now_ms = self._clock()
@@ -358,6 +440,7 @@
     def _apply_listing(self, listing: Listing) -> None:
         first = not self._has_listed
         self._has_listed = True
+        self._operator_values.clear()
         keys = set()
         evacuated = set()
         for stored in listing.values:
@@ -379,11 +462,17 @@
         for vm in members.named_by(MemberSource.LASTING):
             if keyspace.member_key(vm) not in keys:
                 self._on_member_removed(vm)
+        self._era = listing.era
         self._revision = listing.revision
-        self._recent_changes.clear()
-        self._recent_after_revision = listing.revision
+        self._must_list = False
+        self._forget_changes(listing.revision)
         self._drop_expired_targets()
 
+    def _forget_changes(self, revision: int) -> None:
+        """Hold no changes up to a revision any more."""
+        self._recent_changes.clear()
+        self._recent_after_revision = revision
+
     def _apply_changes(self, changes: Changes) -> None:
         held_revision = self._revision
         for event in changes.events:
@@ -405,6 +494,8 @@
 
     def _apply_value(self, stored: StoredValue, *, first: bool) -> None:
         """Apply a value; one that cannot be applied costs only itself."""
+        if stored.key.startswith(OPERATOR_PREFIX):
+            self._operator_values[stored.key] = stored
         try:
             self._apply_decoded(stored, first=first)
         except Exception:
@@ -469,6 +560,7 @@
             self._cluster_view.remove_target(subject.target_id, self._clock())
 
     def _apply_removal(self, removal: Removal) -> None:
+        self._operator_values.pop(removal.key, None)
         match keyspace.kind_of_key(removal.key):
             case TargetKey(target_id):
                 self._on_target_removed(target_id)
--- a/src/gentianbank/steering/store_following/updates.py
+++ b/src/gentianbank/steering/store_following/updates.py
@@ -50,6 +50,7 @@
         revision = part[-1].mod_revision if events else held
         updates.append(
             StoreUpdate(
+                era=sync.era,
                 oldest_revision=max(sync.oldest_revision, large),
                 after_revision=after,
                 revision=revision,
--- a/tests/steering/store_following/test_store_sync.py
+++ b/tests/steering/store_following/test_store_sync.py
@@ -402,9 +402,9 @@
     assert copy.cluster_view.targets['i-1'].is_unconfirmed
 
 
-def test_revision_that_goes_back_is_logged(
+def test_restore_of_the_store_is_logged(
     copy: Copy, caplog: pytest.LogCaptureFixture
 ) -> None:
     copy.store.revision = 1
     copy.wait(10.0)
-    assert 'revision of the store went back' in caplog.messages
+    assert 'store was restored from a copy' in caplog.messages
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -61,8 +61,10 @@
         self.history: deque[StoredValue | Removal] = deque()
         self.revision = 1
         self.oldest = 0
+        self.era = 0
         self.fault = ''
         self.calls = 0
+        self.restores = 0
         self.bytes_per_s = 0.0
         self._changed = asyncio.Event()
 
@@ -87,6 +89,26 @@
         self.oldest = self.revision
         self._changed.set()
 
+    def restore(
+        self, values: dict[str, StoredValue], revision: int, *, era: int
+    ) -> None:
+        """Go back to an older copy, and cut the watches.
+
+        Parameters
+        ----------
+        values, revision
+            Content of the copy.
+        era
+            What the store states from now on.
+        """
+        self.values = dict(values)
+        self.history.clear()
+        self.oldest = revision
+        self.revision = revision
+        self.era = era
+        self.restores += 1
+        self._changed.set()
+
     def set_fault(self, fault: str) -> None:
         """Begin or end a fault; watches that wait notice a refusal."""
         self.fault = fault
@@ -105,7 +127,7 @@
         )
         revision = self.revision
         transfer_ms = await self._transfer(values)
-        return Ok(Listing(values, revision, transfer_ms))
+        return Ok(Listing(values, revision, transfer_ms, self.era))
 
     async def wait_for_changes(
         self,
@@ -116,7 +138,8 @@
     ) -> Result[Changes, WatchError]:
         if error := await self._call():
             return Error(error)
-        if after_revision >= self.revision:
+        restores = self.restores
+        if after_revision == self.revision:
             self._changed.clear()
             try:
                 async with asyncio.timeout(wait_ms / 1_000):
@@ -125,7 +148,9 @@
                 pass
         if self.fault:
             return Error(StoreUnavailable(self.fault))
-        if after_revision < self.oldest:
+        if restores != self.restores:
+            return Error(StoreUnavailable('cut'))
+        if not self.oldest <= after_revision <= self.revision:
             return Error(HistoryCompacted())
         events = tuple(
             event
@@ -137,7 +162,7 @@
             return Error(ChangesTooLarge())
         revision = self.revision
         transfer_ms = await self._transfer(events)
-        return Ok(Changes(events, revision, transfer_ms))
+        return Ok(Changes(events, revision, transfer_ms, self.era))
 
     async def put(
         self, put: Put
