Restore the store in the state machine of its copies

Change: the scripted store of the machine has eras. A restore brings back its content of 0.5 to 10 s ago, away for 0.1 to 5 s or not at all; calls that wait are cut or stay silent, up to 40 changes come before the nodes ask again, and a watch after a revision that the store doesn't have tells of lost history. It is combined with kills, freezes, nodes that are turned away, compaction and late messages, and may happen twice in a row. Each node of the fleet now also asks its peers for changes when it is turned away.

The model orders states by era and revision: a copy never goes back, has exactly the content of the store at its era and revision (evacuations of the lost history go with the listing), and is late by no more than before.

The module of the fleet is split in three: store, node, fleet.

--- a/tests/steering/store_following/test_machine.py
+++ b/tests/steering/store_following/test_machine.py
@@ -49,6 +49,14 @@
     'stall all of a node',
     'slow links',
     'large versions',
+    'restore',
+    'restore at once',
+    'restore with the counter behind',
+    'restore with the counter past',
+    'restore with silent watches',
+    'restore with late messages',
+    'restore with a node turned away',
+    'restore twice',
 )
 LARGE_BYTES = 200_000
 
@@ -179,6 +187,72 @@
         self.fleet.mend_links()
         OCCURRED['slow links'] += 1
 
+    @rule(
+        age_s=st.sampled_from((0.5, 2.0, 5.0, 10.0)),
+        away_s=st.sampled_from((0.0, 0.1, 1.0, 5.0)),
+        changes=st.sampled_from((0, 1, 10, 40)),
+        are_watches_silent=st.booleans(),
+    )
+    def restore(
+        self,
+        age_s: float,
+        away_s: float,
+        changes: int,
+        are_watches_silent: bool,
+    ) -> None:
+        """Restore the store; others write before the nodes ask again."""
+        lost = self.fleet.log.revision
+        self.fleet.restore_store(
+            age_s, away_s, are_watches_silent=are_watches_silent
+        )
+        for number in range(changes):
+            self._toggle(f'east-{number % 3 + 1}')
+        is_past = self.fleet.log.revision > lost
+        counter = 'past' if is_past else 'behind'
+        OCCURRED[f'restore with the counter {counter}'] += 1
+        OCCURRED['restore'] += 1
+        if not away_s:
+            OCCURRED['restore at once'] += 1
+        if are_watches_silent:
+            OCCURRED['restore with silent watches'] += 1
+
+    @rule(
+        domain=domains,
+        delay_s=st.sampled_from((0.4, 0.8)),
+        changes=st.sampled_from((0, 10)),
+    )
+    def restore_with_late_messages(
+        self, domain: str, delay_s: float, changes: int
+    ) -> None:
+        """Let messages of the old era come in the new one."""
+        self.fleet.slow_links(delay_s)
+        self.fleet.advance(0.5)
+        self._toggle(domain)
+        self.fleet.advance(0.4)
+        self.restore(2.0, 0.0, changes, are_watches_silent=False)
+        self.fleet.advance(1.0)
+        self.fleet.mend_links()
+        OCCURRED['restore with late messages'] += 1
+
+    @rule(vm=vms, domain=domains, changes=st.sampled_from((0, 10)))
+    def restore_with_a_node_turned_away(
+        self, vm: str, domain: str, changes: int
+    ) -> None:
+        self.fleet.nodes[vm].store.fault = 'refuse'
+        self._toggle(domain)
+        self.fleet.advance(1.0)
+        self.restore(2.0, 0.1, changes, are_watches_silent=False)
+        self.fleet.advance(1.5)
+        self._toggle(domain)
+        OCCURRED['restore with a node turned away'] += 1
+
+    @rule(seconds=st.sampled_from((0.0, 0.3, 1.0)))
+    def restore_twice(self, seconds: float) -> None:
+        self.restore(2.0, 0.1, 10, are_watches_silent=False)
+        self.fleet.advance(seconds)
+        self.restore(2.0, 0.0, 10, are_watches_silent=False)
+        OCCURRED['restore twice'] += 1
+
     @rule()
     def mend_links(self) -> None:
         self.fleet.mend_links()
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -8,54 +8,28 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from expression import Error
-from expression import Ok
 from expression import Result
 
 from gentianbank.control.messages import decode_message
 from gentianbank.control.messages import encode_message
-from gentianbank.control.messages import Message
-from gentianbank.control.messages import RequestOrReply
 from gentianbank.control.peers import Connected
 from gentianbank.control.peers import Disconnected
-from gentianbank.control.peers import PeerConnections
-from gentianbank.control.peers import PeerEvent
-from gentianbank.control.peers import PeerUnreachable
 from gentianbank.control.peers import Received
-from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.domain.registration import NodeRegistration
-from gentianbank.domain.steering_settings import SteeringStore
 from gentianbank.platform import keyspace
 from gentianbank.policy.store_followers import StoreRole
-from gentianbank.steering.cluster_view import ClusterView
-from gentianbank.steering.store_following.following import StoreFollowing
 from gentianbank.steering.store_following.following import TICK_MS
-from gentianbank.steering.store_following.store_sync import StoreSync
-from gentianbank.storage.prefix_store import Changes
-from gentianbank.storage.prefix_store import ChangesTooLarge
-from gentianbank.storage.prefix_store import HistoryCompacted
-from gentianbank.storage.prefix_store import Listing
-from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
-from gentianbank.storage.prefix_store import PrefixStore
-from gentianbank.storage.prefix_store import Removal
-from gentianbank.storage.store import StoredValue
-from tests.support.store_copy import answer_bytes
+from tests.support.store_log import StoreLog
+from tests.support.store_node import FleetNode
+from tests.support.store_node import registration
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from gentianbank.storage.prefix_store import LeaseExpired
-    from gentianbank.storage.prefix_store import WatchError
-    from gentianbank.storage.store import Put
+    from gentianbank.control.messages import Message
 
 # Two VMs; of a link, the one with the lower name first.
 Link = tuple[str, str]
 
-REGION = 'east'
-CALL_S = 0.004
 LINK_S = 0.002
-TIMEOUT_S = 0.9
 LEASE_S = 4.0
 # A silent peer is disconnected after this time.
 SILENCE_S = 1.6
@@ -67,249 +41,6 @@
 AGE_TOLERANCE_MS = 1.0
 
 
-class StoreLog:
-    """Content of the store at each revision."""
-
-    def __init__(self, loop: VirtualLoop) -> None:
-        self._loop = loop
-        self.values: dict[str, StoredValue] = {}
-        self.events: list[StoredValue | Removal] = []
-        self.oldest = 0
-        self.revision = 1
-        self.times_ms: dict[int, float] = {1: loop.now_ms()}
-        self.evacuated: dict[int, frozenset[str]] = {1: frozenset()}
-        self.changed = asyncio.Event()
-
-    def write(self, key: str, value: bytes) -> None:
-        """Write a value."""
-        stored = StoredValue(key, value, self.revision + 1)
-        self.values[key] = stored
-        self._add(stored)
-
-    def remove(self, key: str) -> None:
-        """Remove a key if it exists."""
-        if self.values.pop(key, None) is not None:
-            self._add(Removal(key, self.revision + 1))
-
-    def compact(self) -> None:
-        """Drop all changes so far."""
-        self.events.clear()
-        self.oldest = self.revision
-
-    def revision_at(self, time_ms: float) -> int:
-        """Return the revision that the store had at some time."""
-        return max(
-            (r for r, at_ms in self.times_ms.items() if at_ms <= time_ms),
-            default=0,
-        )
-
-    def _add(self, event: StoredValue | Removal) -> None:
-        self.revision += 1
-        self.events.append(event)
-        self.times_ms[self.revision] = self._loop.now_ms()
-        self.evacuated[self.revision] = frozenset(
-            kind.name
-            for kind in map(keyspace.kind_of_key, self.values)
-            if isinstance(kind, keyspace.EvacuationKey)
-        )
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-class NodeStore(PrefixStore):
-    """The store as one node reaches it."""
-
-    def __init__(self, log: StoreLog, node: FleetNode) -> None:
-        self._log = log
-        self._node = node
-        self.fault = ''
-        self.delay_s = CALL_S
-
-    async def list_prefix(
-        self, prefix: str
-    ) -> Result[Listing, StoreUnavailable]:
-        if error := await self._begin():
-            return Error(error)
-        values = tuple(
-            stored
-            for stored in self._log.values.values()
-            if stored.key.startswith(prefix)
-        )
-        listing = Listing(values, self._log.revision)
-        if error := await self._end(0):
-            return Error(error)
-        return Ok(listing)
-
-    async def wait_for_changes(
-        self,
-        prefix: str,
-        after_revision: int,
-        wait_ms: int,
-        max_bytes: int = MAX_CHANGES_BYTES,
-    ) -> Result[Changes, WatchError]:
-        if error := await self._begin():
-            return Error(error)
-        try:
-            async with asyncio.timeout(wait_ms / 1_000):
-                while self._log.revision <= after_revision:
-                    await self._log.changed.wait()
-        except TimeoutError:
-            pass
-        events = tuple(
-            event
-            for event in self._log.events
-            if event.mod_revision > after_revision
-            and event.key.startswith(prefix)
-        )
-        changes = Changes(events, self._log.revision)
-        is_compacted = after_revision < self._log.oldest
-        if error := await self._end(wait_ms):
-            return Error(error)
-        if is_compacted:
-            return Error(HistoryCompacted())
-        if answer_bytes(events) > max_bytes:
-            return Error(ChangesTooLarge())
-        return Ok(changes)
-
-    async def put(
-        self, put: Put
-    ) -> Result[int, StoreUnavailable | LeaseExpired]:
-        raise NotImplementedError
-
-    async def grant_lease_ms(
-        self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
-        raise NotImplementedError
-
-    async def renew_lease(
-        self, lease: int
-    ) -> Result[None, StoreUnavailable | LeaseExpired]:
-        raise NotImplementedError
-
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
-        raise NotImplementedError
-
-    async def _begin(self) -> StoreUnavailable | None:
-        await self._node.awake.wait()
-        self._node.calls += 1
-        if self.fault == 'refuse':
-            await asyncio.sleep(CALL_S)
-            return StoreUnavailable('HTTP 503')
-        await asyncio.sleep(self.delay_s / 2)
-        return None
-
-    async def _end(self, wait_ms: int) -> StoreUnavailable | None:
-        """Deliver an answer, which waits while the node is frozen."""
-        if self.fault == 'silent':
-            await asyncio.sleep(TIMEOUT_S)
-            return StoreUnavailable('silent')
-        await asyncio.sleep(self.delay_s / 2)
-        await self._node.awake.wait()
-        return StoreUnavailable('HTTP 503') if self.fault else None
-
-
-class FleetPeers(PeerConnections):
-    """Connections of one node to all others."""
-
-    def __init__(self, fleet: StoreFleet, vm: str) -> None:
-        self._fleet = fleet
-        self._vm = vm
-
-    def dial(self, vm: str, address: str) -> None:
-        raise NotImplementedError
-
-    def disconnect(self, vm: str) -> None:
-        raise NotImplementedError
-
-    def send(self, vm: str, message: Message) -> None:
-        self._fleet.send(self._vm, vm, message)
-
-    def send_to_each(self, vms: Iterable[str], message: Message) -> None:
-        for vm in vms:
-            self.send(vm, message)
-
-    async def request(
-        self, vm: str, address: str, message: RequestOrReply, timeout_ms: float
-    ) -> Result[RequestOrReply, PeerUnreachable]:
-        raise NotImplementedError
-
-
-class FleetNode:
-    """One node: its copy of the store and its part in following."""
-
-    def __init__(
-        self, fleet: StoreFleet, vm: str, followers_per_region: int
-    ) -> None:
-        self.vm = vm
-        self.calls = 0
-        self.awake = asyncio.Event()
-        self.awake.set()
-        self.store = NodeStore(fleet.log, self)
-        self.cluster_view = ClusterView(
-            {f'east-{number}': REGION for number in range(4)}
-        )
-        self.is_alive = True
-        # Each VM has started at another time.
-        clock_offset_ms = float(sum(vm.encode())) * 1_000
-        self.sync = StoreSync(
-            vm=vm,
-            store=self.store,
-            settings=SteeringStore(address='10.0.0.1:1'),
-            cluster_view=self.cluster_view,
-            grace_ms=2_000.0,
-            on_own_entry_gone=lambda source: None,
-            clock=fleet.loop.now_ms,
-        )
-        self.following = StoreFollowing(
-            me=registration(vm),
-            cluster_view=self.cluster_view,
-            sync=self.sync,
-            peers=FleetPeers(fleet, vm),
-            followers_per_region=followers_per_region,
-            clock=fleet.loop.now_ms,
-            boot_clock=lambda: fleet.loop.now_ms() + clock_offset_ms,
-        )
-        if followers_per_region:
-            self.sync.set_observer(self.following)
-        self.task = fleet.loop.create_task(self.sync.run())
-        self.seen_revision = 0
-        self.longest_delay_s = CALL_S
-        # Since when this node is awake and can reach the store.
-        self.able_since_ms = fleet.loop.now_ms()
-
-    @property
-    def is_able(self) -> bool:
-        """Return whether this node is awake and can reach the store."""
-        return self.is_alive and self.awake.is_set() and not self.store.fault
-
-    @property
-    def role(self) -> StoreRole:
-        """Return the role of this node at the store."""
-        return StoreRole(self.following.role)
-
-    def note_revision(self) -> None:
-        """Record the revision of the copy, which must not go back."""
-        held = self.sync.revision
-        if held:
-            assert held >= self.seen_revision, f'{self.vm}: copy went back'
-            self.seen_revision = held
-
-    def slow_store(self, delay_s: float) -> None:
-        """Let the store answer this node late from now on."""
-        self.store.delay_s = delay_s
-        self.longest_delay_s = max(self.longest_delay_s, delay_s)
-
-    def on_event(self, event: PeerEvent) -> None:
-        """Handle an event as the mesh does."""
-        lost = self.cluster_view.disconnected_peers
-        match event:
-            case Connected(vm):
-                lost.discard(vm)
-            case Disconnected(vm):
-                lost.add(vm)
-        self.following.on_event(event)
-
-
 class StoreFleet:
     """Nodes of one region that are connected to each other."""
 
@@ -366,6 +97,17 @@
             self._disconnect(link)
         self.loop.call_later(LEASE_S, self._lapse, vm, node)
 
+    def restore_store(
+        self, age_s: float, away_s: float, *, are_watches_silent: bool
+    ) -> None:
+        """Let the store go back to its content of some time ago."""
+        self.log.go_away(are_watches_silent=are_watches_silent)
+        self.advance(away_s)
+        self.log.restore(age_s)
+        for vm, node in self.nodes.items():
+            if not node.is_alive:
+                self.loop.call_later(LEASE_S, self._lapse, vm, node)
+
     def freeze(self, vm: str) -> None:
         """Stop a node; what it is sent waits."""
         if self.nodes[vm].is_alive and vm not in self._frozen:
@@ -413,6 +155,7 @@
             for node in self.nodes.values():
                 if node.is_alive and node.awake.is_set():
                     node.following.tick()
+                    node.catch_up.tick(self._connected_to(node.vm))
             self.check()
 
     def check(self) -> None:
@@ -425,28 +168,35 @@
                 self._check_copy(node, now_ms)
 
     def _check_copy(self, node: FleetNode, now_ms: float) -> None:
-        node.note_revision()
-        held = node.sync.revision
-        if held:
+        node.note_version()
+        held = node.held
+        if held.revision:
             evacuated = node.cluster_view.evacuated
-            assert evacuated == self.log.evacuated[held], (
+            assert evacuated == self.log.evacuated.get(held), (
                 f'{node.vm}: copy differs from the store at {held}'
             )
         if now_ms - node.able_since_ms > BOUND_MS:
-            due = self.log.revision_at(now_ms - BOUND_MS)
-            assert node.seen_revision >= due, (
-                f'{node.vm} ({node.role}): change late'
-            )
+            due = self.log.version_at(now_ms - BOUND_MS)
+            assert node.seen >= due, f'{node.vm} ({node.role}): change late'
         answered_ms = node.cluster_view.store_answered_ms
         if node.role is not StoreRole.ALONE and answered_ms is not None:
             tolerance_ms = AGE_TOLERANCE_MS + node.longest_delay_s * 1_000
-            known = self.log.revision_at(answered_ms - tolerance_ms)
-            assert node.seen_revision >= known, (
+            known = self.log.version_at(answered_ms - tolerance_ms)
+            assert node.seen >= known, (
                 f'{node.vm} ({node.role}): age of the copy is wrong'
             )
 
+    def _connected_to(self, vm: str) -> list[str]:
+        return [
+            first if second == vm else second
+            for first, second in self._links
+            if vm in (first, second)
+        ]
+
     def _lapse(self, vm: str, node: FleetNode) -> None:
-        if self.nodes[vm] is node:
+        if self.log.is_away:
+            self.loop.call_later(LEASE_S, self._lapse, vm, node)
+        elif self.nodes[vm] is node:
             self.log.remove(keyspace.node_key(vm))
 
     def _renew_links(self) -> None:
@@ -500,7 +250,7 @@
                         node = self.nodes[to]
                         node.on_event(Received(source, message))
                         # It is 0 while the store must be listed again.
-                        node.note_revision()
+                        node.note_version()
                     case Result(error=error):
                         raise AssertionError(str(error))
 
@@ -508,15 +258,3 @@
 def link_of(first: str, second: str) -> Link:
     """Return the link between two nodes."""
     return (first, second) if first < second else (second, first)
-
-
-def registration(vm: str) -> NodeRegistration:
-    """Return the entry of a node."""
-    return NodeRegistration(
-        vm=vm,
-        region=REGION,
-        failure_domain='east-1',
-        callers='10.0.0.1:1',
-        peers='10.0.0.1:2',
-        peer_key='0' * 32,
-    )
