Test what peers tell a node across a restore of the store

A node that the store turns away during and after a restore gets the operator's keys of the new era from a peer: the version in force, also where the new counter is past the old one, evacuations that begin, end or are lost. It applies later changes, and lists the store when that answers again. A peer of an earlier era and one of a release without the field are not believed.

--- /dev/null
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -0,0 +1,148 @@
+"""Tests of what peers tell a node that is turned away by a restored store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gentianbank.steering.store_following.catch_up import encode_changes
+from gentianbank.steering.store_following.catch_up import StoreChanges
+from gentianbank.storage.prefix_store import Removal
+from tests.platform.test_documents import CONFIGURATION
+from tests.platform.test_documents import ENTRY
+from tests.support.store_copy import version_in_force
+from tests.support.store_pair import Pair
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from gentianbank.control.messages import Message
+
+DRAINING = ENTRY | {'state': 'draining', 'sequence': 9}
+EVACUATION = 'op/evacuate/east-1'
+# Changes before the restore that the copy of the store does not have.
+LOST_CHANGES = 5
+
+
+@pytest.fixture
+def pair() -> Iterator[Pair]:
+    """Return a pair over a store that is of its first era."""
+    made = Pair(era=1)
+    yield made
+    made.refused.loop.end()
+
+
+def lose_changes(pair: Pair) -> None:
+    """Take a backup and write what a restore loses."""
+    pair.take_backup()
+    for number in range(LOST_CHANGES):
+        pair.write(f'servers/lost-{number}', ENTRY)
+    pair.wait(1.0)
+
+
+def restore(pair: Pair) -> None:
+    """Restore the store while it turns one of the nodes away."""
+    pair.refuse_store_calls()
+    pair.restore(era=2)
+
+
+def tell(pair: Pair, message: Message) -> None:
+    """Deliver a message to the node that is turned away."""
+    pair.news['refused'].on_message('other', message)
+
+
+@pytest.mark.parametrize('later_changes', [0, 20])
+def test_node_turned_away_gets_the_version_of_the_new_era(
+    pair: Pair, later_changes: int
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    for number in range(later_changes):
+        pair.write(f'servers/again-{number}', ENTRY)
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 9
+    assert pair.refused.sync.era == 2
+    assert not pair.refused.sync.is_reachable
+
+
+def test_node_turned_away_learns_of_an_evacuation_of_the_new_era(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    assert pair.refused.cluster_view.evacuated == {'east-1'}
+
+
+def test_node_turned_away_applies_later_changes(pair: Pair) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(1.0)
+    pair.write('op/config', CONFIGURATION | {'version': 10})
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    pair.remove(EVACUATION)
+    pair.wait(1.0)
+    view = pair.refused.cluster_view
+    assert version_in_force(pair.refused) == 10
+    assert view.targets['i-1'].registration.draining
+    assert view.evacuated == set()
+
+
+def test_node_that_peers_told_of_a_restore_lists_the_store(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.write('servers/new', ENTRY)
+    pair.wait(2.0)
+    assert pair.refused.sync.needs_listing
+    pair.refused.store.set_fault('')
+    pair.wait(1.0)
+    assert not pair.refused.sync.needs_listing
+    assert 'new' in pair.refused.targets
+
+
+def test_peer_of_an_earlier_era_is_not_believed(pair: Pair) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(1.0)
+    held = pair.refused.sync.revision
+    removal = Removal('servers/i-1', held + 9)
+    tell(
+        pair,
+        StoreChanges(
+            revision=held + 9, era=1, changes=encode_changes((removal,))
+        ),
+    )
+    assert 'i-1' in pair.refused.targets
+    assert pair.refused.sync.revision == held
+
+
+def test_peer_of_an_older_release_is_not_believed(pair: Pair) -> None:
+    pair.refuse_store_calls()
+    held = pair.refused.sync.revision
+    removal = Removal('servers/i-1', held + 9)
+    tell(
+        pair,
+        StoreChanges(revision=held + 9, changes=encode_changes((removal,))),
+    )
+    assert 'i-1' in pair.refused.targets
+    assert pair.refused.sync.revision == held
+
+
+def test_node_turned_away_learns_that_a_lost_evacuation_is_over(
+    pair: Pair,
+) -> None:
+    pair.take_backup()
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    assert pair.refused.cluster_view.evacuated == {'east-1'}
+    restore(pair)
+    pair.wait(1.0)
+    assert pair.refused.sync.era == 2
+    assert pair.refused.cluster_view.evacuated == set()
--- a/tests/steering/store_following/test_restored_store.py
+++ b/tests/steering/store_following/test_restored_store.py
@@ -11,6 +11,7 @@
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
+from tests.support.store_copy import Backup
 from tests.support.store_copy import Copy
 from tests.support.store_copy import FakeStore
 from tests.support.store_copy import GRACE_MS
@@ -19,21 +20,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from gentianbank.storage.store import StoredValue
-
 AWAY_S = 1.0
 # Changes before the restore that the copy of the store does not have.
 LOST_CHANGES = 5
 
 
-class Backup:
-    """An older copy of the store."""
-
-    def __init__(self, store: FakeStore) -> None:
-        self.values: dict[str, StoredValue] = dict(store.values)
-        self.revision = store.revision
-
-
 @pytest.fixture
 def copy() -> Iterator[Copy]:
     """Return a node's copy of a store that is of its first era."""
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -125,9 +125,9 @@
             for stored in self.values.values()
             if stored.key.startswith(prefix)
         )
-        revision = self.revision
+        revision, era = self.revision, self.era
         transfer_ms = await self._transfer(values)
-        return Ok(Listing(values, revision, transfer_ms, self.era))
+        return Ok(Listing(values, revision, transfer_ms, era))
 
     async def wait_for_changes(
         self,
@@ -160,9 +160,9 @@
         )
         if answer_bytes(events) > max_bytes:
             return Error(ChangesTooLarge())
-        revision = self.revision
+        revision, era = self.revision, self.era
         transfer_ms = await self._transfer(events)
-        return Ok(Changes(events, revision, transfer_ms, self.era))
+        return Ok(Changes(events, revision, transfer_ms, era))
 
     async def put(
         self, put: Put
@@ -201,6 +201,14 @@
         return StoreUnavailable(self.fault) if self.fault else None
 
 
+class Backup:
+    """An older copy of the store."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.values: dict[str, StoredValue] = dict(store.values)
+        self.revision = store.revision
+
+
 class Copy:
     """A node's copy of a fake store with two targets."""
 
