List the store again where peers told of later changes meanwhile

What callers saw: nothing yet; a node that the store had turned away could forget an evacuation or a version that a peer had just told it, until the next answer of the store.

Cause: a copy that must be listed keeps its revision since, so peers tell it of changes while its listing is under way. The listing, read before them, was applied as it came.

Change: a listing that is older than what the copy got since it was asked for is not applied. The store answers, so peers are not asked during the next one.

Evidence: test_listing_that_changes_of_peers_overtake_reverts_nothing failed before with the revision going from 5 back to 4. Looked at: listings of the first start (nothing is applied before), watches (changes up to the held revision are skipped), the newest values in place of large changes (events up to the held revision are skipped too).

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -163,6 +163,14 @@
             ):
                 # A peer has told of the present era meanwhile.
                 logging.info('listing of an earlier era; listing again')
+            case Result(tag='ok', ok=listing) if (
+                listing.era == self._era
+                and held_revision != self._revision
+                and listing.revision < self._revision
+            ):
+                # As the store answers, peers are not asked during the next.
+                self._on_store_answer(listing.transfer_ms)
+                logging.info('listing older than changes; listing again')
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
                 if self._is_other_history(listing, held_revision):
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -23,6 +23,8 @@
 EVACUATION = 'op/evacuate/east-1'
 # Changes before the restore that the copy of the store does not have.
 LOST_CHANGES = 5
+# Of an answer to a listing, so that it takes one to two seconds.
+SLOW_BYTES_PER_S = 1_000.0
 
 
 @pytest.fixture
@@ -146,3 +148,22 @@
     pair.wait(1.0)
     assert pair.refused.sync.era == 2
     assert pair.refused.cluster_view.evacuated == set()
+
+
+def test_listing_that_changes_of_peers_overtake_reverts_nothing(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(1.0)
+    pair.refused.store.bytes_per_s = SLOW_BYTES_PER_S
+    pair.refused.store.set_fault('')
+    pair.wait(0.5)
+    pair.write(EVACUATION, {})
+    seen = []
+    for _ in range(50):
+        pair.wait(0.1)
+        seen.append(pair.refused.sync.revision)
+    assert seen == sorted(seen)
+    assert not pair.refused.sync.needs_listing
+    assert pair.refused.cluster_view.evacuated == {'east-1'}
