Write own entries again where a peer told of the restore first

What callers saw: after a restore, a node that the store had turned away meanwhile could miss in the lists of the others until its lease ended: its own entries were not written again.

Cause: a listing was compared with the era of the copy. A peer had already raised that, so the listing was not taken for one after a restore.

Change: a listing is compared with the era of the listing before. A watch that was asked under another era than the copy now has leads to a listing too.

Evidence: test_own_entries_are_written_again_when_peers_told_of_a_restore failed before with no entry written.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -89,6 +89,8 @@
         self._clock = clock
         self._revision = 0
         self._era = 0
+        # Era of the last listing; a peer may have told of a later one.
+        self._listed_era = 0
         self._must_list = True
         self._down_since_ms: float | None = None
         self._recovered_ms = float('-inf')
@@ -173,7 +175,7 @@
                 logging.info('listing older than changes; listing again')
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
-                if self._is_other_history(listing, held_revision):
+                if _is_other_history(listing, self._listed_era, held_revision):
                     self._on_restored(listing)
                 self._apply_listing(listing)
                 if observer:
@@ -185,6 +187,7 @@
 
     async def _watch_changes(self) -> None:
         observer = self._observer
+        held_era = self._era
         after_revision = self._revision
         wait_ms = self._watch_time_ms()
         if observer:
@@ -200,8 +203,10 @@
             case Result(error=ChangesTooLarge()):
                 answer = await self._read_newest()
         match answer:
-            case Result(tag='ok', ok=changes) if self._is_other_history(
-                changes, after_revision
+            case Result(tag='ok', ok=changes) if (
+                # A peer may have told of another era meanwhile.
+                self._era != held_era
+                or _is_other_history(changes, held_era, after_revision)
             ):
                 self._on_store_answer(changes.transfer_ms)
                 self._must_list = True
@@ -221,19 +226,6 @@
                     observer.on_read_failed()
                 await self._on_failure(error)
 
-    def _is_other_history(
-        self, answer: Changes | Listing, held_revision: int
-    ) -> bool:
-        """Return whether the store was restored since the copy was read.
-
-        Parameters
-        ----------
-        held_revision
-            Revision of the copy when the store was asked. Without an era, a
-            lower one in the answer is what tells of a restore.
-        """
-        return answer.era != self._era or answer.revision < held_revision
-
     def _on_restored(self, listing: Listing) -> None:
         """Begin anew with the content of a restored store.
 
@@ -248,7 +240,7 @@
             extra={
                 'era': listing.era,
                 'revision': listing.revision,
-                'held_era': self._era,
+                'held_era': self._listed_era,
                 'held_revision': self._revision,
             },
         )
@@ -470,7 +462,7 @@
         for vm in members.named_by(MemberSource.LASTING):
             if keyspace.member_key(vm) not in keys:
                 self._on_member_removed(vm)
-        self._era = listing.era
+        self._era = self._listed_era = listing.era
         self._revision = listing.revision
         self._must_list = False
         self._forget_changes(listing.revision)
@@ -623,3 +615,17 @@
                 del self._drop_deadlines_ms[target_id]
                 self._cluster_view.remove_target(target_id, now_ms)
                 logging.info('target gone', extra={'target': target_id})
+
+
+def _is_other_history(
+    answer: Changes | Listing, held_era: int, held_revision: int
+) -> bool:
+    """Return whether the store was restored since the copy was read.
+
+    Parameters
+    ----------
+    held_era, held_revision
+        Those of the copy when the store was asked. Without an era, a lower
+        revision in the answer is what tells of a restore.
+    """
+    return answer.era != held_era or answer.revision < held_revision
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.store_following.catch_up import encode_changes
 from gentianbank.steering.store_following.catch_up import StoreChanges
 from gentianbank.storage.prefix_store import Removal
@@ -167,3 +168,15 @@
     assert seen == sorted(seen)
     assert not pair.refused.sync.needs_listing
     assert pair.refused.cluster_view.evacuated == {'east-1'}
+
+
+def test_own_entries_are_written_again_when_peers_told_of_a_restore(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(2.0)
+    assert pair.refused.sync.era == 2
+    pair.refused.store.set_fault('')
+    pair.wait(1.0)
+    assert pair.refused.lost_entries == [*MemberSource]
--- a/tests/steering/store_following/test_machine_eras.py
+++ b/tests/steering/store_following/test_machine_eras.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from gentianbank.steering.store_following import store_sync
 from gentianbank.steering.store_following.catch_up import StoreCatchUp
 from gentianbank.steering.store_following.catch_up import StoreChanges
 from gentianbank.steering.store_following.catch_up import StoreChangesRequest
@@ -25,11 +26,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     def is_older(
-        self: Any, answer: Changes | Listing, held_revision: int
+        answer: Changes | Listing, held_era: int, held_revision: int
     ) -> bool:
         return answer.revision < held_revision
 
-    monkeypatch.setattr(StoreSync, '_is_other_history', is_older)
+    monkeypatch.setattr(store_sync, '_is_other_history', is_older)
     catch('copy differs|copy went back')
 
 
