End a watch that waits when a follower tells of a restored store

What callers saw: a change that followed a restore came in force late on a node whose watch was waiting: the store answers a watch only after its wait where the restored revision happens to be that of the copy, and never where the connection has become silent.

Cause: the listing that a follower's message requested waited for the watch under way, for up to 4 s and the timeout.

Change: the watch is ended, and the store is listed at once.

Evidence: test_requested_listing_does_not_wait_for_a_watch made no call before and makes two now.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -105,6 +105,8 @@
         # All changes after this revision are in ``_recent_changes``.
         self._recent_after_revision = 0
         self._observer: ReadObserver | None = None
+        # Of the watch that waits for changes.
+        self._watch: asyncio.Timeout | None = None
 
     @property
     def revision(self) -> int:
@@ -193,13 +195,10 @@
         if observer:
             wait_ms = observer.choose_wait_ms(wait_ms)
             observer.on_read_sent()
-        answer = await self._store.wait_for_changes(
-            keyspace.ALL_KEYS_PREFIX,
-            after_revision,
-            wait_ms,
-            newest_values.max_changes_bytes(self._configuration_bytes),
-        )
+        answer = await self._wait_for_changes(wait_ms)
         match answer:
+            case None:
+                return
             case Result(error=ChangesTooLarge()):
                 answer = await self._read_newest()
         match answer:
@@ -226,6 +225,23 @@
                     observer.on_read_failed()
                 await self._on_failure(error)
 
+    async def _wait_for_changes(
+        self, wait_ms: int
+    ) -> Result[Changes, WatchError] | None:
+        """Return changes; ``None`` if a listing was requested meanwhile."""
+        try:
+            async with asyncio.timeout(None) as self._watch:
+                return await self._store.wait_for_changes(
+                    keyspace.ALL_KEYS_PREFIX,
+                    self._revision,
+                    wait_ms,
+                    newest_values.max_changes_bytes(self._configuration_bytes),
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self._watch = None
+
     def _on_restored(self, listing: Listing) -> None:
         """Begin anew with the content of a restored store.
 
@@ -373,8 +389,14 @@
             self._end_outage()
 
     def request_listing(self) -> None:
-        """List the store next, as the copy is of an earlier era."""
+        """List the store now, as the copy is of an earlier era.
+
+        A watch that waits is ended. Its connection may be silent, or the
+        revision of the restored store the same as that of the copy.
+        """
         self._must_list = True
+        if self._watch is not None:
+            self._watch.reschedule(asyncio.get_running_loop().time())
 
     def retry_now(self) -> None:
         """End the pause after a failure and call the store at once.
--- a/tests/steering/store_following/test_restored_store.py
+++ b/tests/steering/store_following/test_restored_store.py
@@ -126,3 +126,12 @@
     copy.sync.apply_peer_changes(late)
     assert 'i-1' in copy.targets
     assert copy.sync.revision == held
+
+
+def test_requested_listing_does_not_wait_for_a_watch(copy: Copy) -> None:
+    copy.wait(0.5)
+    calls = copy.store.calls
+    copy.loop.call_soon(copy.sync.request_listing)
+    copy.wait(0.1)
+    assert copy.store.calls == calls + 2
+    assert not copy.sync.needs_listing
