End a watch that waits when another call shows a restored store

What callers saw: a node whose watch waited on a connection that the restore had made silent went on without the store for up to 4 s and the timeout, although a renewal of its lease had already been answered by the restored one.

Change: the client ends the watches that wait as soon as an answer states another era; they count under the outcome "restored", and the store is listed.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -112,6 +112,8 @@
         self._on_call = on_call
         self._era = StoreEra()
         self._has_unreadable_era = False
+        # Those that wait, which end when the store was restored.
+        self._watches: set[asyncio.Timeout] = set()
 
     async def list_prefix(
         self, prefix: str
@@ -177,13 +179,21 @@
             'after': str(after_revision),
             'waitMs': str(wait_ms),
         }
-        answer = await self._call(
-            'GET',
-            '/kv-watch',
-            query=query,
-            wait_ms=wait_ms,
-            max_bytes=max_bytes,
-        )
+        try:
+            async with asyncio.timeout(None) as watch:
+                self._watches.add(watch)
+                answer = await self._call(
+                    'GET',
+                    '/kv-watch',
+                    query=query,
+                    wait_ms=wait_ms,
+                    max_bytes=max_bytes,
+                )
+        except TimeoutError:
+            self._on_call('kv-watch', 'restored')
+            return Error(HistoryCompacted())
+        finally:
+            self._watches.discard(watch)
         match answer:
             case Result(tag='ok', ok=_Document(raw, transfer_ms, era)):
                 pass
@@ -280,7 +290,7 @@
         return result
 
     def _check_era(self, call: int, answer: TargetAnswer) -> EraChange:
-        """Note the era that an answer states, and log a change."""
+        """Note the era that an answer states; a change ends all watches."""
         was = self._era.current
         stated = decode_store_era(answer.headers)
         change = self._era.on_answer(call, stated)
@@ -293,6 +303,8 @@
             logging.warning(
                 'era of the store changed', extra={'era': stated, 'was': was}
             )
+            for watch in self._watches:
+                watch.reschedule(asyncio.get_running_loop().time())
         elif stated is None and was and not self._has_unreadable_era:
             self._has_unreadable_era = True
             logging.warning(
