Keep what was known before a restore of the store for ten seconds

Cause: a listing of the restored store replaced evacuations and entries of targets, although the changes that the copy lacks had been confirmed.

Change: for 10 s after the first answer of the new era, or after a peer told of it, the cautious of the two holds by key: union of evacuations; a target that drained goes on draining, and one that was gone stays unused, unless its entry is of a later start or was written after the restore.

Paths looked at: listing, changes of a watch, newest values in place of large changes (they name as removed every key that the store lacks), changes of a follower, changes of a peer, a second restore within the 10 s, dropping after the grace time, entries that cannot be read. ClusterView.put_table was safe already: it takes higher versions only, also with a copy that has none. A node that starts has no memory and takes the copy as it is; unchanged.

Limit: what is written again between the restore and the first listing cannot be told from the copy. A target that drained and is ready again with the same start is used when it writes its entry once more, or after the 10 s.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -28,6 +28,7 @@
 from gentianbank.platform.keyspace import TargetKey
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.store_following import newest_values
+from gentianbank.steering.store_following.restore_caution import RestoreCaution
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
@@ -87,6 +88,7 @@
         self._grace_ms = grace_ms
         self._on_own_entry_gone = on_own_entry_gone
         self._clock = clock
+        self._caution = RestoreCaution(cluster_view, clock)
         self._revision = 0
         self._era = 0
         self._must_list = True
@@ -146,6 +148,7 @@
         while True:
             if self._observer:
                 await self._observer.wait_for_turn()
+            self._end_caution()
             if self._must_list:
                 await self._list_store()
             else:
@@ -235,6 +238,7 @@
         if not self._has_listed:
             return
         self._recovered_ms = self._clock()
+        self._caution.begin(listing.revision)
         logging.warning(
             'store was restored from a copy',
             extra={
@@ -338,6 +342,8 @@
             self._revision = 0
             self._must_list = True
             self._forget_changes(0)
+            self._operator_values.clear()
+            self._caution.begin(changes.revision)
         self._apply_changes(changes)
 
     def apply_follower_changes(
@@ -388,12 +394,15 @@
 
         It is shorter while the store is unreachable, so that its recovery is
         noticed soon, and while a target with a lapsed entry must be dropped
-        at a certain time.
+        or the caution after a restore ends at a certain time.
         """
         if not self.is_reachable:
             return min(self._settings.watch_ms, self._settings.retry_ms)
-        if self._drop_deadlines_ms:
-            left_ms = min(self._drop_deadlines_ms.values()) - self._clock()
+        deadlines_ms = [*self._drop_deadlines_ms.values()]
+        if (caution_ends_ms := self._caution.ends_ms) is not None:
+            deadlines_ms.append(caution_ends_ms)
+        if deadlines_ms:
+            left_ms = min(deadlines_ms) - self._clock()
             return min(self._settings.watch_ms, max(1, int(left_ms) + 1))
         table = self._cluster_view.table
         if table is not None and table.has_caps:
@@ -450,7 +459,7 @@
                 evacuated.add(subject.name)
             self._apply_value(stored, first=first)
         self._cluster_view.set_evacuated_domains(
-            frozenset(evacuated), self._clock()
+            self._caution.on_listed(frozenset(evacuated)), self._clock()
         )
         for target_id in list(self._cluster_view.targets):
             if keyspace.target_key(target_id) not in keys:
@@ -510,7 +519,9 @@
             case Result(tag='ok', ok=RouteTable() as table):
                 self._cluster_view.put_table(table)
             case Result(tag='ok', ok=TargetRegistration() as entry):
-                self._apply_target(entry, first=first)
+                usable = self._caution.check_target(entry, stored.mod_revision)
+                if usable:
+                    self._apply_target(usable, first=first)
             case Result(tag='ok', ok=NodeRegistration() as node):
                 self._cluster_view.put_node(node)
             case Result(tag='ok', ok=MemberRegistration(vm=vm, region=region)):
@@ -518,6 +529,7 @@
                     vm, region, MemberSource.LASTING
                 )
             case Result(tag='ok', ok=EvacuationKey(name)):
+                self._caution.on_evacuated(name, stored.mod_revision)
                 domains = self._cluster_view.evacuated | {name}
                 self._cluster_view.set_evacuated_domains(
                     domains, self._clock()
@@ -557,10 +569,10 @@
         """Drop the target whose entry cannot be used any more, if any."""
         subject = keyspace.kind_of_key(key)
         if isinstance(subject, TargetKey):
-            self._cluster_view.remove_target(subject.target_id, self._clock())
+            self._remove_target(subject.target_id)
 
     def _apply_removal(self, removal: Removal) -> None:
-        self._operator_values.pop(removal.key, None)
+        was_stored = self._operator_values.pop(removal.key, None) is not None
         match keyspace.kind_of_key(removal.key):
             case TargetKey(target_id):
                 self._on_target_removed(target_id)
@@ -569,6 +581,8 @@
             case MemberKey(vm):
                 self._on_member_removed(vm)
             case EvacuationKey(name) if name in self._cluster_view.evacuated:
+                if self._caution.keeps_evacuation(name, was_stored=was_stored):
+                    return
                 domains = self._cluster_view.evacuated - {name}
                 self._cluster_view.set_evacuated_domains(
                     domains, self._clock()
@@ -584,15 +598,20 @@
         doubtful, and dropped later if its entry has not come back.
         """
         now_ms = self._clock()
+        self._caution.on_target_entry_gone(target_id)
         if now_ms - self._recovered_ms < self._grace_ms:
             self._drop_deadlines_ms.setdefault(
                 target_id, self._recovered_ms + self._grace_ms
             )
             self._cluster_view.mark_target_unconfirmed(target_id)
             return
-        self._cluster_view.remove_target(target_id, now_ms)
+        self._remove_target(target_id)
         logging.info('target gone', extra={'target': target_id})
 
+    def _remove_target(self, target_id: str) -> None:
+        self._caution.on_target_gone(target_id)
+        self._cluster_view.remove_target(target_id, self._clock())
+
     def _on_node_removed(self, vm: str) -> None:
         if vm == self._vm:
             self._cluster_view.members.on_entry_gone(vm, self._clock())
@@ -608,10 +627,26 @@
         if vm == self._vm:
             self._on_own_entry_gone(MemberSource.LASTING)
 
+    def _end_caution(self) -> None:
+        """Let the content of a restored store hold in due time."""
+        if not self._caution.is_over:
+            return
+        stored = map(keyspace.kind_of_key, self._operator_values)
+        evacuated = frozenset(
+            subject.name
+            for subject in stored
+            if isinstance(subject, EvacuationKey)
+        )
+        entries = self._caution.end(evacuated)
+        self._cluster_view.set_evacuated_domains(evacuated, self._clock())
+        for entry in entries:
+            self._apply_target(entry, first=False)
+
     def _drop_expired_targets(self) -> None:
+        self._end_caution()
         now_ms = self._clock()
         for target_id, deadline_ms in list(self._drop_deadlines_ms.items()):
             if now_ms >= deadline_ms:
                 del self._drop_deadlines_ms[target_id]
-                self._cluster_view.remove_target(target_id, now_ms)
+                self._remove_target(target_id)
                 logging.info('target gone', extra={'target': target_id})
