Give up the leases of an era of the store that is over

Cause: a lease was a bare number. After a restore a node renewed, bound its entry to, or ended the lease that someone else had got under the same number. Evidence, with the client before the change, a lease 7 of era 1 and answers of era 2: it sent POST /kv-keep/7 and DELETE /kv-lease-end/7, and took the renewal that was answered in era 2 as done.

Change: a lease is a number and its era. For one of another era nothing is sent; an answer of another era renews and binds nothing. Membership and MemberRecord then write anew with fresh leases, each node after a delay of 0 to 1.5 s. A node that leaves removes its entry by a transaction on the revision of the entry and no longer ends the lease, since an end that is under way when the store comes back would end another's. An entry whose write is under way when the node is told to stop is removed. A node that hears of the restore from a peer gives its leases up too.

A renewal that is under way may still prolong another's lease once; the store has no condition for it.

Paths looked at: grant, renewal, bound write, end of lease, of both entries; each before, during and after the restore, and during a planned stop.

Tests changed: test_lease_is_granted_renewed_and_ended asserted the end of the lease, which is not called any more; it asserts the whole transaction instead. In test_calls_report_a_lease_that_has_ended the end at 404 is replaced by test_key_that_was_written_again_is_not_deleted.

--- a/src/gentianbank/platform/keyspace.py
+++ b/src/gentianbank/platform/keyspace.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from gentianbank.domain.errors import InvalidDocument
+    from gentianbank.storage.prefix_store import Lease
     from gentianbank.storage.store import StoredValue
 
 T = TypeVar('T')
@@ -153,10 +154,10 @@
     return f'{NODE_PREFIX}{vm}'
 
 
-def encode_node(node: NodeRegistration, lease: int) -> Put:
+def encode_node(node: NodeRegistration, lease: Lease) -> Put:
     """Return the write that registers a node under its lease."""
     value = json.dumps(schema.dump(node)).encode()
-    return Put(node_key(node.vm), value, lease)
+    return Put(node_key(node.vm), value, lease.number, lease.era)
 
 
 def member_key(vm: str) -> str:
@@ -164,11 +165,11 @@
     return f'{MEMBER_PREFIX}{vm}'
 
 
-def encode_member(node: NodeRegistration, lease: int) -> Put:
+def encode_member(node: NodeRegistration, lease: Lease) -> Put:
     """Return the write of a node's lasting entry under its lease."""
     member = MemberRegistration(vm=node.vm, region=node.region)
     value = json.dumps(schema.dump(member)).encode()
-    return Put(member_key(node.vm), value, lease)
+    return Put(member_key(node.vm), value, lease.number, lease.era)
 
 
 def _decode(kind: type[T], stored: StoredValue) -> Result[T, InvalidDocument]:
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -25,6 +25,7 @@
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import LeaseExpired
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
@@ -58,6 +59,7 @@
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
+_HTTP_PRECONDITION_FAILED = 412
 _MS_PER_S = 1_000
 # Raised by the conversion of a malformed answer.
 _MALFORMED = (
@@ -209,7 +211,14 @@
             'lease': put.lease,
         }
         body = {'expectedRev': [], 'writes': [write], 'deletes': []}
+        has_lease = put.lease != 0
+        if has_lease and put.lease_era != self._era.current:
+            return Error(LeaseExpired())
         match await self._call('POST', '/kv-txn', body=body):
+            case Result(tag='ok', ok=_Document(era=era)) if (
+                has_lease and era != put.lease_era
+            ):
+                return Error(LeaseExpired())
             case Result(
                 tag='ok', ok=_Document({'revision': int() as revision})
             ):
@@ -224,20 +233,27 @@
 
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
+    ) -> Result[Lease, StoreUnavailable]:
         answer = await self._call('POST', '/kv-lease', body={'ttlMs': ttl_ms})
         match answer:
-            case Result(tag='ok', ok=_Document({'lease': int() as lease})):
-                return Ok(lease)
+            case Result(
+                tag='ok', ok=_Document({'lease': int() as number}, era=era)
+            ):
+                return Ok(Lease(number, era))
             case Result(tag='ok'):
                 return Error(StoreUnavailable('the answer has no lease'))
             case Result(error=error):
                 return Error(_to_unavailable(error))
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
-        match await self._call('POST', f'/kv-keep/{lease}'):
+        if not self.is_current(lease):
+            return Error(LeaseExpired())
+        match await self._call('POST', f'/kv-keep/{lease.number}'):
+            case Result(tag='ok', ok=_Document(era=era)) if era != lease.era:
+                # The lease of someone else with the same number.
+                return Error(LeaseExpired())
             case Result(tag='ok'):
                 return Ok(None)
             case Result(error=error) if error == _HTTP_NOT_FOUND:
@@ -245,11 +261,20 @@
             case Result(error=error):
                 return Error(_to_unavailable(error))
 
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
-        match await self._call('DELETE', f'/kv-lease-end/{lease}'):
+    def is_current(self, lease: Lease) -> bool:
+        return lease.era == self._era.current
+
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
+        if not self.is_current(lease):
+            return Ok(None)
+        condition = {'key': key, 'revision': revision}
+        body = {'expectedRev': [condition], 'writes': [], 'deletes': [key]}
+        match await self._call('POST', '/kv-txn', body=body):
             case Result(tag='ok'):
                 return Ok(None)
-            case Result(error=error) if error == _HTTP_NOT_FOUND:
+            case Result(error=error) if error == _HTTP_PRECONDITION_FAILED:
                 return Ok(None)
             case Result(error=error):
                 return Error(_to_unavailable(error))
--- a/src/gentianbank/steering/member_record.py
+++ b/src/gentianbank/steering/member_record.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from gentianbank.domain.registration import NodeRegistration
+    from gentianbank.storage.prefix_store import Lease
     from gentianbank.storage.prefix_store import PrefixStore
 
 # Far longer than outages and cuts, through which a node goes on sending.
@@ -47,12 +48,12 @@
         self._me = me
         self._store = store
         self._clock = clock
-        self._lease = 0
+        self._lease: Lease | None = None
         self._due_ms = float('-inf')
 
     def on_entry_gone(self) -> None:
         """Write the entry with the next refresh, since it was removed."""
-        self._lease = 0
+        self._lease = None
         self._due_ms = float('-inf')
 
     async def refresh(self) -> None:
@@ -62,12 +63,12 @@
             return
         # Set before the calls, during which the entry may be removed.
         self._due_ms = now_ms + RENEWAL_MS
-        renewed = self._lease and await self._renew()
+        renewed = self._lease and await self._renew(self._lease)
         if not renewed and not await self._write():
             self._due_ms = float('-inf')
 
-    async def _renew(self) -> bool:
-        return (await self._store.renew_lease(self._lease)).is_ok()
+    async def _renew(self, lease: Lease) -> bool:
+        return (await self._store.renew_lease(lease)).is_ok()
 
     async def _write(self) -> bool:
         match await self._store.grant_lease_ms(LEASE_MS):
--- a/src/gentianbank/steering/membership.py
+++ b/src/gentianbank/steering/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -18,11 +19,14 @@
     from gentianbank.domain.registration import NodeRegistration
     from gentianbank.domain.steering_settings import SteeringStore
     from gentianbank.steering.member_record import MemberRecord
+    from gentianbank.storage.prefix_store import Lease
     from gentianbank.storage.prefix_store import PrefixStore
 
 # The lease survives one lost renewal.
 RENEWALS_PER_LEASE = 2.5
-LEASE_END_TIMEOUT_S = 1.0
+REMOVAL_TIMEOUT_S = 1.0
+# All nodes notice at about the same time that the store was restored.
+MAX_RESTORE_DELAY_S = 1.5
 _MS_PER_S = 1_000
 
 
@@ -53,7 +57,9 @@
         self._settings = settings
         self._record = record
         self._on_store_recovered = on_store_recovered
-        self._lease = 0
+        self._lease: Lease | None = None
+        # Revision of the entry that is bound to the lease.
+        self._revision = 0
         self._is_registered = False
         self._entry_lost = asyncio.Event()
         self._leaving = False
@@ -71,7 +77,8 @@
         if source is MemberSource.LASTING:
             self._record.on_entry_gone()
         elif not self._leaving:
-            self._lease = 0
+            if self._lease and self._store.is_current(self._lease):
+                self._lease = None
             self._entry_lost.set()
 
     async def run(self) -> None:
@@ -82,7 +89,7 @@
         retry_s = self._settings.retry_ms / _MS_PER_S
         while not self._leaving:
             registered = await (
-                self._renew() if self._lease else self._register()
+                self._renew(self._lease) if self._lease else self._register()
             )
             if registered and not self._is_registered:
                 self._on_store_recovered()
@@ -95,46 +102,62 @@
                     renewal_period_s if registered else retry_s
                 ):
                     await self._entry_lost.wait()
-                await asyncio.sleep(retry_s)
+                if not self._lease:
+                    await asyncio.sleep(retry_s)
             except TimeoutError:
                 continue
 
     async def unregister(self) -> None:
         """Remove the entry, so that look-ups no longer name this node."""
         self._leaving = True
-        if not self._lease:
-            return
+        if self._lease:
+            await self._remove_entry(self._lease)
+
+    async def _remove_entry(self, lease: Lease) -> None:
+        key = keyspace.node_key(self._me.vm)
         try:
-            async with asyncio.timeout(LEASE_END_TIMEOUT_S):
-                await self._store.end_lease(self._lease)
+            async with asyncio.timeout(REMOVAL_TIMEOUT_S):
+                await self._store.delete(key, self._revision, lease)
         except TimeoutError:
             logging.warning(
                 'own entry not removed in time; it expires with its lease'
             )
 
     async def _register(self) -> bool:
+        if self._leaving:
+            return False
         match await self._store.grant_lease_ms(self._settings.lease_ms):
             case Result(tag='ok', ok=lease):
                 pass
             case Result(error=error):
                 _log_failure('node not registered', error)
                 return False
+        if self._leaving:
+            return False
         put = keyspace.encode_node(self._me, lease)
         match await self._store.put(put):
-            case Result(tag='ok'):
+            case Result(tag='ok', ok=revision):
                 self._lease = lease
-                logging.info('node registered')
-                return True
+                self._revision = revision
             case Result(error=refused):
                 _log_failure('node not registered', refused)
                 return False
-
-    async def _renew(self) -> bool:
-        match await self._store.renew_lease(self._lease):
+        if self._leaving:
+            # The node was told to stop while the entry was written.
+            await self._remove_entry(lease)
+            return False
+        logging.info('node registered')
+        return True
+
+    async def _renew(self, lease: Lease) -> bool:
+        match await self._store.renew_lease(lease):
             case Result(tag='ok'):
                 return True
             case Result(error=LeaseExpired()):
-                self._lease = 0
+                if not self._store.is_current(lease):
+                    delay_s = random.uniform(0, MAX_RESTORE_DELAY_S)
+                    await asyncio.sleep(delay_s)
+                self._lease = None
                 return await self._register()
             case Result(error=error):
                 _log_failure('lease not renewed', error)
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -238,7 +238,6 @@
         if not self._has_listed:
             return
         self._recovered_ms = self._clock()
-        self._caution.begin(listing.revision)
         logging.warning(
             'store was restored from a copy',
             extra={
@@ -248,6 +247,11 @@
                 'held_revision': self._revision,
             },
         )
+        self._on_other_era(listing.revision)
+
+    def _on_other_era(self, revision: int) -> None:
+        """Keep what is known, and have the own entries written anew."""
+        self._caution.begin(revision)
         for source in MemberSource:
             self._on_own_entry_gone(source)
 
@@ -343,7 +347,7 @@
             self._must_list = True
             self._forget_changes(0)
             self._operator_values.clear()
-            self._caution.begin(changes.revision)
+            self._on_other_era(changes.revision)
         self._apply_changes(changes)
 
     def apply_follower_changes(
--- a/src/gentianbank/storage/prefix_store.py
+++ b/src/gentianbank/storage/prefix_store.py
@@ -86,9 +86,25 @@
 WatchError = StoreUnavailable | HistoryCompacted | ChangesTooLarge
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease, whose end removes the keys that are bound to it.
+
+    Parameters
+    ----------
+    number
+        Number of the lease, unique within its era.
+    era
+        Era of the store in which the lease was granted, see ``Changes``.
+    """
+
+    number: int
+    era: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """The lease has expired or was revoked."""
+    """The lease has expired or was revoked, or the store was restored."""
 
 
 # Largest answer with changes: several times what the history of the store has.
@@ -128,20 +144,46 @@
     async def put(
         self, put: Put
     ) -> Result[int, StoreUnavailable | LeaseExpired]:
-        """Write a value and return the revision of the store."""
+        """Write a value and return the revision of the store.
+
+        A value that is bound to a lease of another era is not written; it
+        would live and end with the lease of someone else. If the store is
+        restored meanwhile, the lease counts as expired.
+        """
 
     @abstractmethod
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
-        """Grant a lease and return its id."""
+    ) -> Result[Lease, StoreUnavailable]:
+        """Grant a lease."""
 
     @abstractmethod
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
-        """Renew a lease for its full time to live."""
+        """Renew a lease for its full time to live.
+
+        One of another era has expired, and no call is made for it.
+        """
+
+    @abstractmethod
+    def is_current(self, lease: Lease) -> bool:
+        """Return whether a lease is of the era that the store is in."""
 
     @abstractmethod
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
-        """Revoke a lease, which removes the keys bound to it."""
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
+        """Delete a key unless it was written again.
+
+        In place of the end of its lease, whose number may be that of another
+        lease when the call reaches a restored store.
+
+        Parameters
+        ----------
+        revision
+            Revision at which the key was written.
+        lease
+            Lease that the key is bound to. If it is of another era, nothing
+            is deleted.
+        """
--- a/src/gentianbank/storage/store.py
+++ b/src/gentianbank/storage/store.py
@@ -40,11 +40,15 @@
     ----------
     lease
         Id of the lease whose end removes the key; 0 for none.
+    lease_era
+        Era of the store in which the lease was granted; 0 for a store that
+        states none.
     """
 
     key: str
     value: bytes
     lease: int = 0
+    lease_era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,6 +17,7 @@
 from gentianbank.platform.store import PlatformStore
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import LeaseExpired
 from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import Put
@@ -245,26 +246,41 @@
     assert written == [{'key': 'nodes/vm-1', 'value': 'bWU=', 'lease': 77}]
 
 
-def test_lease_is_granted_renewed_and_ended() -> None:
+def test_lease_is_granted_and_renewed_and_its_key_deleted() -> None:
     harness = StoreHarness(
         reply({'lease': 77, 'ttlMs': 4_000}), reply({}), reply({})
     )
-    assert harness.run(harness.store.grant_lease_ms(4_000)) == 77
-    assert harness.run(harness.store.renew_lease(77)) is None
-    assert harness.run(harness.store.end_lease(77)) is None
+    assert harness.run(harness.store.grant_lease_ms(4_000)) == Lease(77)
+    assert harness.run(harness.store.renew_lease(Lease(77))) is None
+    delete = harness.store.delete('nodes/vm-1', 12, Lease(77))
+    assert harness.run(delete) is None
     assert harness.paths == [
         'POST /kv-lease',
         'POST /kv-keep/77',
-        'DELETE /kv-lease-end/77',
+        'POST /kv-txn',
     ]
+    body = harness.transport.requests[-1].body
+    assert isinstance(body, bytes)
+    assert json.loads(body) == {
+        'expectedRev': [{'key': 'nodes/vm-1', 'revision': 12}],
+        'writes': [],
+        'deletes': ['nodes/vm-1'],
+    }
 
 
 def test_calls_report_a_lease_that_has_ended() -> None:
-    harness = StoreHarness(reply({}, 404), reply({}, 404), reply({}, 404))
-    assert harness.run(harness.store.renew_lease(77)) == LeaseExpired()
+    harness = StoreHarness(reply({}, 404), reply({}, 404))
+    assert harness.run(harness.store.renew_lease(Lease(77))) == LeaseExpired()
     put = harness.store.put(Put('nodes/vm-1', b'me', 77))
     assert harness.run(put) == LeaseExpired()
-    assert harness.run(harness.store.end_lease(77)) is None
+
+
+def test_key_that_was_written_again_is_not_deleted() -> None:
+    harness = StoreHarness(reply({'items': []}, 412), reply({}, 503))
+    delete = harness.store.delete('nodes/vm-1', 12, Lease(77))
+    assert harness.run(delete) is None
+    delete = harness.store.delete('nodes/vm-1', 12, Lease(77))
+    assert harness.run(delete) == StoreUnavailable('HTTP 503')
 
 
 def test_calls_do_not_wait_for_each_other() -> None:
@@ -276,7 +292,7 @@
             harness.store.wait_for_changes('', 6, 4_000)
         )
         await asyncio.sleep(0.1)
-        await harness.store.renew_lease(77)
+        await harness.store.renew_lease(Lease(77))
         ended_s = harness.loop.time()
         await watch
         return harness.loop.time() - ended_s
@@ -352,3 +368,37 @@
         return await watch
 
     assert isinstance(harness.run(play()), StoreUnavailable)
+
+
+def test_nothing_is_sent_for_a_lease_of_another_era() -> None:
+    # Its number may be that of someone else's lease.
+    harness = StoreHarness(
+        in_era(reply({'lease': 7, 'ttlMs': 1}), b'1'),
+        in_era(reply({'revision': 3}), b'2'),
+    )
+    store = harness.store
+    lease = harness.run(store.grant_lease_ms(1_000))
+    assert lease == Lease(7, 1)
+    assert store.is_current(lease)
+    harness.run(store.put(Put('members/vm-1', b'v')))
+    assert not store.is_current(lease)
+    assert harness.run(store.renew_lease(lease)) == LeaseExpired()
+    assert harness.run(store.delete('nodes/vm-1', 3, lease)) is None
+    put = store.put(Put('nodes/vm-1', b'v', lease.number, lease.era))
+    assert harness.run(put) == LeaseExpired()
+    assert len(harness.paths) == 2
+
+
+def test_answer_of_a_restored_store_renews_and_binds_nothing() -> None:
+    harness = StoreHarness(
+        in_era(reply({'lease': 7, 'ttlMs': 1}), b'1'),
+        in_era(reply({}), b'2'),
+        in_era(reply({'lease': 7, 'ttlMs': 1}), b'2'),
+        in_era(reply({'revision': 4}), b'3'),
+    )
+    store = harness.store
+    lease = harness.run(store.grant_lease_ms(1_000))
+    assert harness.run(store.renew_lease(lease)) == LeaseExpired()
+    lease = harness.run(store.grant_lease_ms(1_000))
+    put = store.put(Put('nodes/vm-1', b'v', lease.number, lease.era))
+    assert harness.run(put) == LeaseExpired()
--- a/tests/steering/store_following/test_restore_caution.py
+++ b/tests/steering/store_following/test_restore_caution.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.restored_store import CAUTION_MS
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import Removal
@@ -265,6 +266,16 @@
     assert case.is_usable('i-1')
 
 
+def test_lease_of_a_store_that_a_peer_says_is_restored_is_given_up(
+    case: Restored,
+) -> None:
+    # The client of the store has not heard of the restore itself.
+    case.store.set_fault('refuse')
+    case.node.wait(AWAY_S)
+    case.node.sync.apply_peer_changes(Changes((), 3, era=2))
+    assert case.node.lost_entries == [*MemberSource]
+
+
 def test_numbers_of_what_is_kept_are_logged(
     case: Restored, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -16,7 +16,9 @@
 from gentianbank.steering.member_record import MemberRecord
 from gentianbank.steering.member_record import RENEWAL_MS
 from gentianbank.steering.membership import Membership
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import LeaseExpired
+from tests.support.store_copy import CALL_S
 from tests.support.store_copy import FakeStore
 from tests.support.virtual_loop import VirtualLoop
 
@@ -27,6 +29,8 @@
     from gentianbank.storage.store import Put
 
 LEASE_MS = 4_000
+# Longer than any test, so that a renewal by mistake is noticed.
+OTHERS_TTL_MS = 1_000_000
 ME = NodeRegistration(
     vm='vm-1',
     region='east',
@@ -45,6 +49,12 @@
         self.ends_ms: dict[int, float] = {}
         self.ttls_ms: dict[int, int] = {}
         self.entries: dict[str, int] = {}
+        self.revisions: dict[str, int] = {}
+        self.writes = 0
+        self.call_s = CALL_S
+        # Leases that somebody else has, and the calls made for them.
+        self.others: set[int] = set()
+        self.misused: list[tuple[str, int]] = []
 
     def has_live_entry(self, key: str) -> bool:
         """Return whether a key has an entry whose lease has not expired."""
@@ -56,39 +66,75 @@
     ) -> Result[int, StoreUnavailable | LeaseExpired]:
         if error := await self._call():
             return Error(error)
-        if not self._is_lease_live(put.lease):
+        if put.lease_era != self.era or not self._is_lease_live(put.lease):
             return Error(LeaseExpired())
+        self._check_owner('put', put.lease)
+        self.writes += 1
         self.entries[put.key] = put.lease
-        return Ok(1)
+        self.revisions[put.key] = self.writes
+        return Ok(self.writes)
 
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
+    ) -> Result[Lease, StoreUnavailable]:
         if error := await self._call():
             return Error(error)
-        lease = len(self.ends_ms) + 1
-        self.ttls_ms[lease] = ttl_ms
-        self.ends_ms[lease] = self._loop.now_ms() + ttl_ms
-        return Ok(lease)
+        return Ok(Lease(self._grant(ttl_ms), self.era))
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
+        if not self.is_current(lease):
+            return Error(LeaseExpired())
         if error := await self._call():
             return Error(error)
-        if not self._is_lease_live(lease):
+        number = lease.number
+        if lease.era != self.era or not self._is_lease_live(number):
             return Error(LeaseExpired())
-        self.ends_ms[lease] = self._loop.now_ms() + self.ttls_ms[lease]
+        self._check_owner('renew', number)
+        self.ends_ms[number] = self._loop.now_ms() + self.ttls_ms[number]
         return Ok(None)
 
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
+        if not self.is_current(lease):
+            return Ok(None)
         if error := await self._call():
             return Error(error)
-        self.ends_ms[lease] = 0.0
+        if self.revisions.get(key) == revision:
+            self._check_owner('delete', self.entries[key])
+            del self.entries[key]
+            del self.revisions[key]
         return Ok(None)
 
-    def _is_lease_live(self, lease: int) -> bool:
-        return self.ends_ms.get(lease, 0.0) > self._loop.now_ms()
+    def lose_leases(self) -> None:
+        """Come back from an empty copy; others get the same leases again."""
+        given = len(self.ends_ms)
+        self.era += 1
+        self.ends_ms.clear()
+        self.entries.clear()
+        self.revisions.clear()
+        self.writes = 0
+        self.others = {self._grant(OTHERS_TTL_MS) for _ in range(given)}
+
+    async def _call(self) -> StoreUnavailable | None:
+        error = await super()._call()
+        await asyncio.sleep(self.call_s - CALL_S)
+        return error
+
+    def _grant(self, ttl_ms: int) -> int:
+        number = len(self.ends_ms) + 1
+        self.ttls_ms[number] = ttl_ms
+        self.ends_ms[number] = self._loop.now_ms() + ttl_ms
+        return number
+
+    def _check_owner(self, call: str, number: int) -> None:
+        if number in self.others:
+            self.misused.append((call, number))
+
+    def _is_lease_live(self, number: int) -> bool:
+        return self.ends_ms.get(number, 0.0) > self._loop.now_ms()
 
 
 class Node:
@@ -227,3 +273,111 @@
     assert not node.is_member
     node.loop.run_until_complete(node.record.refresh())
     assert node.is_member
+
+
+def restore_store(node: Node) -> None:
+    """Restore the store, which the node notices at once."""
+    node.store.lose_leases()
+    for source in MemberSource:
+        node.membership.on_entry_gone(source)
+
+
+def test_both_entries_are_back_within_two_seconds_of_a_restore(
+    node: Node,
+) -> None:
+    for _ in range(20):
+        restore_store(node)
+        node.wait(2.0)
+        assert node.is_registered
+        assert node.is_member
+        assert not node.store.misused
+        node.wait(1.0)
+
+
+def test_fleet_does_not_write_at_once_after_a_restore(node: Node) -> None:
+    delays_s = []
+    for _ in range(40):
+        restore_store(node)
+        began_s = node.loop.time()
+        while not node.is_registered:
+            node.wait(0.05)
+        delays_s.append(node.loop.time() - began_s)
+        node.wait(2.0)
+    assert min(delays_s) < 0.3
+    assert max(delays_s) > 1.2
+
+
+def test_renewal_that_meets_a_restored_store_is_lost(node: Node) -> None:
+    node.store.call_s = 0.2
+    while node.store.calls < 8:
+        node.wait(0.01)
+    node.wait(1.2)
+    calls = node.store.calls
+    while node.store.calls == calls:
+        node.wait(0.01)
+    # The renewal is under way.
+    node.store.lose_leases()
+    node.wait(2.6)
+    assert node.is_registered
+    assert not node.store.misused
+
+
+def test_restore_that_only_a_renewal_notices_is_no_renewal(
+    node: Node,
+) -> None:
+    node.store.lose_leases()
+    node.wait(LEASE_MS / 2.5 / 1_000 + 2.0)
+    assert node.is_registered
+    assert not node.store.misused
+
+
+def test_lasting_entry_of_another_era_is_not_renewed(node: Node) -> None:
+    node.store.lose_leases()
+    node.task.cancel()
+    node.wait(RENEWAL_MS / 1_000 + 1)
+    node.loop.run_until_complete(node.record.refresh())
+    assert node.is_member
+    assert not node.store.misused
+
+
+def test_leaving_after_a_restore_ends_the_lease_of_nobody(node: Node) -> None:
+    node.store.lose_leases()
+    node.loop.run_until_complete(node.membership.unregister())
+    node.wait(5.0)
+    assert not node.is_registered
+    assert not node.store.misused
+
+
+def test_leaving_that_meets_a_restored_store_ends_the_lease_of_nobody(
+    node: Node,
+) -> None:
+    # The end of the lease was on its way when its number was given out.
+    node.store.call_s = 0.2
+    leaving = node.loop.create_task(node.membership.unregister())
+    node.wait(0.1)
+    node.store.lose_leases()
+    ends_ms = dict(node.store.ends_ms)
+    node.wait(1.0)
+    assert leaving.done()
+    assert node.store.ends_ms == ends_ms
+
+
+def test_node_that_leaves_before_its_turn_does_not_write(node: Node) -> None:
+    restore_store(node)
+    node.wait(0.01)
+    node.loop.run_until_complete(node.membership.unregister())
+    node.wait(5.0)
+    assert not node.is_registered
+
+
+def test_entry_that_is_written_while_the_node_leaves_is_removed(
+    node: Node,
+) -> None:
+    node.store.call_s = 0.2
+    node.store.ends_ms = dict.fromkeys(node.store.ends_ms, 0.0)
+    node.membership.on_entry_gone(MemberSource.NODE)
+    node.wait(0.4 + 0.2 + 0.1)
+    # The write is under way.
+    node.loop.run_until_complete(node.membership.unregister())
+    node.wait(0.5)
+    assert not node.is_registered
--- a/tests/support/store_copy.py
+++ b/tests/support/store_copy.py
@@ -19,6 +19,7 @@
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import LeaseExpired
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
@@ -171,15 +172,20 @@
 
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
+    ) -> Result[Lease, StoreUnavailable]:
         raise AssertionError('not used')
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
         raise AssertionError('not used')
 
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
+    def is_current(self, lease: Lease) -> bool:
+        return lease.era == self.era
+
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
         raise AssertionError('not used')
 
     async def _transfer(
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -34,6 +34,7 @@
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
 from gentianbank.storage.prefix_store import PrefixStore
@@ -178,15 +179,20 @@
 
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
+    ) -> Result[Lease, StoreUnavailable]:
         raise NotImplementedError
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
         raise NotImplementedError
 
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
+    def is_current(self, lease: Lease) -> bool:
+        return lease.era == 0
+
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
         raise NotImplementedError
 
     async def _begin(self) -> StoreUnavailable | None:
@@ -351,7 +357,7 @@
         self.nodes[vm] = node
         self.log.write(
             keyspace.node_key(vm),
-            keyspace.encode_node(registration(vm), 0).value,
+            keyspace.encode_node(registration(vm), Lease(0)).value,
         )
 
     def kill(self, vm: str) -> None:
