Let a node whose entry the store lacks own no usage cap

Cause: StoreSync keeps the node's own entry in the cluster view when the store no longer has it, so that usage caps counted the node as registered and it went on granting, while all others rank without it and the next owner begins after 3 s. The decisions and their state machine always took such a node as not registered (CapOwner hands over then); only the wiring did not. It takes a node that reads the store but gets its entry written late: after a restore that lost the entry, or when its renewals are refused for the length of the lease.

Change: the view for usage caps leaves the node out while no entry names it.

Paths looked at: owner that is cut off (stops 2.5 s after its last answer), one that was frozen (waits anew), one that a restored store ranks behind another (hands over), tokens in hand (500 ms).

--- a/src/gentianbank/steering/usage_caps/admission.py
+++ b/src/gentianbank/steering/usage_caps/admission.py
@@ -77,7 +77,8 @@
         self._quotas = quotas
         self._clock = clock
         self._boot_clock = boot_clock
-        self._view = CapView(cluster_view, StoreAge(clock, boot_clock))
+        age = StoreAge(clock, boot_clock)
+        self._view = CapView(vm, cluster_view, age)
         self._links = OwnerLinks(cluster_view)
         now_ms = boot_clock()
         rule = _rule_of(bounds)
--- a/src/gentianbank/steering/usage_caps/view.py
+++ b/src/gentianbank/steering/usage_caps/view.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.usage_caps.exchange import FleetView
 from gentianbank.policy.usage_caps.plan import Cap
 
@@ -59,8 +60,15 @@
 
 @dataclass(slots=True)
 class CapView:
-    """Reads caps and the fleet from the view of the cluster."""
+    """Reads caps and the fleet from the view of the cluster.
 
+    Parameters
+    ----------
+    vm
+        Name of this node.
+    """
+
+    vm: str
     cluster_view: ClusterView
     age: StoreAge
     _workspaces: WorkspaceTable | None = None
@@ -85,6 +93,9 @@
         """Return what is known of the fleet now."""
         view = self.cluster_view
         registered = frozenset(view.nodes)
+        if not view.members.has_entry(self.vm, MemberSource.NODE):
+            # The cluster view keeps it, but others choose owners without it.
+            registered -= {self.vm}
         return FleetView(
             registered,
             registered | frozenset(view.members.regions),
