--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import binascii
 from dataclasses import dataclass
 import json
 from typing import Any
@@ -17,20 +16,19 @@
 from expression import Result
 
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.credentials import without_keys
-from gentianbank.platform.documents import CONFIGURATION_KEY
 from gentianbank.platform.headers import decode_store_era
+from gentianbank.platform.store_items import decode_event
+from gentianbank.platform.store_items import decode_value
 from gentianbank.policy.store_era import EraChange
 from gentianbank.policy.store_era import StoreEra
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
+from gentianbank.storage.prefix_store import Lease
 from gentianbank.storage.prefix_store import LeaseExpired
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
 from gentianbank.storage.prefix_store import PrefixStore
-from gentianbank.storage.prefix_store import Removal
-from gentianbank.storage.store import StoredValue
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.whole_body import BodyLimits
 from gentianbank.targets.whole_body import BodyLost
@@ -42,6 +40,7 @@
 
     from gentianbank.storage.prefix_store import WatchError
     from gentianbank.storage.store import Put
+    from gentianbank.storage.store import StoredValue
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
 
@@ -58,6 +57,7 @@
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
+_HTTP_PRECONDITION_FAILED = 412
 _MS_PER_S = 1_000
 # Raised by the conversion of a malformed answer.
 _MALFORMED = (
@@ -137,7 +137,7 @@
                 cause = 'the store was restored between pages'
                 return Error(StoreUnavailable(cause))
             try:
-                page = [_decode_value(item) for item in raw['items']]
+                page = [decode_value(item) for item in raw['items']]
                 has_more = bool(raw.get('hasMore', False))
                 revision = revision or int(raw['currentRev'])
             except _MALFORMED as error:
@@ -204,7 +204,7 @@
             case Result(error=error):
                 return Error(_to_unavailable(error))
         try:
-            events = tuple(_decode_event(item) for item in raw['events'])
+            events = tuple(decode_event(item) for item in raw['events'])
             revision = int(raw['currentRev'])
             return Ok(Changes(events, revision, transfer_ms, era))
         except _MALFORMED as error:
@@ -219,7 +219,14 @@
             'lease': put.lease,
         }
         body = {'expectedRev': [], 'writes': [write], 'deletes': []}
+        has_lease = put.lease != 0
+        if has_lease and put.lease_era != self._era.current:
+            return Error(LeaseExpired())
         match await self._call('POST', '/kv-txn', body=body):
+            case Result(tag='ok', ok=_Document(era=era)) if (
+                has_lease and era != put.lease_era
+            ):
+                return Error(LeaseExpired())
             case Result(
                 tag='ok', ok=_Document({'revision': int() as revision})
             ):
@@ -234,20 +241,27 @@
 
     async def grant_lease_ms(
         self, ttl_ms: int
-    ) -> Result[int, StoreUnavailable]:
+    ) -> Result[Lease, StoreUnavailable]:
         answer = await self._call('POST', '/kv-lease', body={'ttlMs': ttl_ms})
         match answer:
-            case Result(tag='ok', ok=_Document({'lease': int() as lease})):
-                return Ok(lease)
+            case Result(
+                tag='ok', ok=_Document({'lease': int() as number}, era=era)
+            ):
+                return Ok(Lease(number, era))
             case Result(tag='ok'):
                 return Error(StoreUnavailable('the answer has no lease'))
             case Result(error=error):
                 return Error(_to_unavailable(error))
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, StoreUnavailable | LeaseExpired]:
-        match await self._call('POST', f'/kv-keep/{lease}'):
+        if not self.is_current(lease):
+            return Error(LeaseExpired())
+        match await self._call('POST', f'/kv-keep/{lease.number}'):
+            case Result(tag='ok', ok=_Document(era=era)) if era != lease.era:
+                # The lease of someone else with the same number.
+                return Error(LeaseExpired())
             case Result(tag='ok'):
                 return Ok(None)
             case Result(error=error) if error == _HTTP_NOT_FOUND:
@@ -255,11 +269,20 @@
             case Result(error=error):
                 return Error(_to_unavailable(error))
 
-    async def end_lease(self, lease: int) -> Result[None, StoreUnavailable]:
-        match await self._call('DELETE', f'/kv-lease-end/{lease}'):
+    def is_current(self, lease: Lease) -> bool:
+        return lease.era == self._era.current
+
+    async def delete(
+        self, key: str, revision: int, lease: Lease
+    ) -> Result[None, StoreUnavailable]:
+        if not self.is_current(lease):
+            return Ok(None)
+        condition = {'key': key, 'revision': revision}
+        body = {'expectedRev': [condition], 'writes': [], 'deletes': [key]}
+        match await self._call('POST', '/kv-txn', body=body):
             case Result(tag='ok'):
                 return Ok(None)
-            case Result(error=error) if error == _HTTP_NOT_FOUND:
+            case Result(error=error) if error == _HTTP_PRECONDITION_FAILED:
                 return Ok(None)
             case Result(error=error):
                 return Error(_to_unavailable(error))
@@ -377,22 +400,3 @@
         cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
         return StoreUnavailable(cause)
     return StoreUnavailable(f'HTTP {error}')
-
-
-def _decode_value(raw: dict[str, Any]) -> StoredValue:
-    try:
-        value = base64.b64decode(raw.get('value') or '', validate=True)
-    except binascii.Error:
-        # Another client wrote invalid base64. An empty value fails only the
-        # decoding of this entry and not of the whole listing.
-        value = b''
-    key = str(raw['key'])
-    if key == CONFIGURATION_KEY:
-        value = without_keys(value)
-    return StoredValue(key, value, int(raw['revision']))
-
-
-def _decode_event(raw: dict[str, Any]) -> StoredValue | Removal:
-    if raw.get('removed'):
-        return Removal(str(raw['key']), int(raw['revision']))
-    return _decode_value(raw)
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gentianbank.policy.fleet_members import MemberSource
+from gentianbank.policy.restored_store import CAUTION_MS
 from gentianbank.steering.store_following.catch_up import encode_changes
 from gentianbank.steering.store_following.catch_up import StoreChanges
 from gentianbank.storage.prefix_store import Removal
@@ -148,6 +149,8 @@
     restore(pair)
     pair.wait(1.0)
     assert pair.refused.sync.era == 2
+    assert pair.refused.cluster_view.evacuated == {'east-1'}
+    pair.wait(CAUTION_MS / 1_000)
     assert pair.refused.cluster_view.evacuated == set()
 
 
