Tell the operator's keys of a new era from changes of it

What callers saw, in two cases of a node that the store turned away across a restore: (1) a drain or a withdrawn target was never learned, as its change was skipped for good; (2) a failure domain that the restored store does not evacuate stayed evacuated.

Cause: the operator's keys, which a peer sends in answer to a request of an earlier era, looked like the changes up to a revision. (1) Where the answer came after the node had listed the new era itself, the node took its revision over, and with it the changes of all other keys for known. (2) Evacuations that had ended were named only as far as the peer knew of their domains.

Change: the answer says that it has the operator's keys and no others. It is used only by a copy of an earlier era, and replaces the operator's keys there as a whole. What is kept for peers begins after it.

Evidence: before, test_late_answer_to_a_question_of_an_earlier_era_leaves_no_gap ended with the target not draining, and test_node_turned_away_learns_of_the_end_of_an_evacuation[unnamed-1] with the domain still evacuated. With the replacement alone the state machine found "copy differs" for (1).

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -61,10 +61,18 @@
 @register_message('news')
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreChanges(Message):
-    """Changes of the store in order, up to a revision of an era."""
+    """Changes of the store in order, up to a revision of an era.
+
+    Parameters
+    ----------
+    operator_only
+        Whether these are all keys of the operator, and no others. They are
+        the answer to a request of an earlier era.
+    """
 
     revision: int = schema.integer(0, _MAX_REVISION)
     era: int = schema.integer(0, _MAX_REVISION, default=0)
+    operator_only: bool = schema.flag(default=False)
     changes: tuple[StoreChange, ...] = schema.sequence(StoreChange)
 
 
@@ -135,7 +143,7 @@
         if not self._sync.is_reachable or request.era > self._sync.era:
             return
         if request.era < self._sync.era:
-            self._send_operator_changes(vm)
+            self._send_operator_values(vm)
             return
         changes = self._sync.changes_after(request.after_revision)
         if changes is None or not changes.events:
@@ -149,21 +157,21 @@
         answer = StoreChanges(revision=revision, era=changes.era, changes=rows)
         self._peers.send(vm, answer)
 
-    def _send_operator_changes(self, vm: str) -> None:
+    def _send_operator_values(self, vm: str) -> None:
         """Send what the operator has written, as the peer's era is over."""
-        changes = self._sync.operator_changes()
+        values = self._sync.operator_values()
         answer = StoreChanges(
-            revision=changes.revision,
-            era=changes.era,
-            changes=encode_changes(changes.events),
+            revision=values.revision,
+            era=values.era,
+            operator_only=True,
+            changes=encode_changes(values.events),
         )
         self._peers.send(vm, answer)
 
     def _apply_answer(self, vm: str, answer: StoreChanges) -> None:
         if self._sync.is_reachable or not self._sync.revision:
             return
-        held = self._sync.era, self._sync.revision
-        if (answer.era, answer.revision) <= held:
+        if not self._is_news(answer):
             return
         logging.info(
             'store changes received from a peer',
@@ -175,9 +183,22 @@
             },
         )
         events = tuple(decode_change(change) for change in answer.changes)
-        self._sync.apply_peer_changes(
-            Changes(events, answer.revision, era=answer.era)
-        )
+        changes = Changes(events, answer.revision, era=answer.era)
+        if answer.operator_only:
+            self._sync.replace_operator_values(changes)
+        else:
+            self._sync.apply_peer_changes(changes)
+
+    def _is_news(self, answer: StoreChanges) -> bool:
+        """Return whether an answer has what the copy lacks.
+
+        The operator's keys alone are no changes of an era that the copy has
+        reached since it asked: those of other keys are missing between them.
+        """
+        if answer.operator_only:
+            return answer.era > self._sync.era
+        is_same_era = answer.era == self._sync.era
+        return is_same_era and answer.revision > self._sync.revision
 
 
 def without_replaced(
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -330,31 +330,42 @@
         )
         return Changes(events, self._revision, era=self._era)
 
-    def operator_changes(self) -> Changes:
-        """Return the operator's keys, for a copy of an earlier era."""
+    def operator_values(self) -> Changes:
+        """Return all keys of the operator, for a copy of an earlier era."""
         values = tuple(self._operator_values.values())
-        missing = set(self._possible_evacuations()) - {v.key for v in values}
-        removals = tuple(Removal(k, self._revision) for k in sorted(missing))
-        return Changes(values + removals, self._revision, era=self._era)
+        return Changes(values, self._revision, era=self._era)
 
     def apply_peer_changes(self, changes: Changes) -> None:
         """Apply changes that a peer received from the store.
 
-        Those of a later era replace what the copy has of the same keys. Its
-        other keys are taken from the store when that can be reached.
+        Those of another era are not applied.
         """
-        if changes.era < self._era:
+        if changes.era == self._era:
+            self._apply_changes(changes)
+
+    def replace_operator_values(self, values: Changes) -> None:
+        """Take all keys of the operator from a peer of a later era.
+
+        What the copy has of other keys is kept. They are taken from the
+        store when that can be reached.
+        """
+        if values.era <= self._era:
             return
-        if changes.era > self._era:
-            logging.warning(
-                'peer told of a restored store',
-                extra={'era': changes.era, 'held_era': self._era},
-            )
-            self._era = changes.era
-            self._revision = 0
-            self._must_list = True
-            self._forget_changes(0)
-        self._apply_changes(changes)
+        logging.warning(
+            'peer told of a restored store',
+            extra={'era': values.era, 'held_era': self._era},
+        )
+        named = {stored.key for stored in values.events}
+        for domain in self._cluster_view.evacuated:
+            key = keyspace.evacuation_key(domain)
+            if key not in named:
+                self._apply_removal(Removal(key, values.revision))
+        self._operator_values.clear()
+        self._era = values.era
+        self._revision = 0
+        self._must_list = True
+        self._apply_changes(values)
+        self._forget_changes(self._revision)
 
     def apply_follower_changes(
         self, after_revision: int, changes: Changes
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -9,6 +9,7 @@
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.store_following.catch_up import encode_changes
 from gentianbank.steering.store_following.catch_up import StoreChanges
+from gentianbank.steering.store_following.catch_up import StoreChangesRequest
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
@@ -180,3 +181,42 @@
     pair.refused.store.set_fault('')
     pair.wait(1.0)
     assert pair.refused.lost_entries == [*MemberSource]
+
+
+@pytest.mark.parametrize('domain', ['east-1', 'unnamed-1'])
+def test_node_turned_away_learns_of_the_end_of_an_evacuation(
+    pair: Pair, domain: str
+) -> None:
+    # The peer doesn't know each domain that was evacuated before.
+    key = f'op/evacuate/{domain}'
+    pair.take_backup()
+    pair.refused.store.write(key, {})
+    pair.served.store.write('servers/other', ENTRY)
+    pair.wait(1.0)
+    assert pair.refused.cluster_view.evacuated == {domain}
+    restore(pair)
+    pair.wait(2.0)
+    assert pair.refused.sync.era == 2
+    assert pair.refused.cluster_view.evacuated == set()
+
+
+def test_late_answer_to_a_question_of_an_earlier_era_leaves_no_gap(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.refused.store.set_fault('')
+    pair.wait(1.0)
+    pair.refused.store.set_fault('refuse')
+    pair.wait(0.5)
+    asked = pair.refused.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.served.wait(1.0)
+    pair.news['served'].on_message(
+        'other', StoreChangesRequest(after_revision=asked + 99, era=1)
+    )
+    pair.wait(1.0)
+    view = pair.refused.cluster_view
+    assert view.evacuated == {'east-1'}
+    assert view.targets['i-1'].registration.draining
