Answer a node of an older release with changes, as before

What callers saw: while nodes are replaced one by one, a node of the release before that the store turned away would lose drains and withdrawals for good.

Cause: its requests name no era, which counted as an earlier one than that of the store. The answer had the operator's keys alone, and such a node takes each answer for all changes up to its revision.

Change: a request without an era is answered with changes. A node of this release whose copy has no era yet does not apply them.

Evidence: test_request_of_an_older_release_is_answered_without_a_gap failed before: the answer had op/config and no target.

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -142,7 +142,8 @@
     def _answer_request(self, vm: str, request: StoreChangesRequest) -> None:
         if not self._sync.is_reachable or request.era > self._sync.era:
             return
-        if request.era < self._sync.era:
+        # A node of a release without eras takes each answer for changes.
+        if 0 < request.era < self._sync.era:
             self._send_operator_values(vm)
             return
         changes = self._sync.changes_after(request.after_revision)
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -51,6 +51,11 @@
     pair.restore(era=2)
 
 
+def answers(pair: Pair) -> list[StoreChanges]:
+    """Return the answers that either node has sent."""
+    return [m for m in pair.sent if isinstance(m, StoreChanges)]
+
+
 def tell(pair: Pair, message: Message) -> None:
     """Deliver a message to the node that is turned away."""
     pair.news['refused'].on_message('other', message)
@@ -220,3 +225,20 @@
     view = pair.refused.cluster_view
     assert view.evacuated == {'east-1'}
     assert view.targets['i-1'].registration.draining
+
+
+def test_request_of_an_older_release_is_answered_without_a_gap(
+    pair: Pair,
+) -> None:
+    # Such a node takes the answer for all changes up to its revision.
+    held = pair.served.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    pair.news['served'].on_message(
+        'other', StoreChangesRequest(after_revision=held)
+    )
+    assert [c.key for a in answers(pair) for c in a.changes] == [
+        'servers/i-1',
+        EVACUATION,
+    ]
