Guard what is handed on by a node that knows the operator's keys alone

test_node_with_the_operators_keys_alone_leaves_no_gap_to_a_peer failed on: the operator's keys of the new era were kept as if they were all its changes, and handed on so.

--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -242,3 +242,22 @@
         'servers/i-1',
         EVACUATION,
     ]
+
+
+def test_node_with_the_operators_keys_alone_leaves_no_gap_to_a_peer(
+    pair: Pair,
+) -> None:
+    # What it got of the new era was handed on as all changes up to there.
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(2.0)
+    held = pair.refused.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    pair.refused.sync.on_confirmed_by_follower()
+    pair.sent.clear()
+    pair.news['refused'].on_message(
+        'other', StoreChangesRequest(after_revision=held - 1, era=2)
+    )
+    assert answers(pair) == []
