Call no copy current whose history is lost

Cause: changes of another history counted as an answer that confirms the copy.

Change: they only lead to a listing; that confirms the copy, or fails.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -207,7 +207,7 @@
                 self._era != held_era
                 or _is_other_history(changes, held_era, after_revision)
             ):
-                self._on_store_answer(changes.transfer_ms)
+                # The copy is no more current than before.
                 self._must_list = True
                 logging.info('changes of another history; listing again')
             case Result(tag='ok', ok=changes):
--- a/tests/steering/store_following/test_restored_store.py
+++ b/tests/steering/store_following/test_restored_store.py
@@ -4,10 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from expression import Error
+from expression import Result
 import pytest
 
+from gentianbank.domain.errors import StoreUnavailable
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.storage.prefix_store import Changes
+from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
@@ -135,3 +139,19 @@
     copy.wait(0.1)
     assert copy.store.calls == calls + 2
     assert not copy.sync.needs_listing
+
+
+def test_copy_of_a_lost_history_is_not_called_current(
+    copy: Copy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(prefix: str) -> Result[Listing, StoreUnavailable]:
+        return Error(StoreUnavailable('HTTP 503'))
+
+    backup = lose_changes(copy)
+    answered_ms = copy.cluster_view.store_answered_ms
+    restore(copy, backup, 20, era=2)
+    monkeypatch.setattr(copy.store, 'list_prefix', fail)
+    copy.wait(2.0)
+    assert copy.sync.needs_listing
+    assert copy.cluster_view.store_answered_ms == answered_ms
+    assert not copy.sync.is_reachable
