Read the store where a follower's view is older than the copy

What callers saw: with a store that states no era, a change after a restore came in force on the followers of a region and not on its other nodes, until the counter had passed the old one.

Cause: a follower that had listed the restored store said that its view has no change that the others lack. That is true of a history that goes on, and was believed without asking whether it is the same.

Change: a follower whose view is of a later time than the copy's and has a lower revision shows that the store was restored; the node lists it.

Evidence: test_all_nodes_follow_a_restored_store[0-False] and [4-False] failed before: the nodes beside the followers missed the evacuation after 2.5 s. With an era both passed before. The other paths on which a revision of another node is compared: catch-up (nothing is sent where the asker's revision is higher), and kept changes (emptied by each listing).

--- a/src/gentianbank/steering/store_following/following.py
+++ b/src/gentianbank/steering/store_following/following.py
@@ -104,6 +104,10 @@
         # last, as the process has run since.
         self._last_tick_ms = float('-inf')
         self._tick_before_ms = float('-inf')
+        # Era and revision of the copy, and since when it is known to have
+        # them.
+        self._noted = (0, 0)
+        self._noted_ms = float('-inf')
 
     @property
     def role(self) -> str:
@@ -134,6 +138,7 @@
         now_ms = self._boot_clock()
         self._tick_before_ms = self._last_tick_ms
         self._last_tick_ms = now_ms
+        self._note_revision(now_ms)
         if now_ms - self._chosen_ms >= CHOICE_PERIOD_MS:
             self._chosen_ms = now_ms
             self._choose_followers()
@@ -253,6 +258,7 @@
 
     def _on_update(self, vm: str, update: StoreUpdate) -> None:
         now_ms = self._boot_clock()
+        self._note_revision(now_ms)
         if update.echo_ms:
             self._trust.on_echo(vm, update.echo_ms, update.sent_ms)
         if update.era != self._sync.era and self._sync.revision:
@@ -271,6 +277,11 @@
             self._trust.distrust(vm)
         elif held and is_complete:
             confirmed_ms = self._trust.confirm(vm, update.confirmed_ms)
+        if confirmed_ms is not None and self._has_gone_back(
+            update, confirmed_ms
+        ):
+            self._on_restored()
+            return
         is_fresh = (
             confirmed_ms is not None and now_ms - confirmed_ms <= FRESH_MS
         )
@@ -295,12 +306,36 @@
         misses.
         """
         if update.era > self._sync.era:
-            self._trust.distrust_all()
-            self._sync.request_listing()
+            self._on_restored()
         else:
             self._trust.distrust(vm)
+            self._update_role(self._boot_clock())
+
+    def _on_restored(self) -> None:
+        """Read the store, as the copy is of a history that was lost."""
+        self._trust.distrust_all()
+        self._sync.request_listing()
         self._update_role(self._boot_clock())
 
+    def _note_revision(self, now_ms: float) -> None:
+        held = self._sync.era, self._sync.revision
+        if held != self._noted:
+            self._noted = held
+            self._noted_ms = now_ms
+
+    def _has_gone_back(self, update: StoreUpdate, confirmed_ms: float) -> bool:
+        """Return whether the revision of the store is lower than it was.
+
+        A store that states no era shows only so that it was restored.
+
+        Parameters
+        ----------
+        confirmed_ms
+            Time on this node's clock when the follower's view was current.
+        """
+        is_lower = update.held_revision < self._sync.revision
+        return is_lower and confirmed_ms > self._noted_ms
+
     def _ask(self, vm: str, update: StoreUpdate, now_ms: float) -> None:
         """Ask a follower for missing changes or its clock, as far as due.
 
--- /dev/null
+++ b/tests/steering/store_following/test_following_eras.py
@@ -0,0 +1,36 @@
+"""Tests of followers of a store that was restored from an older copy."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support.store_fleet import StoreFleet
+
+NODES = 9
+LOST_CHANGES = 10
+AGE_S = 3.0
+# Within the pause of followers after changes.
+PAUSE_S = 0.1
+
+
+@pytest.mark.parametrize('states_era', [True, False])
+@pytest.mark.parametrize('later_changes', [0, 4])
+def test_all_nodes_follow_a_restored_store(
+    later_changes: int, states_era: bool
+) -> None:
+    # Followers that paused after changes saw no failure. Without an era, they
+    # confirmed the copies of the lost history.
+    fleet = StoreFleet(NODES, states_era=states_era)
+    for number in range(LOST_CHANGES):
+        fleet.log.write(f'servers/lost-{number}', b'{}')
+    fleet.advance(PAUSE_S)
+    fleet.restore_store(AGE_S, 0.0, are_watches_silent=False)
+    for number in range(later_changes):
+        fleet.log.write(f'servers/again-{number}', b'{}')
+    fleet.log.write('op/evacuate/east-1', b'{}')
+    fleet.advance(2.5)
+    evacuated = [n.cluster_view.evacuated for n in fleet.nodes.values()]
+    revisions = {node.sync.revision for node in fleet.nodes.values()}
+    fleet.loop.end()
+    assert evacuated == [{'east-1'}] * NODES
+    assert revisions == {fleet.log.revision}
