Let the operator's keys of a new era fit in a message

What callers saw: where evacuations had large values, a node that the store turned away never got the version of a restored store: the message was over the limit, and the peer ended the connection.

Cause: the answer had the values of all keys of the operator, and cannot be split as changes are.

Change: only the configuration has its value; of an evacuation the name counts.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -331,8 +331,16 @@
         return Changes(events, self._revision, era=self._era)
 
     def operator_values(self) -> Changes:
-        """Return all keys of the operator, for a copy of an earlier era."""
-        values = tuple(self._operator_values.values())
+        """Return all keys of the operator, for a copy of an earlier era.
+
+        Only the configuration has its value, so that one message has room.
+        """
+        values = tuple(
+            stored
+            if stored.key == CONFIGURATION_KEY
+            else replace(stored, value=b'')
+            for stored in self._operator_values.values()
+        )
         return Changes(values, self._revision, era=self._era)
 
     def apply_peer_changes(self, changes: Changes) -> None:
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -13,6 +13,8 @@
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
+from tests.support.odd_entries import MAX_VALUE_BYTES
+from tests.support.odd_entries import ODD_KEYS
 from tests.support.store_copy import version_in_force
 from tests.support.store_pair import Pair
 
@@ -261,3 +263,27 @@
         'other', StoreChangesRequest(after_revision=held - 1, era=2)
     )
     assert answers(pair) == []
+
+
+def test_large_values_of_the_operator_keep_no_version_from_a_node(
+    pair: Pair,
+) -> None:
+    # Together they were too long for a message.
+    lose_changes(pair)
+    restore(pair)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    for number in range(5):
+        pair.write(f'op/evacuate/east-{number}', b'x' * MAX_VALUE_BYTES)
+    pair.wait(2.0)
+    assert version_in_force(pair.refused) == 9
+    assert len(pair.refused.cluster_view.evacuated) == 5
+
+
+@pytest.mark.parametrize('key', ODD_KEYS)
+def test_odd_key_keeps_no_version_from_a_node(pair: Pair, key: str) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.write(key, ENTRY)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 9
