--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -210,7 +210,7 @@
                 self._era != held_era
                 or _is_other_history(changes, held_era, after_revision)
             ):
-                self._on_store_answer(changes.transfer_ms)
+                # The copy is no more current than before.
                 self._must_list = True
                 logging.info('changes of another history; listing again')
             case Result(tag='ok', ok=changes):
@@ -340,33 +340,49 @@
         )
         return Changes(events, self._revision, era=self._era)
 
-    def operator_changes(self) -> Changes:
-        """Return the operator's keys, for a copy of an earlier era."""
-        values = tuple(self._operator_values.values())
-        missing = set(self._possible_evacuations()) - {v.key for v in values}
-        removals = tuple(Removal(k, self._revision) for k in sorted(missing))
-        return Changes(values + removals, self._revision, era=self._era)
+    def operator_values(self) -> Changes:
+        """Return all keys of the operator, for a copy of an earlier era.
+
+        Only the configuration has its value, so that one message has room.
+        """
+        values = tuple(
+            stored
+            if stored.key == CONFIGURATION_KEY
+            else replace(stored, value=b'')
+            for stored in self._operator_values.values()
+        )
+        return Changes(values, self._revision, era=self._era)
 
     def apply_peer_changes(self, changes: Changes) -> None:
         """Apply changes that a peer received from the store.
 
-        Those of a later era replace what the copy has of the same keys. Its
-        other keys are taken from the store when that can be reached.
+        Those of another era are not applied.
+        """
+        if changes.era == self._era:
+            self._apply_changes(changes)
+
+    def replace_operator_values(self, values: Changes) -> None:
+        """Take all keys of the operator from a peer of a later era.
+
+        What the copy has of other keys is kept. They are taken from the
+        store when that can be reached.
         """
-        if changes.era < self._era:
+        if values.era <= self._era:
             return
-        if changes.era > self._era:
-            logging.warning(
-                'peer told of a restored store',
-                extra={'era': changes.era, 'held_era': self._era},
-            )
-            self._era = changes.era
-            self._revision = 0
-            self._must_list = True
-            self._forget_changes(0)
-            self._operator_values.clear()
-            self._on_other_era(changes.revision)
-        self._apply_changes(changes)
+        logging.warning(
+            'peer told of a restored store',
+            extra={'era': values.era, 'held_era': self._era},
+        )
+        self._on_other_era(values.revision)
+        self._operator_values.clear()
+        self._era = values.era
+        self._revision = 0
+        self._must_list = True
+        self._apply_changes(values)
+        self._cluster_view.set_evacuated_domains(
+            self._caution.on_listed(self._stored_evacuations()), self._clock()
+        )
+        self._forget_changes(self._revision)
 
     def apply_follower_changes(
         self, after_revision: int, changes: Changes
@@ -656,16 +672,20 @@
         if vm == self._vm:
             self._on_own_entry_gone(MemberSource.LASTING)
 
+    def _stored_evacuations(self) -> frozenset[str]:
+        """Return the failure domains that the operator's keys evacuate."""
+        subjects = map(keyspace.kind_of_key, self._operator_values)
+        return frozenset(
+            subject.name
+            for subject in subjects
+            if isinstance(subject, EvacuationKey)
+        )
+
     def _end_caution(self) -> None:
         """Let the content of a restored store hold in due time."""
         if not self._caution.is_over:
             return
-        stored = map(keyspace.kind_of_key, self._operator_values)
-        evacuated = frozenset(
-            subject.name
-            for subject in stored
-            if isinstance(subject, EvacuationKey)
-        )
+        evacuated = self._stored_evacuations()
         entries = self._caution.end(evacuated)
         self._cluster_view.set_evacuated_domains(evacuated, self._clock())
         for entry in entries:
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -10,9 +10,12 @@
 from gentianbank.policy.restored_store import CAUTION_MS
 from gentianbank.steering.store_following.catch_up import encode_changes
 from gentianbank.steering.store_following.catch_up import StoreChanges
+from gentianbank.steering.store_following.catch_up import StoreChangesRequest
 from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
+from tests.support.odd_entries import MAX_VALUE_BYTES
+from tests.support.odd_entries import ODD_KEYS
 from tests.support.store_copy import version_in_force
 from tests.support.store_pair import Pair
 
@@ -51,6 +54,11 @@
     pair.restore(era=2)
 
 
+def answers(pair: Pair) -> list[StoreChanges]:
+    """Return the answers that either node has sent."""
+    return [m for m in pair.sent if isinstance(m, StoreChanges)]
+
+
 def tell(pair: Pair, message: Message) -> None:
     """Deliver a message to the node that is turned away."""
     pair.news['refused'].on_message('other', message)
@@ -183,3 +191,104 @@
     pair.refused.store.set_fault('')
     pair.wait(1.0)
     assert pair.refused.lost_entries == [*MemberSource]
+
+
+@pytest.mark.parametrize('domain', ['east-1', 'unnamed-1'])
+def test_node_turned_away_learns_of_the_end_of_an_evacuation(
+    pair: Pair, domain: str
+) -> None:
+    # The peer doesn't know each domain that was evacuated before.
+    key = f'op/evacuate/{domain}'
+    pair.take_backup()
+    pair.refused.store.write(key, {})
+    pair.served.store.write('servers/other', ENTRY)
+    pair.wait(1.0)
+    assert pair.refused.cluster_view.evacuated == {domain}
+    restore(pair)
+    pair.wait(2.0)
+    assert pair.refused.sync.era == 2
+    assert pair.refused.cluster_view.evacuated == {domain}
+    pair.wait(CAUTION_MS / 1_000)
+    assert pair.refused.cluster_view.evacuated == set()
+
+
+def test_late_answer_to_a_question_of_an_earlier_era_leaves_no_gap(
+    pair: Pair,
+) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.refused.store.set_fault('')
+    pair.wait(1.0)
+    pair.refused.store.set_fault('refuse')
+    pair.wait(0.5)
+    asked = pair.refused.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.served.wait(1.0)
+    pair.news['served'].on_message(
+        'other', StoreChangesRequest(after_revision=asked + 99, era=1)
+    )
+    pair.wait(1.0)
+    view = pair.refused.cluster_view
+    assert view.evacuated == {'east-1'}
+    assert view.targets['i-1'].registration.draining
+
+
+def test_request_of_an_older_release_is_answered_without_a_gap(
+    pair: Pair,
+) -> None:
+    # Such a node takes the answer for all changes up to its revision.
+    held = pair.served.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    pair.news['served'].on_message(
+        'other', StoreChangesRequest(after_revision=held)
+    )
+    assert [c.key for a in answers(pair) for c in a.changes] == [
+        'servers/i-1',
+        EVACUATION,
+    ]
+
+
+def test_node_with_the_operators_keys_alone_leaves_no_gap_to_a_peer(
+    pair: Pair,
+) -> None:
+    # What it got of the new era was handed on as all changes up to there.
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(2.0)
+    held = pair.refused.sync.revision
+    pair.write('servers/i-1', DRAINING)
+    pair.write(EVACUATION, {})
+    pair.wait(1.0)
+    pair.refused.sync.on_confirmed_by_follower()
+    pair.sent.clear()
+    pair.news['refused'].on_message(
+        'other', StoreChangesRequest(after_revision=held - 1, era=2)
+    )
+    assert answers(pair) == []
+
+
+def test_large_values_of_the_operator_keep_no_version_from_a_node(
+    pair: Pair,
+) -> None:
+    # Together they were too long for a message.
+    lose_changes(pair)
+    restore(pair)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    for number in range(5):
+        pair.write(f'op/evacuate/east-{number}', b'x' * MAX_VALUE_BYTES)
+    pair.wait(2.0)
+    assert version_in_force(pair.refused) == 9
+    assert len(pair.refused.cluster_view.evacuated) == 5
+
+
+@pytest.mark.parametrize('key', ODD_KEYS)
+def test_odd_key_keeps_no_version_from_a_node(pair: Pair, key: str) -> None:
+    lose_changes(pair)
+    restore(pair)
+    pair.write(key, ENTRY)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 9
--- a/tests/steering/store_following/test_restore_caution.py
+++ b/tests/steering/store_following/test_restore_caution.py
@@ -10,7 +10,6 @@
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.policy.restored_store import CAUTION_MS
 from gentianbank.storage.prefix_store import Changes
-from gentianbank.storage.prefix_store import Removal
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import ENTRY
 from tests.support.store_copy import Copy
@@ -259,8 +258,7 @@
     case.node.wait(1.0)
     case.store.set_fault('refuse')
     case.node.wait(AWAY_S)
-    told = Changes((Removal(EVACUATION, 3),), 3, era=2)
-    case.node.sync.apply_peer_changes(told)
+    case.node.sync.replace_operator_values(Changes((), 3, era=2))
     assert not case.is_usable('i-1')
     case.node.wait(CAUTION_S + 1.0)
     assert case.is_usable('i-1')
@@ -272,7 +270,7 @@
     # The client of the store has not heard of the restore itself.
     case.store.set_fault('refuse')
     case.node.wait(AWAY_S)
-    case.node.sync.apply_peer_changes(Changes((), 3, era=2))
+    case.node.sync.replace_operator_values(Changes((), 3, era=2))
     assert case.node.lost_entries == [*MemberSource]
 
 
