Let the stand-in store be restored from an older copy

The stand-in states its era in each answer, 503 too, takes backups and can be restored from one: items, counter, leases and their numbers are those of the backup, watches that wait are cut or get no answer, and a watch after a revision that it does not have gets 410. It can also state no era, as it did until now. The soak's world writes again what operator and targets had written before the store answers, and can add targets later. Its links connect to the store from a host of their own, so that the store can refuse one node. Each version of its configuration has a route that only this version has.

--- a/src/gentianbank_standins/soak/links.py
+++ b/src/gentianbank_standins/soak/links.py
@@ -29,7 +29,8 @@
     Parameters
     ----------
     address
-        Where the link listens.
+        Where the link listens. Its connections to the server come from the
+        same host, so that a server can tell links apart.
     server
         Address that it connects to.
 
@@ -103,7 +104,9 @@
                 await self._open.wait()
             server = self._server_address
             far_reader, far_writer = await asyncio.open_connection(
-                server.host, server.port
+                server.host,
+                server.port,
+                local_addr=(parse_address(self.address).host, 0),
             )
             self._writers.add(far_writer)
             try:
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -75,6 +75,7 @@
     failure_domain: str
     sequence: int = 0
     born: int = 1
+    state: str = 'ready'
     leaving: bool = False
     restarting: bool = False
 
@@ -95,6 +96,10 @@
         Takes settings and logs.
     extra_settings
         Sections that each node's settings get beside those of the soak.
+    store_settings
+        What each node's settings have of the store beside its address.
+    domains
+        Region of each failure domain.
     """
 
     folder: Path
@@ -107,20 +112,26 @@
     journal: Journal = field(default_factory=Journal)
     version: int = 1
     extra_settings: dict[str, Any] = field(default_factory=dict)
+    store_settings: dict[str, Any] = field(default_factory=dict)
+    domains: dict[str, str] = field(default_factory=DOMAINS.copy)
+    _configuration: bytes = b''
+    _ports: Ports = field(init=False)
     _servers: list[Any] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _begin_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        self._ports = Ports(self.seed)
+
     async def start(self) -> None:
         """Start the stand-ins and the nodes, and wait until they serve."""
-        ports = Ports(self.seed)
-        store_address = ports.address('store')
+        store_address = self._ports.address('store')
         self._serve(self.store, store_address)
         self.write_configuration()
-        for number in range(self.target_count):
-            await self._add_target(ports, number)
+        for _ in range(self.target_count):
+            self.register(await self.add_target())
         for number in range(self.node_count):
-            await self._add_node(ports, number, store_address)
+            await self._add_node(number, store_address)
         await self._wait_ready()
         self._begin_s = time.monotonic()
 
@@ -150,6 +161,8 @@
     def write_configuration(self, size_bytes: int = 0) -> None:
         """Write the next version of the configuration, as the operator.
 
+        Its last route, which no other version has, is named after it.
+
         Parameters
         ----------
         size_bytes
@@ -179,16 +192,23 @@
                     'paths': [
                         _route('read', 'idempotent', READ_TIMEOUT_MS),
                         _route('order', 'non_idempotent', ORDER_TIMEOUT_MS),
+                        _route(
+                            f'version-{self.version}',
+                            'idempotent',
+                            READ_TIMEOUT_MS,
+                        ),
                     ],
                 }
             ],
         }
         data = json.dumps(document).encode()
-        self.store.write('op/config', data.ljust(size_bytes))
+        self._configuration = data.ljust(size_bytes)
+        self.store.write('op/config', self._configuration)
 
     def register(self, target: SoakTarget, state: str = 'ready') -> None:
         """Write the entry of a target, as the target does."""
         target.sequence += 1
+        target.state = state
         entry = {
             'service': SERVICE,
             'address': target.link.address,
@@ -202,6 +222,27 @@
         }
         self.store.put(f'servers/{target.app.target_id}', entry)
 
+    def write_again(self) -> None:
+        """Write what operator and targets wrote, as after a restore."""
+        self.store.write('op/config', self._configuration)
+        for target in self.targets:
+            if not target.restarting:
+                self.register(target, target.state)
+
+    async def add_target(self) -> SoakTarget:
+        """Start one more target, which has no entry yet."""
+        number = len(self.targets)
+        name = f'desk-{number}'
+        domain = sorted(self.domains)[number % len(self.domains)]
+        app = UsersTarget(name, SERVICE, SLOTS, WORK_MS, self.journal)
+        address = self._ports.address(name)
+        server = self._serve(app, address)
+        link = Link(self._ports.address(name), address)
+        await link.start()
+        target = SoakTarget(app, server, link, domain)
+        self.targets.append(target)
+        return target
+
     async def launch(self, node: SoakNode) -> None:
         """Start the process of a node."""
         node.stopping = False
@@ -229,36 +270,22 @@
             node.process.kill()
         await node.process.wait()
 
-    async def _add_target(self, ports: Ports, number: int) -> None:
-        name = f'desk-{number}'
-        domain = sorted(DOMAINS)[number % len(DOMAINS)]
-        app = UsersTarget(name, SERVICE, SLOTS, WORK_MS, self.journal)
-        address = ports.address(name)
-        server = self._serve(app, address)
-        link = Link(ports.address(name), address)
-        await link.start()
-        target = SoakTarget(app, server, link, domain)
-        self.targets.append(target)
-        self.register(target)
-
-    async def _add_node(
-        self, ports: Ports, number: int, store_address: str
-    ) -> None:
+    async def _add_node(self, number: int, store_address: str) -> None:
         vm = f'vm-{number}'
-        domain = sorted(DOMAINS)[number % len(DOMAINS)]
-        link = Link(ports.address(f'link-{vm}'), store_address)
+        domain = sorted(self.domains)[number % len(self.domains)]
+        link = Link(self._ports.address(f'link-{vm}'), store_address)
         await link.start()
         names = ('callers', 'readiness', 'lookups', 'peers', 'metrics')
-        addresses = {name: ports.address(vm) for name in names}
+        addresses = {name: self._ports.address(vm) for name in names}
         settings = self.folder / f'{vm}.yaml'
         document = {
             'interface': 'platform',
             'vm': vm,
-            'region': DOMAINS[domain],
+            'region': self.domains[domain],
             'failure_domain': domain,
-            'regions': DOMAINS,
+            'regions': self.domains,
             'addresses': addresses,
-            'store': {'address': link.address},
+            'store': {'address': link.address, **self.store_settings},
             'bounds': {'stop_s': STOP_S, 'cold_slack': COLD_SLACK},
             'logging': {'json': True},
             **self.extra_settings,
--- a/src/gentianbank_standins/users_store.py
+++ b/src/gentianbank_standins/users_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the store of the users' platform, with its faults.
 
 It speaks the published protocol: items by key, ranges in pages, watches from
-a revision, transactions and leases, each answer with one revision counter.
+a revision, transactions and leases, each answer with one revision counter. It
+can be restored from a backup, after which its answers state the next era.
 """
 
 from __future__ import annotations
@@ -10,7 +11,6 @@
 import base64
 from dataclasses import dataclass
 from dataclasses import field
-import itertools
 import json
 import time
 from typing import Any
@@ -18,6 +18,7 @@
 
 PAGE_ITEMS = 50
 HISTORY_EVENTS = 10_000
+FIRST_LEASE = 100
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -45,7 +46,7 @@
     delay_ms: float = 0.0
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class _Item:
     value: bytes
     revision: int
@@ -59,20 +60,50 @@
     ends_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreBackup:
+    """A copy of the store, from which it can be restored.
+
+    Parameters
+    ----------
+    leases_left
+        What each lease was granted and what was left of it, in milliseconds.
+    next_lease
+        Number of the lease that is granted next.
+    """
+
+    revision: int
+    items: dict[str, _Item]
+    leases_left: dict[int, tuple[int, float]]
+    next_lease: int
+
+
+class _AnswerLost(Exception):
+    """The call gets no answer."""
+
+
 @dataclass
 class UsersStore:
-    """The items, in memory."""
+    """The items, in memory.
+
+    Parameters
+    ----------
+    states_era
+        Whether answers state how often the store was restored.
+    """
 
     revision: int = 1
     faults: StoreFaults = field(default_factory=StoreFaults)
+    states_era: bool = True
+    era: int = 1
+    is_away: bool = False
+    _loses_silently: bool = False
     _items: dict[str, _Item] = field(default_factory=dict)
     _leases: dict[int, _Lease] = field(default_factory=dict)
     _events: list[dict[str, Any]] = field(default_factory=list)
     _first_held: int = 1
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
-    _lease_ids: itertools.count[int] = field(
-        default_factory=lambda: itertools.count(100)
-    )
+    _next_lease: int = FIRST_LEASE
 
     def put(self, key: str, document: Any, lease: int = 0) -> None:
         """Write a document, as the operator and the targets do."""
@@ -103,16 +134,64 @@
         self._events.clear()
         self._first_held = self.revision + 1
 
+    def take_backup(self) -> StoreBackup:
+        """Return a copy of the items, the leases and the counters."""
+        self._expire()
+        now_s = time.monotonic()
+        leases_left = {
+            lease: (held.ttl_ms, (held.ends_s - now_s) * _MS_PER_S)
+            for lease, held in self._leases.items()
+        }
+        return StoreBackup(
+            self.revision, dict(self._items), leases_left, self._next_lease
+        )
+
+    def go_away(self, *, is_silent: bool = False) -> None:
+        """Cut the watches that wait, and refuse calls until it is back.
+
+        Parameters
+        ----------
+        is_silent
+            Whether such watches and calls get no answer at all instead.
+        """
+        self.is_away = True
+        self._loses_silently = is_silent
+        self._wake_watches()
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Begin the next era with the content of a backup.
+
+        What was written since is lost; revisions and leases since are given
+        out again. The history begins with the backup.
+        """
+        now_s = time.monotonic()
+        self.era += 1
+        self.revision = backup.revision
+        self._items = dict(backup.items)
+        self._leases = {
+            lease: _Lease(ttl_ms, now_s + left_ms / _MS_PER_S)
+            for lease, (ttl_ms, left_ms) in backup.leases_left.items()
+        }
+        self._next_lease = backup.next_lease
+        self.forget_history()
+        self._wake_watches()
+
+    def come_back(self) -> None:
+        """Answer again."""
+        self.is_away = False
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call."""
         body = await _read(receive)
         host = (scope.get('client') or ('',))[0]
         faults = self.faults
         await asyncio.sleep(faults.delay_ms / _MS_PER_S)
-        if faults.answers == 'silent':
+        is_lost = self.is_away and self._loses_silently
+        if faults.answers == 'silent' or is_lost:
             await asyncio.Event().wait()
-        if faults.answers == 'busy' or host in faults.refused_hosts:
-            await _answer(send, _UNAVAILABLE, {})
+        is_refused = faults.answers == 'busy' or host in faults.refused_hosts
+        if self.is_away or is_refused:
+            await self._answer(send, _UNAVAILABLE, {})
             return
         query = {
             name: values[0]
@@ -120,8 +199,33 @@
                 scope['query_string'].decode(), keep_blank_values=True
             ).items()
         }
-        status, document = await self._call(scope['path'], query, body)
-        await _answer(send, status, document)
+        try:
+            status, document = await self._call(scope['path'], query, body)
+        except _AnswerLost:
+            if self._loses_silently:
+                await asyncio.Event().wait()
+            await _break_off(send)
+            return
+        await self._answer(send, status, document)
+
+    async def _answer(
+        self, send: Any, status: int, document: dict[str, Any]
+    ) -> None:
+        body = json.dumps(document).encode()
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', str(len(body)).encode()),
+        ]
+        if self.states_era:
+            headers.append((b'store-era', str(self.era).encode()))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
 
     async def _call(
         self, path: str, query: dict[str, str], body: dict[str, Any]
@@ -157,10 +261,13 @@
         self, query: dict[str, str]
     ) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
+        era = self.era
         end_s = time.monotonic() + int(query['waitMs']) / _MS_PER_S
         while True:
+            if self.is_away or self.era != era:
+                raise _AnswerLost
             self._expire()
-            if after + 1 < self._first_held:
+            if after + 1 < self._first_held or after > self.revision:
                 return _GONE, {}
             events = [
                 event
@@ -195,7 +302,8 @@
         return _OK, {'revision': self.revision}
 
     def _grant(self, ttl_ms: int) -> tuple[int, dict[str, Any]]:
-        lease = next(self._lease_ids)
+        lease = self._next_lease
+        self._next_lease += 1
         end_s = time.monotonic() + ttl_ms / _MS_PER_S
         self._leases[lease] = _Lease(ttl_ms, end_s)
         return _OK, {'lease': lease, 'ttlMs': ttl_ms}
@@ -235,6 +343,9 @@
         self._events.append(event)
         if len(self._events) > HISTORY_EVENTS:
             self._first_held = self._events.pop(0)['revision'] + 1
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -252,13 +363,13 @@
     return document
 
 
-async def _answer(send: Any, status: int, document: dict[str, Any]) -> None:
-    body = json.dumps(document).encode()
-    headers = [
-        (b'content-type', b'application/json'),
-        (b'content-length', str(len(body)).encode()),
-    ]
+async def _break_off(send: Any) -> None:
+    """Begin an answer and let the server close its connection."""
+    headers = [(b'content-length', b'1')]
     await send(
-        {'type': 'http.response.start', 'status': status, 'headers': headers}
+        {
+            'type': 'http.response.start',
+            'status': _UNAVAILABLE,
+            'headers': headers,
+        }
     )
-    await send({'type': 'http.response.body', 'body': body})
