--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -24,6 +24,7 @@
 from tests.support.steering import LOST
 from tests.support.steering import Script
 from tests.support.steering import ScriptedTargets
+from tests.support.steering import SILENT
 from tests.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
@@ -294,15 +295,17 @@
     assert harness.outcomes == [('kv-lease', outcome) for outcome in outcomes]
 
 
+def in_era(script: Script, era: bytes) -> Script:
+    """Return an answer that states the era of the store."""
+    return replace(script, headers=((b'Store-Era', era),))
+
+
 def test_change_of_the_era_is_logged(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     eras = (b'3', b'3', b'no number', b'4')
     harness = StoreHarness(
-        *(
-            replace(reply({'revision': 1}), headers=((b'Store-Era', era),))
-            for era in eras
-        )
+        *(in_era(reply({'revision': 1}), era) for era in eras)
     )
     for _ in eras:
         harness.run(harness.store.put(Put('nodes/vm-1', b'v')))
@@ -312,3 +315,62 @@
         if record.msg == 'era of the store changed'
     ]
     assert logged == [(4, 3)]
+    assert 'answer of the store without its era' in caplog.messages
+
+
+def test_changes_and_listings_name_their_era() -> None:
+    harness = StoreHarness(
+        in_era(reply({'items': [], 'currentRev': 4}), b'2'),
+        in_era(reply({'events': [], 'currentRev': 4}), b'3'),
+    )
+    assert harness.run(harness.store.list_prefix('')).era == 2
+    assert harness.run(harness.store.wait_for_changes('', 4, 0)).era == 3
+
+
+def test_pages_of_two_eras_are_no_listing() -> None:
+    first = {'items': [item('a', 2)], 'hasMore': True, 'currentRev': 4}
+    second = {'items': [item('b', 3)], 'hasMore': False, 'currentRev': 3}
+    harness = StoreHarness(
+        in_era(reply(first), b'1'), in_era(reply(second), b'2')
+    )
+    listed = harness.run(harness.store.list_prefix(''))
+    assert isinstance(listed, StoreUnavailable)
+
+
+async def restore_during(
+    harness: StoreHarness, call: Coroutine[Any, Any, Result[Any, Any]]
+) -> Result[Any, Any]:
+    """Return the result of a call that waits when another shows an era."""
+    await harness.store.put(Put('nodes/vm-1', b'v'))
+    waiting = asyncio.create_task(call)
+    await asyncio.sleep(0.01)
+    await harness.store.put(Put('nodes/vm-1', b'v'))
+    return await waiting
+
+
+def test_late_answer_of_an_earlier_era_is_not_used() -> None:
+    page = {'items': [], 'currentRev': 9}
+    harness = StoreHarness(
+        in_era(reply({'revision': 9}), b'1'),
+        replace(in_era(reply(page), b'1'), after_s=0.5),
+        in_era(reply({'revision': 3}), b'2'),
+    )
+    call = harness.store.list_prefix('')
+    assert isinstance(
+        harness.run(restore_during(harness, call)), StoreUnavailable
+    )
+
+
+def test_watch_ends_when_another_call_shows_a_restore() -> None:
+    # Its connection was silent, and nothing ended the wait of 4 s.
+    harness = StoreHarness(
+        in_era(reply({'revision': 9}), b'1'),
+        SILENT,
+        in_era(reply({'revision': 3}), b'2'),
+    )
+    began_s = harness.loop.time()
+    call = harness.store.wait_for_changes('', 9, 4_000)
+    answer = harness.run(restore_during(harness, call))
+    assert isinstance(answer, HistoryCompacted)
+    assert harness.loop.time() - began_s < 0.5
+    assert len(harness.transport.given_up) == 1
