--- a/src/gentianbank/steering/answers.py
+++ b/src/gentianbank/steering/answers.py
@@ -23,8 +23,8 @@
     from gentianbank.steering.answer_body import AnswerBody
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.limit_detail import LimitDetail
+    from gentianbank.steering.outcomes import Delivered
     from gentianbank.steering.reporter import Reporter
-    from gentianbank.steering.sending import Delivered
     from gentianbank.targets.transport import RawHeaders
 
 RETRY_AFTER_MIN_MS = 150.0
--- a/src/gentianbank/steering/attempt_history.py
+++ b/src/gentianbank/steering/attempt_history.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.policy.run_evidence import RunEvidence
-from gentianbank.steering.sending import Delivered
-from gentianbank.steering.sending import NotReached
-from gentianbank.steering.sending import Rejected
+from gentianbank.steering.outcomes import Delivered
+from gentianbank.steering.outcomes import NotReached
+from gentianbank.steering.outcomes import Rejected
 
 if TYPE_CHECKING:
     from gentianbank.policy.placement import PlacementResult
     from gentianbank.policy.usage_caps.account import Token
-    from gentianbank.steering.sending import Outcome
+    from gentianbank.steering.outcomes import Outcome
 
 # After this many failed connections a request is not retried.
 MAX_CONNECT_FAILURES = 3
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -25,14 +25,14 @@
 from gentianbank.steering.caller_request import CallerRequest
 from gentianbank.steering.caller_request import read_request
 from gentianbank.steering.fair_shares.waiting_requests import WaitingRequests
+from gentianbank.steering.outcomes import Broken
+from gentianbank.steering.outcomes import Cancelled
+from gentianbank.steering.outcomes import Delivered
 from gentianbank.steering.placer import PlacementRequest
 from gentianbank.steering.request_body import BodyTooLargeError
 from gentianbank.steering.request_body import read_body
 from gentianbank.steering.request_body import RequestBody
 from gentianbank.steering.sending import AttemptSender
-from gentianbank.steering.sending import Broken
-from gentianbank.steering.sending import Cancelled
-from gentianbank.steering.sending import Delivered
 from gentianbank.targets.http_headers import header_values
 
 if TYPE_CHECKING:
@@ -48,10 +48,10 @@
     from gentianbank.policy.attribution import Attributed
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.fair_shares.fair_shares import FairShares
+    from gentianbank.steering.outcomes import Outcome
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.reporter import Reporter
     from gentianbank.steering.restart_checks import RestartChecks
-    from gentianbank.steering.sending import Outcome
     from gentianbank.steering.usage_caps.admission import UsageCaps
     from gentianbank.targets.transport import TargetTransport
 
--- a/src/gentianbank/steering/reporter.py
+++ b/src/gentianbank/steering/reporter.py
@@ -23,8 +23,8 @@
     from gentianbank.policy.run_evidence import RunEvidence
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.cluster_view import ClusterView
-    from gentianbank.steering.sending import Cancelled
-    from gentianbank.steering.sending import Outcome
+    from gentianbank.steering.outcomes import Cancelled
+    from gentianbank.steering.outcomes import Outcome
     from gentianbank.telemetry.deferred import DeferredMetrics
 
 ANSWERED = 'answered'
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -15,10 +14,12 @@
 from gentianbank.policy.buffer_budget import BufferBudget
 from gentianbank.policy.placement import ROUND_TRIP_MS
 from gentianbank.policy.run_evidence import AnswerMeaning
-from gentianbank.policy.run_evidence import check_promise
-from gentianbank.policy.run_evidence import RunEvidence
 from gentianbank.steering.answer_body import AnswerBody
 from gentianbank.steering.answer_body import READ_AHEAD_BUDGET_BYTES
+from gentianbank.steering.outcomes import Broken
+from gentianbank.steering.outcomes import Delivered
+from gentianbank.steering.outcomes import NotReached
+from gentianbank.steering.outcomes import Rejected
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import BodyConnectionLostError
 from gentianbank.targets.transport import ConnectionLost
@@ -35,6 +36,7 @@
     from gentianbank.policy.placement import Placement
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.outcomes import Outcome
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.request_body import RequestBody
     from gentianbank.steering.restart_checks import RestartChecks
@@ -48,60 +50,6 @@
 _SUCCESS_STATUSES = range(200, 300)
 
 
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    """The target gave an answer that can be passed on.
-
-    Parameters
-    ----------
-    body
-        The body, of which a part may not have been read yet.
-    """
-
-    status: int
-    headers: RawHeaders
-    body: AnswerBody
-
-    def __post_init__(self) -> None:
-        check_promise(self.status, RunEvidence.MAY_HAVE_RUN)
-
-    @property
-    def cause(self) -> str:
-        """Return a description with the status of the answer."""
-        return f'the target answered {self.status}'
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The target says that it did not run the request."""
-
-    cause: str
-
-
-@dataclass(frozen=True, slots=True)
-class NotReached:
-    """No byte of the request can have reached the target."""
-
-    cause: str
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """The request may have run, but there is no usable answer."""
-
-    cause: str
-
-
-@dataclass(frozen=True, slots=True)
-class Cancelled:
-    """The caller left while the request was in flight."""
-
-    cause: str = 'the caller left'
-
-
-Outcome = Delivered | Rejected | NotReached | Broken
-
-
 class AttemptSender:
     """Sends requests to chosen targets and records the outcomes."""
 
