Send no new request to a target that says that it leaves

Cause: nothing acted on the header; a target was left out only once its entry in the store said draining or was gone.

Each head that arrives is reported by the transport, also interim, skipped and cut ones. The target is left out of ClusterView.is_usable, and a request is asked about once more when it is written. One that is withheld there goes to another target without a retry of the budget.

--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -41,6 +41,8 @@
 from gentianbank.steering.apps import ReadinessApp
 from gentianbank.steering.cluster_view import ClusterView
 from gentianbank.steering.fair_shares.fair_shares import FairShares
+from gentianbank.steering.leaving.leaving_checks import LeavingChecks
+from gentianbank.steering.leaving.leaving_targets import LeavingTargets
 from gentianbank.steering.member_record import MemberRecord
 from gentianbank.steering.membership import Membership
 from gentianbank.steering.placer import Placer
@@ -83,6 +85,11 @@
     return time.monotonic() * _MS_PER_S
 
 
+def unix_ms() -> float:
+    """Return the Unix time in milliseconds."""
+    return time.time() * _MS_PER_S
+
+
 def boot_ms() -> float:
     """Return the time since the VM started, also while it was suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
@@ -164,13 +171,19 @@
             metrics=self._metrics,
             clock=now_ms,
         )
+        leaving = LeavingTargets(self._cluster_view, now_ms, unix_ms)
         self._restart_checks = RestartChecks(
             cluster_view=self._cluster_view,
             quotas=self._placer.quotas,
             transport=self._targets,
+            leaving=leaving,
             on_check=self._on_status_check,
             clock=now_ms,
         )
+        self._leaving_checks = LeavingChecks(
+            self._cluster_view, self._restart_checks, now_ms
+        )
+        leaving.add_listener(self._leaving_checks.on_leaving)
         self._usage_caps = UsageCaps(
             vm=settings.vm,
             cluster_view=self._cluster_view,
@@ -186,6 +199,7 @@
             fair_shares=self._fair_shares,
             transport=self._targets,
             checks=self._restart_checks,
+            leaving=leaving,
             bounds=bounds,
             reporter=reporter,
             is_stopping=self._stop.is_set,
@@ -271,6 +285,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._usage_caps.close()
+        await self._leaving_checks.close()
         await self._restart_checks.close()
         await self._targets.close()
 
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -93,6 +93,11 @@
             'Targets that name a limit on their requests.',
             lambda: float(cluster_view.limited_target_count),
         ),
+        Gauge(
+            'targets.leaving',
+            'Targets that say in their answers that they leave.',
+            lambda: float(cluster_view.leaving_target_count),
+        ),
         Gauge(
             'targets.paced',
             'Targets under pace.',
--- a/src/gentianbank/platform/headers.py
+++ b/src/gentianbank/platform/headers.py
@@ -220,6 +220,12 @@
     return b'1' in header_values(headers, _LEAVING)
 
 
+def names_other_target(headers: RawHeaders, target_id: str) -> bool:
+    """Tell whether an answer names a target, but not the one given."""
+    named = header_values(headers, _TARGET_ID)
+    return bool(named) and target_id.encode() not in named
+
+
 def decode_store_era(headers: RawHeaders) -> int | None:
     """Return how often the store came back from a copy.
 
--- a/src/gentianbank/policy/fair_shares/waiting_queue.py
+++ b/src/gentianbank/policy/fair_shares/waiting_queue.py
@@ -76,6 +76,17 @@
                 return self._entries.pop(position)
         return None
 
+    def release_all_but(self, targets: set[str]) -> list[Waiting]:
+        """Remove and return the requests that none of some may serve."""
+        released = [
+            entry
+            for entry in self._entries
+            if entry.targets.isdisjoint(targets)
+        ]
+        for entry in released:
+            self._entries.remove(entry)
+        return released
+
 
 def longest_wait_ms(
     objective_left_ms: float, time_left_ms: float, work_ms: float
--- a/src/gentianbank/policy/target_load.py
+++ b/src/gentianbank/policy/target_load.py
@@ -11,6 +11,7 @@
 import zlib
 
 from gentianbank.policy.fleet_limits import ColdRateLimit
+from gentianbank.policy.leaving import LeavingState
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.restart_suspicion import RestartSuspicion
 from gentianbank.policy.target_limit import TargetLimit
@@ -78,9 +79,8 @@
         Connection failures and truncated answers since the last answer.
     suspect_until_ms
         Time until which the target is avoided after connection failures.
-    told_leaving_ms
-        Time when an answer of the target said first that it leaves; ``None``
-        if none did.
+    leaving
+        Whether the target says in its answers that it leaves.
     is_unconfirmed
         Whether the target's entry was missing after an outage of the store,
         so that the target may be gone.
@@ -114,7 +114,7 @@
     failure_rate: float = 0.0
     consecutive_failures: int = 0
     suspect_until_ms: float = float('-inf')
-    told_leaving_ms: float | None = None
+    leaving: LeavingState = field(default_factory=LeavingState)
     is_unconfirmed: bool = False
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     changed_loads: set[str] = field(default_factory=set)
--- a/src/gentianbank/steering/attempt_history.py
+++ b/src/gentianbank/steering/attempt_history.py
@@ -10,6 +10,7 @@
 from gentianbank.steering.outcomes import Delivered
 from gentianbank.steering.outcomes import NotReached
 from gentianbank.steering.outcomes import Rejected
+from gentianbank.steering.outcomes import Withheld
 
 if TYPE_CHECKING:
     from gentianbank.policy.placement import PlacementResult
@@ -67,6 +68,8 @@
         bool
             Whether a retry is safe.
         """
+        if isinstance(outcome, Withheld):
+            return True
         if isinstance(outcome, NotReached):
             self.connect_failures += 1
             return self.connect_failures < MAX_CONNECT_FAILURES
--- a/src/gentianbank/steering/cluster_view.py
+++ b/src/gentianbank/steering/cluster_view.py
@@ -14,6 +14,7 @@
 
 from gentianbank.policy.fleet_limits import ColdRateLimit
 from gentianbank.policy.fleet_members import FleetMembers
+from gentianbank.policy.leaving import LeavingState
 from gentianbank.policy.peer_loads import PeerLoads
 from gentianbank.policy.restart_suspicion import RestartSuspicion
 from gentianbank.policy.target_load import TargetLoad
@@ -62,9 +63,9 @@
     nodes
         Registered nodes, by VM.
     generation
-        Incremented when the configuration, a target's entry or the
-        evacuated failure domains change, so that results computed from
-        them can be discarded.
+        Incremented when the configuration, a target's entry, the evacuated
+        failure domains or the targets that say that they leave change, so
+        that results computed from them can be discarded.
     members
         Nodes among which limits for all nodes together are divided.
     store_answered_ms
@@ -102,6 +103,22 @@
         """Return the number of targets that name a limit."""
         return sum(target.limit.is_named for target in self.targets.values())
 
+    @property
+    def leaving_target_count(self) -> int:
+        """Return the number of targets that say that they leave."""
+        return sum(
+            target.leaving.is_active for target in self.targets.values()
+        )
+
+    def remembers_leaving(self, now_ms: float) -> bool:
+        """Return whether a target says that it leaves, also a removed one."""
+        self._forget_removed(now_ms)
+        removed = (record.target for record in self._removed.values())
+        return any(
+            target.leaving.is_active
+            for target in (*self.targets.values(), *removed)
+        )
+
     def age_ms(self, now_ms: float) -> int | None:
         """Return the time since the store last answered.
 
@@ -172,7 +189,8 @@
 
         A target that is new, or that has started again, counts as cold and
         begins with an empty load record. One whose entry was gone for a
-        while counts as cold too, but keeps its record.
+        while counts as cold too, but keeps its record. What a target has
+        said of its leaving holds until an entry of a later start.
 
         Parameters
         ----------
@@ -188,6 +206,16 @@
         if known is None or _has_restarted(known.registration, entry):
             is_listed = False
             sent = known.cold if known else ColdRateLimit()
+            said = known.leaving if known else LeavingState()
+            leaving = said.for_entry(entry.born_ms)
+            if said.is_active and not leaving.is_active:
+                logging.info(
+                    'target that left has started again',
+                    extra={
+                        'target': entry.target_id,
+                        'age_ms': round(now_ms - said.said_ms),
+                    },
+                )
             known = TargetLoad(
                 entry,
                 self._region(entry),
@@ -197,6 +225,7 @@
                 # Requests since the restart may have been sent before the
                 # entry tells of it.
                 cold=sent,
+                leaving=leaving,
             )
         self.targets[entry.target_id] = known
         if not is_listed and not from_first_listing:
@@ -259,7 +288,8 @@
     def usable_targets(self, service: str) -> list[TargetLoad]:
         """Return the targets of a service that may get requests.
 
-        Left out are targets that drain or are in an evacuated domain.
+        Left out are targets that drain, that say that they leave, or that
+        are in an evacuated domain.
         """
         return [
             target
@@ -270,6 +300,10 @@
 
     def is_usable(self, target: TargetLoad) -> bool:
         """Return whether a target may get requests."""
+        return self.is_open(target) and not target.leaving.is_active
+
+    def is_open(self, target: TargetLoad) -> bool:
+        """Return whether the store and the operator let a target be used."""
         entry = target.registration
         if entry.draining:
             return False
--- a/src/gentianbank/steering/fair_shares/waiting_requests.py
+++ b/src/gentianbank/steering/fair_shares/waiting_requests.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from gentianbank.policy.placement import NoCapacity
+    from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.caller_request import CallerRequest
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
@@ -99,6 +100,22 @@
                 waker.set_result(None)
                 return
 
+    def on_target_leaves(self, target: TargetLoad) -> None:
+        """Release the requests that have no target left to wait for."""
+        targets = self._cluster_view.targets
+        queue = self._queues.get(target.registration.service)
+        if not queue:
+            return
+        usable = {
+            target_id
+            for target_id, known in targets.items()
+            if self._cluster_view.is_usable(known)
+        }
+        for entry in queue.release_all_but(usable):
+            waker = self._wakers[entry.number]
+            if not waker.done():
+                waker.set_result(None)
+
     async def _wait(
         self, queue: WaitingQueue, entry: Waiting, wait_ms: float
     ) -> bool:
--- /dev/null
+++ b/src/gentianbank/steering/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that say in their answers that they leave."""
--- a/src/gentianbank/steering/outcomes.py
+++ b/src/gentianbank/steering/outcomes.py
@@ -50,6 +50,11 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld(NotReached):
+    """The target may get no more requests since it was chosen."""
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """The request may have run, but there is no usable answer."""
--- a/src/gentianbank/steering/proxy.py
+++ b/src/gentianbank/steering/proxy.py
@@ -28,6 +28,7 @@
 from gentianbank.steering.outcomes import Broken
 from gentianbank.steering.outcomes import Cancelled
 from gentianbank.steering.outcomes import Delivered
+from gentianbank.steering.outcomes import Withheld
 from gentianbank.steering.placer import PlacementRequest
 from gentianbank.steering.request_body import BodyTooLargeError
 from gentianbank.steering.request_body import read_body
@@ -48,6 +49,7 @@
     from gentianbank.policy.attribution import Attributed
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.fair_shares.fair_shares import FairShares
+    from gentianbank.steering.leaving.leaving_targets import LeavingTargets
     from gentianbank.steering.outcomes import Outcome
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.reporter import Reporter
@@ -108,6 +110,7 @@
         fair_shares: FairShares,
         transport: TargetTransport,
         checks: RestartChecks,
+        leaving: LeavingTargets,
         bounds: Bounds,
         reporter: Reporter,
         is_stopping: Callable[[], bool],
@@ -125,7 +128,8 @@
         self._clock = clock
         self._reporter = reporter
         self._replies = AnswerWriter(reporter, is_stopping, clock)
-        self._sender = AttemptSender(placer, transport, checks, clock)
+        leaving.add_listener(self._waiting.on_target_leaves)
+        self._sender = AttemptSender(placer, transport, checks, leaving, clock)
         self._caller_checks = CallerChecks(cluster_view, bounds, clock)
         self._service_turns: dict[str, WeightedRoundRobin] = {}
         self._patience: dict[str, ReturningCallerDetector] = {}
@@ -378,7 +382,7 @@
             may_retry = may_retry and body.can_be_sent
             if (
                 not may_retry
-                or not self._claim_retry(request, history)
+                or not self._claim_retry(request, history, outcome)
                 or not await self._admit_again(request, history)
             ):
                 await self._send_failure(
@@ -413,7 +417,7 @@
         if now_ms - begin_ms < MAX_UNREAD_MS or now_ms >= request.deadline_ms:
             return False
         history.record(Broken('its answer was left unread'), idempotent=True)
-        may_retry = self._claim_retry(request, history)
+        may_retry = self._claim_retry(request, history, answer)
         if not may_retry or not await self._admit_again(request, history):
             return False
         await answer.body.close()
@@ -465,12 +469,20 @@
         return True
 
     def _claim_retry(
-        self, request: CallerRequest, history: AttemptHistory
+        self, request: CallerRequest, history: AttemptHistory, last: Outcome
     ) -> bool:
         """Return whether the limits allow a retry, and count it if so.
 
-        While no attempt may have reached a target, no limit applies here.
+        While no attempt may have reached a target, no limit applies here. An
+        attempt that was withheld leaves what was claimed for it to the next.
+
+        Parameters
+        ----------
+        last
+            Outcome of the attempt before.
         """
+        if isinstance(last, Withheld):
+            return True
         if history.sent_count >= request.route.max_attempts:
             return False
         if not history.sent_count:
--- a/src/gentianbank/steering/restart_checks.py
+++ b/src/gentianbank/steering/restart_checks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+import functools
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -23,6 +24,7 @@
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.fleet_quotas import FleetQuotas
+    from gentianbank.steering.leaving.leaving_targets import LeavingTargets
     from gentianbank.targets.transport import RawHeaders
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
@@ -38,13 +40,21 @@
 MAX_CHECKS = 16
 MAX_BODY_BYTES = 64 * 1024
 _MS_PER_S = 1_000
+_PASSING_STATUS = 200
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """The target told its status."""
+    """The target told its status.
+
+    Parameters
+    ----------
+    stays
+        Whether it is healthy and does not say that it leaves.
+    """
 
     status: TargetStatus
+    stays: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,12 +94,14 @@
         cluster_view: ClusterView,
         quotas: FleetQuotas,
         transport: TargetTransport,
+        leaving: LeavingTargets,
         on_check: Callable[[str], None],
         clock: Callable[[], float],
     ) -> None:
         self._cluster_view = cluster_view
         self._quotas = quotas
         self._transport = transport
+        self._leaving = leaving
         self._on_check = on_check
         self._clock = clock
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -138,8 +150,7 @@
             if target is None or not target.restart.is_active:
                 return
             if self._cluster_view.is_usable(target):
-                async with self._free:
-                    await self._check(target)
+                await self.check(target)
             if target.restart.is_active:
                 await asyncio.sleep(self._pause_ms(target) / _MS_PER_S)
 
@@ -147,6 +158,11 @@
         backoff_ms = target.suspect_until_ms - self._clock()
         return backoff_ms if backoff_ms > 0 else PAUSE_MS
 
+    async def check(self, target: TargetLoad) -> None:
+        """Ask a target for its status, once a check is free for it."""
+        async with self._free:
+            await self._check(target)
+
     async def _check(self, target: TargetLoad) -> None:
         asked_ms = self._clock()
         try:
@@ -161,23 +177,22 @@
             target.on_unreachable(self._clock())
             return
         match outcome:
-            case Told(status):
-                self._apply(target, status, asked_ms)
+            case Told() as told:
+                self._apply(target, told, asked_ms)
             case Refused():
                 self._on_check('refused')
                 target.on_unreachable(self._clock())
             case Lost():
                 self._on_check('lost')
-                target.restart.on_connection_lost(self._clock())
+                self.on_connection_lost(target)
             case Unanswered():
                 self._on_check('unanswered')
                 cold_ms = self._cluster_view.cold_start_ms(target.registration)
                 target.restart.on_reached(self._clock(), cold_ms)
 
-    def _apply(
-        self, target: TargetLoad, status: TargetStatus, asked_ms: float
-    ) -> None:
+    def _apply(self, target: TargetLoad, told: Told, asked_ms: float) -> None:
         now_ms = self._clock()
+        status = told.status
         entry = target.registration
         if status.target_id and status.target_id != entry.target_id:
             self._on_check('misdirected')
@@ -188,7 +203,12 @@
             # The answer is not a status, but something has come up there.
             cold_left_ms = self._cluster_view.cold_start_ms(entry)
         self._on_check('cold' if cold_left_ms else 'warm')
-        is_new = target.restart.on_status(asked_ms, now_ms)
+        may_be_new = target.restart.is_active
+        if told.stays and status.target_id:
+            may_be_new |= self._leaving.on_not_said(
+                target, asked_ms, 'status check'
+            )
+        is_new = target.restart.on_status(asked_ms, now_ms) and may_be_new
         if not (is_new and cold_left_ms):
             return
         target.on_restart(now_ms + cold_left_ms, now_ms)
@@ -216,12 +236,15 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             headers_timeout_ms=CHECK_TIMEOUT_MS,
             owns_answer=_is_status,
+            on_head=functools.partial(self._leaving.on_head, target),
         )
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
                 if not await _read_whole(answer):
                     return Unanswered()
-                return Told(wire.decode_status(answer.headers))
+                stays = answer.status == _PASSING_STATUS
+                stays = stays and not wire.says_leaving(answer.headers)
+                return Told(wire.decode_status(answer.headers), stays)
             case Result(error=Unreachable()):
                 return Refused()
             case Result(error=ConnectionLost()):
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -20,9 +21,11 @@
 from gentianbank.steering.outcomes import Delivered
 from gentianbank.steering.outcomes import NotReached
 from gentianbank.steering.outcomes import Rejected
+from gentianbank.steering.outcomes import Withheld
 from gentianbank.targets.http_headers import find_header
 from gentianbank.targets.transport import BodyConnectionLostError
 from gentianbank.targets.transport import ConnectionLost
+from gentianbank.targets.transport import NotAllowed
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TruncatedBodyError
@@ -36,6 +39,7 @@
     from gentianbank.policy.placement import Placement
     from gentianbank.policy.target_load import TargetLoad
     from gentianbank.steering.caller_request import CallerRequest
+    from gentianbank.steering.leaving.leaving_targets import LeavingTargets
     from gentianbank.steering.outcomes import Outcome
     from gentianbank.steering.placer import Placer
     from gentianbank.steering.request_body import RequestBody
@@ -58,10 +62,12 @@
         placer: Placer,
         transport: TargetTransport,
         checks: RestartChecks,
+        leaving: LeavingTargets,
         clock: Callable[[], float],
     ) -> None:
         self._placer = placer
         self._checks = checks
+        self._leaving = leaving
         self._transport = transport
         self._clock = clock
         self.read_ahead_budget = BufferBudget(READ_AHEAD_BUDGET_BYTES)
@@ -100,6 +106,8 @@
         if pacing is None:
             return
         match outcome:
+            case Withheld():
+                pass
             case Rejected():
                 pacing.on_rejected(placed.target)
             case Delivered(status) if status in _SUCCESS_STATUSES:
@@ -131,6 +139,8 @@
                 return await self._read_answer(
                     request, answer, answer_body, placed, sent_ms
                 )
+            case Result(error=NotAllowed(cause)):
+                return Withheld(cause)
             case Result(error=NotSent(cause) as error):
                 target.on_unreachable(self._clock())
                 if isinstance(error, Unreachable):
@@ -173,6 +183,10 @@
             headers_timeout_ms=left_ms,
             request_id=request.request_id,
             owns_answer=owns_answer,
+            may_send=functools.partial(self._leaving.may_send, target),
+            on_head=functools.partial(
+                self._leaving.on_head, target, request_id=request.request_id
+            ),
         )
 
     async def _read_answer(
@@ -195,7 +209,8 @@
         load = self._record_load(target, headers)
         if not wire.is_misdirected(status):
             self._record_limit(target, headers, sent_ms)
-            self._record_leaving(request, target, headers)
+            if _shows_staying(headers, meaning):
+                self._leaving.on_not_said(target, sent_ms, 'answer')
         unusable: Rejected | Broken | None
         unusable = await self._read_ahead(request, target, status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
@@ -292,23 +307,6 @@
             target.on_report(load, now_ms)
         return load
 
-    def _record_leaving(
-        self, request: CallerRequest, target: TargetLoad, headers: RawHeaders
-    ) -> None:
-        if not wire.says_leaving(headers) or (
-            target.told_leaving_ms is not None
-        ):
-            return
-        target.told_leaving_ms = self._clock()
-        logging.info(
-            'target says that it leaves',
-            extra={
-                'target': target.registration.target_id,
-                'request': request.request_id.decode('latin-1'),
-                'draining': target.registration.draining,
-            },
-        )
-
     def _record_limit(
         self, target: TargetLoad, headers: RawHeaders, sent_ms: float
     ) -> None:
@@ -340,6 +338,15 @@
     return meaning is not AnswerMeaning.REJECTION
 
 
+def _shows_staying(headers: RawHeaders, meaning: AnswerMeaning) -> bool:
+    """Return whether a target's own answer does not say that it leaves."""
+    if wire.says_leaving(headers):
+        return False
+    if meaning is AnswerMeaning.RESULT:
+        return _has_target_headers(headers)
+    return meaning is AnswerMeaning.REJECTION
+
+
 def _unusable(status: int, meaning: AnswerMeaning) -> Broken:
     return Broken(f'the target answered {status}: {meaning.value}')
 
--- a/src/gentianbank/steering/where/targets.py
+++ b/src/gentianbank/steering/where/targets.py
@@ -19,6 +19,7 @@
     from gentianbank.steering.placer import PlacementRequest
 
 DRAINING = 'draining'
+LEAVING = 'it says that it leaves'
 EVACUATED = 'its failure domain is evacuated'
 HOME_REGIONS = 'not in the home regions'
 OTHER_REGION = 'other region'
@@ -86,6 +87,8 @@
 ) -> str | None:
     if target.registration.draining:
         return DRAINING
+    if target.leaving.is_active:
+        return LEAVING
     if not view.is_usable(target):
         return EVACUATED
     allowed = request.allowed_regions
--- a/src/gentianbank/targets/connection.py
+++ b/src/gentianbank/targets/connection.py
@@ -68,6 +68,7 @@
         self._work = ParsingWork(turns)
         self._skipped_bytes = 0
         self._request_id = b''
+        self._on_head: Callable[[int, RawHeaders], None] | None = None
 
     async def exchange_heads(self, request: TargetRequest) -> h11.Response:
         """Send a request and return the head of its answer.
@@ -89,6 +90,7 @@
         self._work = ParsingWork(self._turns)
         self._skipped_bytes = 0
         self._request_id = request.request_id
+        self._on_head = request.on_head
         data = self._parser.send(head)
         assert data is not None
         if request.body is None or isinstance(request.body, bytes):
@@ -219,11 +221,14 @@
     async def _read_head(self) -> h11.Response:
         for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise h11.RemoteProtocolError('the target closed')
+            if self._on_head is not None:
+                headers = list(event.headers.raw_items())
+                self._on_head(event.status_code, headers)
             if isinstance(event, h11.Response):
                 check_head(event)
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError('the target closed')
         raise h11.RemoteProtocolError('too many interim answers')
 
     async def _skip_answer(
--- a/src/gentianbank/targets/pool.py
+++ b/src/gentianbank/targets/pool.py
@@ -19,6 +19,7 @@
 from gentianbank.targets.stream import TargetStream
 from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotAllowed
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetAnswer
@@ -32,6 +33,7 @@
 
 
 _MS_PER_S = 1_000
+_NOT_ALLOWED = NotAllowed('the target takes no new requests')
 
 
 class ConnectionPool(TargetTransport):
@@ -62,6 +64,8 @@
     async def send(
         self, request: TargetRequest
     ) -> Result[TargetAnswer, SendError]:
+        if request.is_withheld:
+            return Error(_NOT_ALLOWED)
         connection = self._take_idle(request)
         if connection is None:
             match await self._connect(request):
@@ -69,6 +73,10 @@
                     pass
                 case Result(error=failure):
                     return Error(failure)
+            # The target may have answered another request meanwhile.
+            if request.is_withheld:
+                connection.abort()
+                return Error(_NOT_ALLOWED)
         written_bytes = connection.stream.written_bytes
         try:
             async with asyncio.timeout(
--- a/src/gentianbank/targets/transport.py
+++ b/src/gentianbank/targets/transport.py
@@ -35,6 +35,11 @@
     """No connection could be opened: it was refused or timed out."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotAllowed(NotSent):
+    """The request may not be sent any more, though it was placed before."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionLost(MaybeSent):
     """The connection ended while the answer was awaited."""
@@ -73,6 +78,12 @@
     owns_answer
         Returns, given the headers of an answer, whether it belongs to this
         request; others are skipped. ``None`` accepts every answer.
+    may_send
+        Returns whether the request may still be sent, asked right before it
+        is written. ``None`` if it may in any case.
+    on_head
+        Called with the status and the headers of each answer that arrives
+        while this one is awaited, also of interim and skipped ones.
     """
 
     address: str
@@ -85,6 +96,13 @@
     headers_timeout_ms: float
     request_id: bytes = b''
     owns_answer: Callable[[RawHeaders], bool] | None = None
+    may_send: Callable[[], bool] | None = None
+    on_head: Callable[[int, RawHeaders], None] | None = None
+
+    @property
+    def is_withheld(self) -> bool:
+        """Return whether the request may not be sent any more."""
+        return self.may_send is not None and not self.may_send()
 
 
 class TargetAnswer(ABC):
--- /dev/null
+++ b/tests/steering/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explanations of where a request would go."""
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -25,6 +25,8 @@
 from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.cluster_view import ClusterView
 from gentianbank.steering.fair_shares.fair_shares import FairShares
+from gentianbank.steering.leaving.leaving_checks import LeavingChecks
+from gentianbank.steering.leaving.leaving_targets import LeavingTargets
 from gentianbank.steering.placer import Placer
 from gentianbank.steering.proxy import Proxy
 from gentianbank.steering.reporter import Reporter
@@ -32,6 +34,7 @@
 from gentianbank.steering.restart_checks import RestartChecks
 from gentianbank.steering.usage_caps.admission import UsageCaps
 from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotAllowed
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetAnswer
@@ -99,6 +102,9 @@
     request_id: bytes | None = None
     names_request: bool = True
     followed: bool = False
+    # Time until the connection is there and the request is written.
+    connect_s: float = 0.0
+    interim_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 SHED = Script(status=503, headers=((b'not-executed', b'1'),), after_s=0.002)
@@ -152,6 +158,10 @@
     ) -> Result[TargetAnswer, SendError]:
         queue = self.scripts.get(request.address, [])
         script = queue.pop(0) if queue else self.default
+        if script.connect_s:
+            await asyncio.sleep(script.connect_s)
+        if request.is_withheld:
+            return Error(NotAllowed('held back'))
         if not isinstance(script.failure, NotSent):
             self.requests.append(request)
         try:
@@ -168,7 +178,12 @@
         if script.failure is not None:
             return Error(script.failure)
         sent_id = header(request.headers, b'request-id')
-        return Ok(ScriptedAnswer(script, sent_id))
+        answer = ScriptedAnswer(script, sent_id)
+        if request.on_head is not None:
+            if script.interim_headers:
+                request.on_head(103, list(script.interim_headers))
+            request.on_head(answer.status, answer.headers)
+        return Ok(answer)
 
 
 async def _read(body: AsyncIterator[bytes] | bytes | None) -> None:
@@ -314,13 +329,21 @@
             with_pace=with_pace,
         )
         self.check_outcomes: list[str] = []
+        self.leaving = LeavingTargets(
+            self.cluster_view, self.loop.now_ms, self.loop.now_ms
+        )
         self.checks = RestartChecks(
             cluster_view=self.cluster_view,
             quotas=self.placer.quotas,
             transport=self.transport,
+            leaving=self.leaving,
             on_check=self.check_outcomes.append,
             clock=self.loop.now_ms,
         )
+        self.leaving_checks = LeavingChecks(
+            self.cluster_view, self.checks, self.loop.now_ms
+        )
+        self.leaving.add_listener(self.leaving_checks.on_leaving)
         self.usage_caps = UsageCaps(
             vm=vm,
             cluster_view=self.cluster_view,
@@ -336,6 +359,7 @@
             fair_shares=self.fair_shares,
             transport=self.transport,
             checks=self.checks,
+            leaving=self.leaving,
             bounds=settings,
             reporter=reporter,
             is_stopping=lambda: self.stopping,
