Let targets of the own interface say in any answer that they leave

Only the body of a health check could say so, about a second late, and a check that had been asked before one that said so ended it when its answer came later. A request that waited for its connection was still written.

Now a header says it too (Target-Leaving: true), in any answer. LeavingBook uses the same LeavingState as the platform: only a passing check that was asked after the newest word had arrived ends it. RetryingSender asks again when the request is written; one that is withheld goes on without a retry of the budget. All waiters choose anew when a target begins to leave.

The state moves from TargetHealth to LeavingBook, so three tests use its calls; what they check is the same.

--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -20,6 +20,7 @@
 from gentianbank.policy.retry import RetryBudget
 from gentianbank.policy.run_evidence import AnswerMeaning
 from gentianbank.targets.transport import MaybeSent
+from gentianbank.targets.transport import NotAllowed
 from gentianbank.targets.transport import NotSent
 from gentianbank.targets.transport import SendError
 from gentianbank.targets.transport import TargetRequest
@@ -139,6 +140,7 @@
         retries = self._retries.setdefault(request.service_name, RetryBudget())
         retries.on_request()
         may_have_run = False
+        withheld = 0
         while True:
             match await self._acquire_permit(request, set(tried)):
                 case Result(tag='ok', ok=permit):
@@ -152,11 +154,15 @@
                     return Ok(OpenAnswer(answer, permit, self._routing))
                 case Result(error=failure):
                     self._routing.release(permit)
+            if isinstance(failure, NotAllowed):
+                # It leaves its part of the retries to the next attempt.
+                withheld += 1
+                continue
             may_have_run |= isinstance(failure, MaybeSent)
             may_retry = (
                 self._is_retry_safe(request, failure)
                 and not (source and source.started)
-                and len(tried) < MAX_ATTEMPTS
+                and len(tried) - withheld < MAX_ATTEMPTS
                 and self._clock() < request.end_ms
             )
             if not may_retry or not retries.try_spend():
@@ -245,6 +251,7 @@
             # soon after the deadline.
             return Error(NotSent('the deadline passed before sending'))
         attempt_id = f'{request.request_id}-{attempt}'
+        leaving = self._routing.leaving
         message = TargetRequest(
             address=permit.target.address,
             method=request.method,
@@ -263,6 +270,10 @@
             max_connections=self._routing.max_connections_to(permit.target),
             connect_timeout_ms=self._limits.connect_timeout_ms,
             headers_timeout_ms=request.end_ms - now_ms,
+            may_send=lambda: leaving.may_send(permit.target.name),
+            on_head=lambda _, headers: leaving.on_head(
+                permit.target.name, headers
+            ),
         )
         try:
             sent = await self._transport.send(message)
@@ -274,6 +285,8 @@
                 return await self._check_answer(
                     answer, attempt_id, permit, now_ms
                 )
+            case Result(error=NotAllowed() as error):
+                return Error(error)
             case Result(error=error):
                 self._routing.on_failure(permit)
                 return Error(error)
--- a/src/gentianbank/dataplane/headers.py
+++ b/src/gentianbank/dataplane/headers.py
@@ -19,6 +19,7 @@
 IDEMPOTENCY_KEY = b'idempotency-key'
 NOT_RUN = b'request-not-run'
 LOAD_REPORT = b'endpoint-load-metrics'
+LEAVING = b'target-leaving'
 _JSON_PREFIX = 'JSON '
 _MAX_REPORTED_REQUESTS = 1_000_000
 _NOT_FORWARDED = HOP_BY_HOP | {
@@ -80,7 +81,7 @@
         (name.lower(), value)
         for name, value in received
         if name.lower() not in HOP_BY_HOP
-        and name.lower() not in (REQUEST_ID, LOAD_REPORT)
+        and name.lower() not in (REQUEST_ID, LOAD_REPORT, LEAVING)
     ]
 
 
@@ -102,6 +103,11 @@
     )
 
 
+def says_leaving(headers: RawHeaders) -> bool:
+    """Tell whether an answer says that its target leaves."""
+    return b'true' in header_values(headers, LEAVING)
+
+
 def reported_in_flight(headers: RawHeaders) -> int | None:
     """Return the requests in flight that a target reports, if it does.
 
--- a/src/gentianbank/dataplane/health_checker.py
+++ b/src/gentianbank/dataplane/health_checker.py
@@ -37,6 +37,7 @@
 
     def __init__(self, routing: Routing, transport: TargetTransport) -> None:
         self._routing = routing
+        self._leaving = routing.leaving
         self._transport = transport
         self._failures: dict[str, int] = {}
 
@@ -56,6 +57,7 @@
 
     async def _check(self, target: Target) -> None:
         await asyncio.sleep(random.uniform(0, CHECK_PERIOD_S / 2))
+        asked_ms = self._leaving.now_ms()
         request = TargetRequest(
             address=target.address,
             method='GET',
@@ -65,14 +67,19 @@
             max_connections=self._routing.max_connections_to(target),
             connect_timeout_ms=CHECK_TIMEOUT_MS,
             headers_timeout_ms=CHECK_TIMEOUT_MS,
+            on_head=lambda _, headers: self._leaving.on_head(
+                target.name, headers
+            ),
         )
         match await self._transport.send(request):
             case Result(tag='ok', ok=answer):
-                await self._read_answer(target, answer)
+                await self._read_answer(target, answer, asked_ms)
             case _:
-                self._record_check(target, passing=False, leaving=False)
+                self._record_check(target, passing=False)
 
-    async def _read_answer(self, target: Target, answer: TargetAnswer) -> None:
+    async def _read_answer(
+        self, target: Target, answer: TargetAnswer, asked_ms: float
+    ) -> None:
         body = bytearray()
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_MS / _MS_PER_S):
@@ -94,21 +101,16 @@
             leaving = document.get('output') == 'leaving'
         except (ValueError, AttributeError, RecursionError):
             passing, leaving = False, False
-        self._record_check(target, passing=passing, leaving=leaving)
+        # One that fails, or cannot be reached, may still be leaving.
+        if leaving:
+            self._leaving.on_said(target.name)
+        elif passing and not http_headers.says_leaving(answer.headers):
+            self._leaving.on_passing_check(target.name, asked_ms)
+        self._record_check(target, passing=passing)
 
-    def _record_check(
-        self, target: Target, *, passing: bool, leaving: bool
-    ) -> None:
-        target_health = self._routing.health_of(target.name)
+    def _record_check(self, target: Target, *, passing: bool) -> None:
         failures = 0 if passing else self._failures.get(target.name, 0) + 1
         self._failures[target.name] = failures
-        # A leaving target that can no longer be reached is still leaving;
-        # only a passing check without ``leaving`` ends that state.
-        still_leaving = (
-            target_health is not None and target_health.leaving and not passing
-        )
         self._routing.on_check(
-            target.name,
-            failing=failures >= FAILURE_THRESHOLD,
-            leaving=leaving or still_leaving,
+            target.name, failing=failures >= FAILURE_THRESHOLD
         )
--- a/src/gentianbank/dataplane/routing.py
+++ b/src/gentianbank/dataplane/routing.py
@@ -13,6 +13,7 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from gentianbank.dataplane.leaving_book import LeavingBook
 from gentianbank.domain.configuration import LARGE
 from gentianbank.policy.balancer import Candidate
 from gentianbank.policy.target_health import may_take_work
@@ -105,6 +106,11 @@
         Chooses among the usable targets of one region.
     clock
         Returns the monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    leaving
+        What the targets say of their leaving.
     """
 
     def __init__(
@@ -123,6 +129,7 @@
         self._services: dict[str, _ServiceState] = {}
         self._declared_nodes = 1
         self._arrivals = itertools.count()
+        self.leaving = LeavingBook(self._wake_everyone, clock)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -151,8 +158,8 @@
                     self._targets[target.name] = _TargetState(health)
         for stale in set(self._targets) - names:
             del self._targets[stale]
-        for service_name in self._services:
-            self._wake_all(service_name)
+        self.leaving.update(names)
+        self._wake_everyone()
 
     def choose(
         self,
@@ -272,12 +279,12 @@
         if state is not None:
             state.health = state.health.on_report(in_flight, self._clock())
 
-    def on_check(self, target: str, *, failing: bool, leaving: bool) -> None:
+    def on_check(self, target: str, *, failing: bool) -> None:
         """Record the result of a health check of a target."""
         state = self._targets.get(target)
         if state is not None:
             state.health = state.health.on_health_check(
-                failing=failing, leaving=leaving, now_ms=self._clock()
+                failing=failing, now_ms=self._clock()
             )
 
     def health_of(self, target: str) -> TargetHealth | None:
@@ -303,7 +310,7 @@
             for target in place.targets
             if not target.draining and target.name not in tried
         ]
-        staying = [t for t in present if not self._health(t).leaving]
+        staying = [t for t in present if self.leaving.may_send(t.name)]
         usable = [t for t in staying if may_take_work(self._health(t), now_ms)]
         # If less than half of the targets seem healthy, the health data may
         # be wrong; it must not take a whole place out of service.
@@ -368,6 +375,10 @@
                 waiter.woken.set_result(None)
                 return
 
+    def _wake_everyone(self) -> None:
+        for service_name in self._services:
+            self._wake_all(service_name)
+
     def _wake_all(self, service_name: str) -> None:
         for _ in list(self._services[service_name].waiters):
             self._wake_next(service_name)
--- a/src/gentianbank/policy/leaving.py
+++ b/src/gentianbank/policy/leaving.py
@@ -44,9 +44,14 @@
         """Return whether the target must get no new requests."""
         return self.since_ms is not None
 
-    def on_said(self, now_ms: float, unix_ms: float) -> bool:
+    def on_said(self, now_ms: float, unix_ms: float = math.inf) -> bool:
         """Record an answer that says that the target leaves.
 
+        Parameters
+        ----------
+        unix_ms
+            Unix time of it; left out if no entries tell of starts.
+
         Returns
         -------
         bool
--- a/src/gentianbank/policy/target_health.py
+++ b/src/gentianbank/policy/target_health.py
@@ -40,8 +40,6 @@
         Requests in flight from all nodes, by the last load report.
     reported_ms
         Time of that load report.
-    leaving
-        Whether the target has announced that it shuts down.
     failing
         Whether the target fails its health checks.
     """
@@ -54,7 +52,6 @@
     samples: int = 0
     reported_in_flight: int = 0
     reported_ms: float = float('-inf')
-    leaving: bool = False
     failing: bool = False
 
     def is_ejected(self, now_ms: float) -> bool:
@@ -87,9 +84,7 @@
         """Record a load report."""
         return replace(self, reported_in_flight=in_flight, reported_ms=now_ms)
 
-    def on_health_check(
-        self, *, failing: bool, leaving: bool, now_ms: float
-    ) -> TargetHealth:
+    def on_health_check(self, *, failing: bool, now_ms: float) -> TargetHealth:
         """Record the result of a health check.
 
         A target that passes again may have been started again, so slow start
@@ -99,7 +94,6 @@
         return replace(
             self,
             failing=failing,
-            leaving=leaving,
             warm_from_ms=now_ms if is_back else self.warm_from_ms,
         )
 
@@ -151,9 +145,7 @@
 
 def may_take_work(health: TargetHealth, now_ms: float) -> bool:
     """Return whether a target may be sent new requests."""
-    if health.leaving or health.failing:
-        return False
-    return not health.is_ejected(now_ms)
+    return not (health.failing or health.is_ejected(now_ms))
 
 
 def _median(values: Iterable[float]) -> float:
--- a/src/gentianbank/rpc/status.py
+++ b/src/gentianbank/rpc/status.py
@@ -87,7 +87,7 @@
             return 'draining'
         if health is None:
             return 'unknown'
-        if health.leaving:
+        if self._routing.leaving.is_leaving(target.name):
             return 'leaving'
         if health.is_ejected(self._clock()):
             return 'ejected'
--- a/tests/dataplane/test_health_checker.py
+++ b/tests/dataplane/test_health_checker.py
@@ -13,6 +13,7 @@
 from gentianbank.dataplane.health_checker import CHECK_TIMEOUT_MS
 from gentianbank.dataplane.health_checker import FAILURE_THRESHOLD
 from gentianbank.dataplane.health_checker import HealthChecker
+from gentianbank.dataplane.leaving_book import LeavingBook
 from gentianbank.targets.transport import TargetAnswer
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.transport import TargetTransport
@@ -67,15 +68,22 @@
     def __init__(self) -> None:
         self.configuration = build_configuration()
         self.failing: dict[str, bool] = {}
-
-    def health_of(self, _name: str) -> None:
-        return None
+        self.leaving = LeavingBook(self._fail, lambda: 0.0)
+        self.leaving.update(
+            {
+                target.name
+                for service in self.configuration.services.values()
+                for target in service.targets
+            }
+        )
+
+    def _fail(self) -> None:
+        raise AssertionError('no check says that its target leaves')
 
     def max_connections_to(self, _target: Any) -> int:
         return 1
 
-    def on_check(self, name: str, *, failing: bool, leaving: bool) -> None:
-        assert not leaving
+    def on_check(self, name: str, *, failing: bool) -> None:
         self.failing[name] = failing
 
 
--- a/tests/dataplane/test_leaving.py
+++ b/tests/dataplane/test_leaving.py
@@ -20,6 +20,7 @@
 from gentianbank.dataplane import health_checker
 from gentianbank.dataplane.budgets import BudgetBook
 from gentianbank.dataplane.health_checker import HealthChecker
+from gentianbank.dataplane.leaving_book import LeavingBook
 from gentianbank.dataplane.routing import Permit
 from gentianbank.dataplane.routing import Routing
 from gentianbank.policy.balancer import BALANCERS
@@ -197,14 +198,7 @@
 def test_proof_catches_leaving_targets_that_are_used(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    on_check = Routing.on_check
-
-    def on_check_without_leaving(
-        self: Routing, target: str, *, failing: bool, leaving: bool
-    ) -> None:
-        on_check(self, target, failing=failing, leaving=False)
-
-    monkeypatch.setattr(Routing, 'on_check', on_check_without_leaving)
+    monkeypatch.setattr(LeavingBook, 'on_said', lambda *_: None)
     check_mutant(Leaving, 'left long ago', steps=25)
 
 
--- a/tests/dataplane/test_routing.py
+++ b/tests/dataplane/test_routing.py
@@ -137,7 +137,7 @@
     ]
     world.advance(0.01)
     routing = world.nodes[VM].routing
-    routing.on_check(permit.target.name, failing=False, leaving=True)
+    routing.leaving.on_said(permit.target.name)
     routing.release(permit)
     world.advance(0.01)
     assert all(task.done() for task in tasks)
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -62,15 +62,11 @@
 
 
 def test_target_that_passes_its_checks_again_returns_with_slow_start() -> None:
-    health = healthy().on_health_check(
-        failing=True, leaving=False, now_ms=NOW_MS
-    )
+    health = healthy().on_health_check(failing=True, now_ms=NOW_MS)
     assert not may_take_work(health, NOW_MS)
     back_ms = NOW_MS + 5_000
     for checked_ms in (back_ms, back_ms + 1_000):
-        health = health.on_health_check(
-            failing=False, leaving=False, now_ms=checked_ms
-        )
+        health = health.on_health_check(failing=False, now_ms=checked_ms)
     assert may_take_work(health, back_ms)
     assert health.weight(back_ms) < 0.2
     assert health.weight(back_ms + SLOW_START_MS) == 1.0
