--- a/src/gentianbank/steering/attempt_history.py
+++ b/src/gentianbank/steering/attempt_history.py
@@ -7,14 +7,15 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.policy.run_evidence import RunEvidence
-from gentianbank.steering.sending import Delivered
-from gentianbank.steering.sending import NotReached
-from gentianbank.steering.sending import Rejected
+from gentianbank.steering.outcomes import Delivered
+from gentianbank.steering.outcomes import NotReached
+from gentianbank.steering.outcomes import Rejected
+from gentianbank.steering.outcomes import Withheld
 
 if TYPE_CHECKING:
     from gentianbank.policy.placement import PlacementResult
     from gentianbank.policy.usage_caps.account import Token
-    from gentianbank.steering.sending import Outcome
+    from gentianbank.steering.outcomes import Outcome
 
 # After this many failed connections a request is not retried.
 MAX_CONNECT_FAILURES = 3
@@ -67,6 +68,8 @@
         bool
             Whether a retry is safe.
         """
+        if isinstance(outcome, Withheld):
+            return True
         if isinstance(outcome, NotReached):
             self.connect_failures += 1
             return self.connect_failures < MAX_CONNECT_FAILURES
