Reproduce requests to targets that say that they leave

The stand-in targets learn the header, also in rejections, failures, answers that break off and status checks, which then fail. Each caller notes the node's run between starts and pauses, so that the check excuses these and nothing else; it is part of the soak's promises.

--- a/src/gentianbank_standins/soak/callers.py
+++ b/src/gentianbank_standins/soak/callers.py
@@ -27,6 +27,7 @@
 OBJECTS = 20
 ORDER_PART = 0.4
 MAX_TRIES = 2
+LEAVING_HEADER = 'server-leaving'
 _MS_PER_S = 1_000
 _NOT_REACHED = (httpx.ConnectError, httpx.ConnectTimeout)
 
@@ -109,8 +110,10 @@
         request_id = f'c{self._number}-{self._sent}'
         address = self._random.choice(self._addresses)
         process = self._process_at(address)
+        run = self._run_at(address)
         sent_s = self._world.now_s()
         status, whole, reached, pause_s = 0, False, True, 0.0
+        leaving_id = ''
         try:
             answer = await client.request(
                 'POST' if once else 'GET',
@@ -126,6 +129,7 @@
             status = answer.status_code
             whole = _is_own(answer, request_id, once)
             pause_s = float(answer.headers.get('retry-after', 0))
+            leaving_id = _leaving_target(answer)
         except _NOT_REACHED:
             reached = False
         except httpx.HTTPError:
@@ -143,6 +147,8 @@
             whole=whole,
             reached=reached,
             disturbed=self._is_disturbed(address, sent_s),
+            run=run if run == self._run_at(address) else '',
+            leaving_id=leaving_id,
         )
         return attempt, pause_s
 
@@ -155,6 +161,10 @@
         node = self._node_at(address)
         return f'{node.vm}/{node.starts}' if node else ''
 
+    def _run_at(self, address: str) -> str:
+        node = self._node_at(address)
+        return node.run if node else ''
+
     def _node_at(self, address: str) -> SoakNode | None:
         for node in self._world.nodes:
             if node.callers == address:
@@ -167,3 +177,11 @@
     body = request_id if once else ''
     own = answer.headers.get('request-id') == request_id
     return own and answer.content == f'{stamp}/{body}'.encode()
+
+
+def _leaving_target(answer: httpx.Response) -> str:
+    """Return the target of an answer that says so if it leaves."""
+    if answer.headers.get(LEAVING_HEADER) != '1':
+        return ''
+    stamp: str = answer.headers.get('server-stamp', '')
+    return stamp.partition('.')[0]
--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -260,7 +260,7 @@
     loop = asyncio.get_running_loop()
     begin_s = loop.time()
     app.cold_until_s = begin_s + COLD_START_S
-    target.born += 1
+    app.born += 1
     target.link.set_state(LinkState.WHOLE)
     world.journal.cold_periods.append(
         ColdPeriod(
--- a/src/gentianbank_standins/soak/promises.py
+++ b/src/gentianbank_standins/soak/promises.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from gentianbank_standins.soak.leaving import requests_after_leaving
 from gentianbank_standins.soak.limits import exceeded_limits
 from gentianbank_standins.soak.limits import overloaded_cold_targets
 
@@ -38,6 +39,11 @@
         Whether the connection was made.
     disturbed
         Whether the node was killed, paused or cut meanwhile.
+    run
+        Time of the node between starts and pauses, by name; empty if it
+        started or was paused meanwhile.
+    leaving_id
+        Target whose answer this is, if the answer said that it leaves.
     """
 
     request_id: str
@@ -50,6 +56,8 @@
     whole: bool
     reached: bool
     disturbed: bool
+    run: str = ''
+    leaving_id: str = ''
 
 
 @dataclass(slots=True)
@@ -94,6 +102,7 @@
         }
         lines += exceeded_limits(journal, processes)
         lines += overloaded_cold_targets(journal)
+        lines += requests_after_leaving(journal, self.attempts)
         lines += self._unrecovered(calm_s)
         return lines
 
--- a/src/gentianbank_standins/soak/world.py
+++ b/src/gentianbank_standins/soak/world.py
@@ -49,8 +49,8 @@
     ----------
     disturbed_s
         Time until which the node counts as disturbed.
-    starts
-        How often the process was started.
+    starts, freezes
+        How often a process of the node was started and was paused.
     """
 
     vm: str
@@ -63,6 +63,12 @@
     disturbed_s: float = 0.0
     stopping: bool = False
     starts: int = 0
+    freezes: int = 0
+
+    @property
+    def run(self) -> str:
+        """Return a name for the time since the last start or pause."""
+        return f'{self.vm}/{self.starts}/{self.freezes}'
 
 
 @dataclass
@@ -74,7 +80,6 @@
     link: Link
     failure_domain: str
     sequence: int = 0
-    born: int = 1
     leaving: bool = False
     restarting: bool = False
 
@@ -198,7 +203,7 @@
             'state': state,
             'coldLeftMs': target.cold_left_ms,
             'sequence': target.sequence,
-            'born': target.born,
+            'born': target.app.born,
         }
         self.store.put(f'servers/{target.app.target_id}', entry)
 
@@ -219,6 +224,7 @@
     def send_signal(self, node: SoakNode, number: signal.Signals) -> None:
         """Send a signal to the process of a node if it runs."""
         if node.process is not None and node.process.returncode is None:
+            node.freezes += number == signal.SIGSTOP
             node.process.send_signal(number)
 
     async def kill(self, node: SoakNode) -> None:
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -37,6 +37,8 @@
     fail_next
         Requests that run and are answered ``failure_status``, which does not
         say that they did not.
+    says_leaving
+        Whether each answer says that the target leaves.
     """
 
     slow_factor: float = 1.0
@@ -47,15 +49,23 @@
     endless_next: int = 0
     fail_next: int = 0
     failure_status: int = 503
+    says_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TargetEvent:
-    """A request that reached a target, or an answer that named its limit."""
+    """A request that reached a target, or an answer that told of its state.
+
+    Parameters
+    ----------
+    born
+        Which start of the target it belongs to.
+    """
 
     time_s: float
     target_id: str
     request_id: str
+    born: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +102,8 @@
         Requests that came after their target was to get none.
     arrivals, limits_named
         Requests that reached targets, and answers that named limits.
+    leaving_said
+        Answers to callers' requests that said that their target leaves.
     limit_periods
         Times in which limits were named.
     cold_periods
@@ -103,6 +115,7 @@
     late: list[str] = field(default_factory=list)
     arrivals: list[TargetEvent] = field(default_factory=list)
     limits_named: list[TargetEvent] = field(default_factory=list)
+    leaving_said: list[TargetEvent] = field(default_factory=list)
     limit_periods: list[LimitPeriod] = field(default_factory=list)
     cold_periods: list[ColdPeriod] = field(default_factory=list)
 
@@ -117,6 +130,8 @@
         Time of the loop after which no request may come; 0 for never.
     cold_until_s
         Time of the loop until which the target is cold.
+    born
+        Which start of the target it is.
     """
 
     target_id: str
@@ -127,6 +142,7 @@
     faults: TargetFaults = field(default_factory=TargetFaults)
     closed_s: float = 0.0
     cold_until_s: float = 0.0
+    born: int = 1
     _waiting: int = 0
     _running: int = 0
     _free: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -143,16 +159,16 @@
                 'instance-id': self.target_id,
                 'cold-ms': str(max(0, round(left_s * _MS_PER_S))),
             }
-            await self._answer(send, 200, status)
+            healthy = not self.faults.says_leaving
+            await self._answer(send, 200 if healthy else 503, status)
             return
         request_id = headers.get('request-id', '')
         if headers.get('expect-instance') != self.target_id:
             await self._reject(send, 421, request_id)
             return
-        now_s = asyncio.get_running_loop().time()
-        arrival = TargetEvent(now_s, self.target_id, request_id)
+        arrival = self._event(request_id)
         self.journal.arrivals.append(arrival)
-        if self.closed_s and now_s > self.closed_s:
+        if self.closed_s and arrival.time_s > self.closed_s:
             self.journal.late.append(request_id)
         full = self._waiting >= self.slots * QUEUE_PER_SLOT
         if self.faults.refuse_next or full:
@@ -234,6 +250,7 @@
         """Send chunks of one byte until the caller closes."""
         stamp = f'{self.target_id}.{request_id}'
         headers = {'request-id': request_id, 'server-stamp': stamp}
+        headers |= self._leaving_header(request_id)
         head = [(k.encode(), v.encode()) for k, v in headers.items()]
         await send(
             {'type': 'http.response.start', 'status': 200, 'headers': head}
@@ -268,12 +285,11 @@
             'server-load': load,
             'content-length': str(len(body)),
         }
+        request_id = headers.get('request-id', '')
         if self.faults.limit_per_s:
             pairs['server-limit'] = f'{self.faults.limit_per_s:g}'
-            now_s = asyncio.get_running_loop().time()
-            request_id = headers.get('request-id', '')
-            named = TargetEvent(now_s, self.target_id, request_id)
-            self.journal.limits_named.append(named)
+            self.journal.limits_named.append(self._event(request_id))
+        pairs |= self._leaving_header(request_id)
         head = [(k.encode(), v.encode()) for k, v in pairs.items()]
         await send(
             {'type': 'http.response.start', 'status': status, 'headers': head}
@@ -282,6 +298,18 @@
             raise ConnectionError('the answer is cut')
         await send({'type': 'http.response.body', 'body': body})
 
+    def _leaving_header(self, request_id: str) -> dict[str, str]:
+        """Return the header that says so if the target leaves."""
+        if not self.faults.says_leaving:
+            return {}
+        if request_id:
+            self.journal.leaving_said.append(self._event(request_id))
+        return {'server-leaving': '1'}
+
+    def _event(self, request_id: str) -> TargetEvent:
+        now_s = asyncio.get_running_loop().time()
+        return TargetEvent(now_s, self.target_id, request_id, self.born)
+
 
 async def _read(receive: Any) -> bytes | None:
     data: bytes = b''
--- a/tests/support/raw_targets.py
+++ b/tests/support/raw_targets.py
@@ -74,6 +74,8 @@
         How often each request ran, over all targets.
     spoiled
         Requests that were answered by the fault.
+    leaves
+        Whether status checks are told that the target leaves.
     """
 
     target_id: str
@@ -82,6 +84,7 @@
     runs: Counter[str]
     spoiled: set[str]
     fault_period: int = 4
+    leaves: bool = False
     _count: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -151,6 +154,8 @@
 
     def _health(self) -> bytes:
         lines = (f'Instance-Id: {self.target_id}', 'Cold-Ms: 0')
+        if self.leaves:
+            return head(503, *lines, 'Server-Leaving: 1', 'Content-Length: 0')
         return head(200, *lines, 'Content-Length: 0')
 
 
