Play targets that say that they leave in the soak

Four faults: a target says so at once in its answers and then ends, comes back under its id, does both while the store is out, or all targets of a service do so together. Their entries say so late or not at all. A request that a target gets later than 2 s after the node had passed on such an answer breaks a promise; a start of either or a pause of the node since then excuses it, an outage or a cut does not.

--- a/src/gentianbank_standins/soak/faults.py
+++ b/src/gentianbank_standins/soak/faults.py
@@ -139,13 +139,13 @@
 @register_fault('store busy')
 async def busy_store(world: SoakWorld, fault: Fault) -> None:
     """Let the store refuse every call."""
-    await _spoil_store(world, fault, 'busy')
+    await spoil_store(world, fault, 'busy')
 
 
 @register_fault('store silent')
 async def silent_store(world: SoakWorld, fault: Fault) -> None:
     """Let the store answer nothing."""
-    await _spoil_store(world, fault, 'silent')
+    await spoil_store(world, fault, 'silent')
 
 
 @register_fault('store slow')
@@ -182,7 +182,7 @@
 @register_fault('target leaves', 1.5)
 async def drain_target(world: SoakWorld, fault: Fault) -> None:
     """Let a target say that it leaves, and come back later."""
-    target = _target(world, fault)
+    target = pick_target(world, fault)
     if target.leaving:
         return
     target.leaving = True
@@ -199,19 +199,19 @@
 @register_fault('target loses answers')
 async def lose_answers(world: SoakWorld, fault: Fault) -> None:
     """Let a target run requests and break off the connections."""
-    _target(world, fault).app.faults.lose_next = FEW_REQUESTS
+    pick_target(world, fault).app.faults.lose_next = FEW_REQUESTS
 
 
 @register_fault('target rejects')
 async def reject_requests(world: SoakWorld, fault: Fault) -> None:
     """Let a target reject requests as not run."""
-    _target(world, fault).app.faults.refuse_next = FEW_REQUESTS
+    pick_target(world, fault).app.faults.refuse_next = FEW_REQUESTS
 
 
 @register_fault('target slow')
 async def slow_target(world: SoakWorld, fault: Fault) -> None:
     """Let the work of a target take longer."""
-    faults = _target(world, fault).app.faults
+    faults = pick_target(world, fault).app.faults
     faults.slow_factor = SLOW_FACTOR
     await asyncio.sleep(fault.for_s)
     faults.slow_factor = 1.0
@@ -220,7 +220,7 @@
 @register_fault('target limited')
 async def limit_target(world: SoakWorld, fault: Fault) -> None:
     """Let a target name a limit on the requests of all nodes."""
-    app = _target(world, fault).app
+    app = pick_target(world, fault).app
     if app.faults.limit_per_s:
         return
     loop = asyncio.get_running_loop()
@@ -237,7 +237,7 @@
 @register_fault('target cut off', 1.5)
 async def cut_target(world: SoakWorld, fault: Fault) -> None:
     """Cut a target off, in one of three ways."""
-    link = _target(world, fault).link
+    link = pick_target(world, fault).link
     ways = (LinkState.SILENT, LinkState.DEAF, LinkState.REFUSING)
     link.set_state(ways[fault.subject % len(ways)])
     await asyncio.sleep(fault.for_s)
@@ -250,26 +250,11 @@
 
     Its entry comes late, as if the store had been slow to take it.
     """
-    target = _target(world, fault)
+    target = pick_target(world, fault)
     if target.restarting or target.leaving:
         return
     target.restarting = True
-    app = target.app
-    target.link.set_state(LinkState.REFUSING)
-    await asyncio.sleep(DOWN_S[fault.subject % len(DOWN_S)])
-    loop = asyncio.get_running_loop()
-    begin_s = loop.time()
-    app.cold_until_s = begin_s + COLD_START_S
-    app.born += 1
-    target.link.set_state(LinkState.WHOLE)
-    world.journal.cold_periods.append(
-        ColdPeriod(
-            app.target_id,
-            COLD_PER_S * COLD_FACTOR + COLD_SLACK,
-            begin_s,
-            app.cold_until_s,
-        )
-    )
+    await start_again(world, target, fault)
     await asyncio.sleep(fault.for_s)
     world.register(target)
     target.restarting = False
@@ -278,7 +263,7 @@
 @register_fault('target reports no number')
 async def spoil_reports(world: SoakWorld, fault: Fault) -> None:
     """Let the load reports of a target have a figure that is no number."""
-    faults = _target(world, fault).app.faults
+    faults = pick_target(world, fault).app.faults
     faults.slowdown = NO_NUMBERS[fault.subject % len(NO_NUMBERS)]
     await asyncio.sleep(fault.for_s)
     faults.slowdown = '100'
@@ -287,13 +272,13 @@
 @register_fault('target answers without end')
 async def answer_without_end(world: SoakWorld, fault: Fault) -> None:
     """Let a target send bodies that go on until the caller closes."""
-    _target(world, fault).app.faults.endless_next = FEW_REQUESTS
+    pick_target(world, fault).app.faults.endless_next = FEW_REQUESTS
 
 
 @register_fault('target fails what ran')
 async def fail_after_run(world: SoakWorld, fault: Fault) -> None:
     """Let a target answer requests that ran by a promise of "not run"."""
-    faults = _target(world, fault).app.faults
+    faults = pick_target(world, fault).app.faults
     statuses = sorted(NOT_RUN_STATUSES)
     faults.failure_status = statuses[fault.subject % len(statuses)]
     faults.fail_next = FEW_REQUESTS
@@ -302,7 +287,7 @@
 @register_fault('target far', 0.5)
 async def delay_target(world: SoakWorld, fault: Fault) -> None:
     """Let bytes to and from a target take longer."""
-    link = _target(world, fault).link
+    link = pick_target(world, fault).link
     link.delay_ms = SLOW_STORE_MS
     await asyncio.sleep(fault.for_s)
     link.delay_ms = 0.0
@@ -311,10 +296,34 @@
 @register_fault('target connections reset')
 async def reset_target(world: SoakWorld, fault: Fault) -> None:
     """Reset the connections to a target."""
-    _target(world, fault).link.reset()
+    pick_target(world, fault).link.reset()
+
+
+async def start_again(
+    world: SoakWorld, target: SoakTarget, fault: Fault
+) -> None:
+    """End a target and start it again, cold; its entry stays as it is."""
+    app = target.app
+    target.link.set_state(LinkState.REFUSING)
+    await asyncio.sleep(DOWN_S[fault.subject % len(DOWN_S)])
+    loop = asyncio.get_running_loop()
+    begin_s = loop.time()
+    app.cold_until_s = begin_s + COLD_START_S
+    app.faults.says_leaving = False
+    app.born += 1
+    target.link.set_state(LinkState.WHOLE)
+    world.journal.cold_periods.append(
+        ColdPeriod(
+            app.target_id,
+            COLD_PER_S * COLD_FACTOR + COLD_SLACK,
+            begin_s,
+            app.cold_until_s,
+        )
+    )
 
 
-async def _spoil_store(world: SoakWorld, fault: Fault, answers: str) -> None:
+async def spoil_store(world: SoakWorld, fault: Fault, answers: str) -> None:
+    """Let the store answer otherwise for the time of a fault."""
     for node in world.nodes:
         world.disturb(node, world.now_s() + fault.for_s + SETTLE_S)
     world.store.faults.answers = answers
@@ -336,5 +345,6 @@
     return world.nodes[fault.subject % len(world.nodes)]
 
 
-def _target(world: SoakWorld, fault: Fault) -> SoakTarget:
+def pick_target(world: SoakWorld, fault: Fault) -> SoakTarget:
+    """Return the target of a fault."""
     return world.targets[fault.subject % len(world.targets)]
--- a/src/gentianbank_standins/soak/main.py
+++ b/src/gentianbank_standins/soak/main.py
@@ -15,6 +15,7 @@
 
 from gentianbank_standins.soak.callers import Caller
 from gentianbank_standins.soak.faults import FAULTS
+import gentianbank_standins.soak.leaving_faults  # noqa: F401 (registers)
 from gentianbank_standins.soak.promises import Promises
 from gentianbank_standins.soak.schedule import draw_schedule
 from gentianbank_standins.soak.schedule import LONGEST_S
--- a/src/gentianbank_standins/users_targets.py
+++ b/src/gentianbank_standins/users_targets.py
@@ -233,12 +233,13 @@
         finally:
             self._waiting -= 1
         self.journal.runs[request_id] += 1
-        self.journal.running[self.target_id] += 1
+        target_id = self.target_id
+        self.journal.running[target_id] += 1
         try:
             work_ms = self.work_ms * self.faults.slow_factor
             await asyncio.sleep(work_ms / _MS_PER_S)
         finally:
-            self.journal.running[self.target_id] -= 1
+            self.journal.running[target_id] -= 1
             self._running -= 1
             async with self._free:
                 self._free.notify()
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import pytest
 
+from gentianbank_standins.soak.leaving import requests_after_leaving
 from gentianbank_standins.soak.limits import exceeded_limits
 from gentianbank_standins.soak.limits import overloaded_cold_targets
 from gentianbank_standins.soak.main import run_soak
+from gentianbank_standins.soak.promises import Attempt
 from gentianbank_standins.users_targets import ColdPeriod
 from gentianbank_standins.users_targets import Journal
 from gentianbank_standins.users_targets import LimitPeriod
@@ -27,6 +30,12 @@
     'store cut off',
 )
 SPOILING_KINDS = ('target reports no number', 'target answers without end')
+LEAVING_KINDS = (
+    'target says it leaves, and ends',
+    'target says it leaves, and comes back',
+    'target says it leaves, store out',
+    'service says it leaves',
+)
 LIMIT_KINDS = ('target limited', 'node stopped', 'store cut off')
 
 
@@ -70,6 +79,36 @@
     assert result.seen['502'] > 0
 
 
+def test_soak_sends_nothing_to_targets_that_said_they_leave(
+    tmp_path: Path,
+) -> None:
+    kinds = (*LEAVING_KINDS, 'node paused')
+    result = run_soak(8, tmp_path, duration_s=LONG_S, kinds=kinds)
+    assert result.broken == ()
+    assert result.faults.keys() == set(kinds)
+
+
+def test_soak_notices_requests_to_a_target_that_said_it_leaves() -> None:
+    journal = Journal()
+    journal.leaving_said.append(TargetEvent(1.0, 'desk-1', 'c1-1'))
+    told = _attempt('c1-1', 1.0, leaving_id='desk-1')
+    late = _attempt('c1-2', 3.5)
+    journal.arrivals.append(TargetEvent(3.5, 'desk-1', 'c1-2'))
+    (line,) = requests_after_leaving(journal, [told, late])
+    assert line == (
+        'request c1-2 reached desk-1, sent 2.4 s after vm-1/1/0 had passed on '
+        'that it leaves'
+    )
+    for allowed in (
+        dataclasses.replace(late, sent_s=3.0),
+        dataclasses.replace(late, run='vm-1/1/1'),
+        dataclasses.replace(late, run=''),
+    ):
+        assert not requests_after_leaving(journal, [told, allowed])
+    journal.arrivals[0] = TargetEvent(3.5, 'desk-1', 'c1-2', born=2)
+    assert not requests_after_leaving(journal, [told, late])
+
+
 def test_soak_notices_too_many_requests_to_a_cold_target() -> None:
     journal = Journal(cold_periods=[ColdPeriod('desk-1', 11.0, 1.0, 2.0)])
     for number in range(12):
@@ -94,3 +133,20 @@
     (line,) = exceeded_limits(journal, processes)
     assert 'desk-1 named a limit of 2.5 a second and got 40' in line
     assert not exceeded_limits(journal, {})
+
+
+def _attempt(name: str, sent_s: float, leaving_id: str = '') -> Attempt:
+    return Attempt(
+        request_id=name,
+        process='vm-1/1',
+        once=False,
+        sent_s=sent_s,
+        took_s=0.1,
+        timeout_s=1.5,
+        status=200,
+        whole=True,
+        reached=True,
+        disturbed=False,
+        run='vm-1/1/0',
+        leaving_id=leaving_id,
+    )
