--- a/src/gentianbank_standins/soak/leaving_faults.py
+++ b/src/gentianbank_standins/soak/leaving_faults.py
@@ -21,7 +21,7 @@
 OUTAGE_S = DRAIN_S + 3.0
 
 
-@register_fault('target says it leaves, and ends')
+@register_fault('target says it leaves and ends')
 async def leave_for_good(world: SoakWorld, fault: Fault) -> None:
     """Let a target leave; another one starts at its address.
 
@@ -45,7 +45,7 @@
     target.leaving = False
 
 
-@register_fault('target says it leaves, and comes back')
+@register_fault('target says it leaves and comes back')
 async def leave_and_come_back(world: SoakWorld, fault: Fault) -> None:
     """Let a target leave and start again under its id; its entry is late."""
     target = pick_target(world, fault)
@@ -69,7 +69,7 @@
     )
 
 
-@register_fault('target says it leaves, store out')
+@register_fault('target says it leaves in an outage')
 async def leave_in_outage(world: SoakWorld, fault: Fault) -> None:
     """Let a target leave and come back while the store is away."""
     outage = dataclasses.replace(fault, for_s=OUTAGE_S + fault.for_s)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -31,9 +31,9 @@
 )
 SPOILING_KINDS = ('target reports no number', 'target answers without end')
 LEAVING_KINDS = (
-    'target says it leaves, and ends',
-    'target says it leaves, and comes back',
-    'target says it leaves, store out',
+    'target says it leaves and ends',
+    'target says it leaves and comes back',
+    'target says it leaves in an outage',
     'service says it leaves',
 )
 LIMIT_KINDS = ('target limited', 'node stopped', 'store cut off')
