Show why a target that says it leaves gets nothing

Two tests for requests that wait for room: without the call when a target begins to leave, the one of the request path ends with its wait instead of at once.

--- a/src/gentianbank/cli/explain.py
+++ b/src/gentianbank/cli/explain.py
@@ -29,7 +29,15 @@
         'log lines dropped',
     )
 )
-TARGET_MESSAGES = frozenset(('target registered', 'target gone'))
+TARGET_MESSAGES = frozenset(
+    (
+        'target registered',
+        'target gone',
+        'target says that it leaves',
+        'target no longer says that it leaves',
+        'target that left has started again',
+    )
+)
 _COMMON_FIELDS = frozenset(('time_ms', 'level', 'node', 'message', 'request'))
 
 
--- a/src/gentianbank/telemetry/metrics.py
+++ b/src/gentianbank/telemetry/metrics.py
@@ -57,7 +57,7 @@
         )
         self._status_checks = self._meter.create_counter(
             'gentianbank.targets.checks',
-            description='Status checks of targets after lost connections.',
+            description='Status checks of targets that were lost or leave.',
         )
         self._cut_off = self._meter.create_counter(
             'gentianbank.callers.cut_off',
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -68,12 +68,17 @@
         line(20_000, 'store lost'),
         line(21_000, 'target gone', target='desk-1'),
         line(21_500, 'target gone', target='desk-2'),
+        line(21_600, 'target says that it leaves', target='desk-1'),
         line(22_000, 'attempt failed', 'r-1', target='desk-1', cause='reset'),
         line(22_100, 'request refused', 'r-1', status=502, cause='reset'),
         line(22_200, 'store answers again'),
     ]
     timeline = explain(reversed(lines), 'r-1')
-    assert [item.time_ms for item in timeline.context] == [20_000, 21_000]
+    assert [item.time_ms for item in timeline.context] == [
+        20_000,
+        21_000,
+        21_600,
+    ]
     assert [item.time_ms for item in timeline.events] == [22_000, 22_100]
 
 
--- a/tests/policy/fair_shares/test_waiting_queue.py
+++ b/tests/policy/fair_shares/test_waiting_queue.py
@@ -61,6 +61,18 @@
     assert not queue.has_room(frozenset(('desk-9',)), 1_000)
 
 
+@pytest.mark.parametrize(
+    ('usable', 'released'), [(set(), 1), ({'desk-3'}, 1), ({'desk-2'}, 0)]
+)
+def test_requests_without_a_usable_target_are_released(
+    usable: set[str], released: int
+) -> None:
+    queue = WaitingQueue()
+    queue.add(_entry(1))
+    assert len(queue.release_all_but(usable)) == released
+    assert len(queue) == 1 - released
+
+
 def test_request_that_has_left_is_not_released() -> None:
     queue = WaitingQueue()
     queue.add(_entry(1))
--- a/tests/steering/fair_shares/test_waiting_requests.py
+++ b/tests/steering/fair_shares/test_waiting_requests.py
@@ -109,3 +109,25 @@
     other, urgent = replies[TAKEN], replies[TAKEN + 1]
     assert urgent.status == 200
     assert other.status == 503 or other.at_ms >= urgent.at_ms
+
+
+def test_request_is_refused_at_once_when_its_last_target_leaves() -> None:
+    path = _path(work_s=0.15)
+    callers = [Caller(path.loop, **head) for head in _heads(TAKEN + 1)]
+    begin_ms = path.loop.now_ms()
+
+    async def serve() -> None:
+        async with asyncio.TaskGroup() as group:
+            for caller in callers:
+                group.create_task(path.proxy.serve(caller.exchange()))
+            await asyncio.sleep(0.05)
+            target = path.cluster_view.targets['desk-1']
+            path.leaving.on_head(target, 200, [(b'Server-Leaving', b'1')])
+
+    path.run(serve())
+    *running, waiting = [caller.reply for caller in callers]
+    assert _statuses(running) == [200] * TAKEN
+    assert (waiting.status, waiting.body) == (503, b'no target')
+    assert waiting.at_ms - begin_ms < 51
+    assert not path.proxy._waiting._wakers
+    path.loop.end()
--- a/tests/steering/where/test_explainer.py
+++ b/tests/steering/where/test_explainer.py
@@ -200,6 +200,13 @@
     return {one.target: one.reason for one in told.passed_over}
 
 
+def test_target_that_says_it_leaves_is_passed_over_for_that() -> None:
+    path = _path()
+    target = path.cluster_view.targets['desk-4']
+    target.leaving.on_said(path.loop.now_ms())
+    assert _reasons(path)['desk-4'] == 'it says that it leaves'
+
+
 def test_passed_over_targets_have_their_reasons() -> None:
     """Guards against a reason that names another rule than the one met."""
     path = _path()
