Let the stand-in targets of the own interface say it in each answer

docs/reference/interfaces.md of the reaction names Target-Leaving: true for any answer; the stand-ins said it only in the body of a health check. They say both now. test_leaving_target_gets_no_new_work passes on the present code, which does not read the header.

--- a/src/gentianbank_standins/targets.py
+++ b/src/gentianbank_standins/targets.py
@@ -32,6 +32,8 @@
 
     Parameters
     ----------
+    leaving
+        Whether each answer says that the target leaves.
     slow_factor
         Times by which work takes longer.
     truncate_fraction
@@ -186,6 +188,8 @@
         metrics = {'named_metrics': {'in_flight': self._in_flight}}
         report = f'JSON {json.dumps(metrics)}'.encode()
         headers = [(b'endpoint-load-metrics', report)]
+        if self.faults.leaving:
+            headers.append((b'target-leaving', b'true'))
         if request_id:
             headers.append((b'x-request-id', request_id.encode()))
         return headers
