--- a/src/gentianbank/cli/explain.py
+++ b/src/gentianbank/cli/explain.py
@@ -21,6 +21,8 @@
         'node leaves',
         'store lost',
         'store answers again',
+        'store was restored from a copy',
+        'peer told of a restored store',
         'configuration in force',
         'failure domain evacuated',
         'failure domain is back',
--- a/src/gentianbank/nodes/steering.py
+++ b/src/gentianbank/nodes/steering.py
@@ -30,6 +30,7 @@
 from gentianbank.nodes.share_gauges import list_share_gauges
 from gentianbank.nodes.steering_gauges import list_connection_gauges
 from gentianbank.nodes.steering_gauges import list_gauges
+from gentianbank.nodes.steering_gauges import list_store_gauges
 from gentianbank.nodes.supervision import keep_running
 from gentianbank.platform.store import PlatformStore
 from gentianbank.policy.answer_order import AheadCount
@@ -337,6 +338,7 @@
             self._usage_caps,
             now_ms,
         )
+        gauges += list_store_gauges(self._sync)
         gauges += list_share_gauges(self._fair_shares)
         gauges += list_connection_gauges(self._caller_ledger)
         await self._metrics.load(gauges)
--- a/src/gentianbank/nodes/steering_gauges.py
+++ b/src/gentianbank/nodes/steering_gauges.py
@@ -15,6 +15,7 @@
     from gentianbank.dataplane.connection_ledger import ConnectionLedger
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.placer import Placer
+    from gentianbank.steering.store_following.store_sync import StoreSync
     from gentianbank.steering.usage_caps.admission import UsageCaps
     from gentianbank.telemetry.loop_delay import LoopDelay
 
@@ -135,6 +136,27 @@
     ]
 
 
+def list_store_gauges(sync: StoreSync) -> list[Gauge]:
+    """Return the gauges of the node's copy of the store."""
+    return [
+        Gauge(
+            'store.era',
+            'Restores of the store, as it states them, that the copy knows.',
+            lambda: float(sync.era),
+        ),
+        Gauge(
+            'store.revision',
+            'Revision of the copy within its era.',
+            lambda: float(sync.revision),
+        ),
+        Gauge(
+            'store.unlisted',
+            '1 while the copy awaits a listing of the store.',
+            lambda: float(sync.needs_listing),
+        ),
+    ]
+
+
 def list_connection_gauges(ledger: ConnectionLedger) -> list[Gauge]:
     """Return the gauges of the connections of callers."""
     held = [
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -77,6 +77,18 @@
     assert [item.time_ms for item in timeline.events] == [22_000, 22_100]
 
 
+@pytest.mark.parametrize(
+    'message',
+    ['store was restored from a copy', 'peer told of a restored store'],
+)
+def test_timeline_tells_of_a_restore_of_the_store(message: str) -> None:
+    lines = [
+        line(20_000, message, era=2, held_era=1),
+        line(22_100, 'request refused', 'r-1', status=503, cause='no target'),
+    ]
+    assert [item.time_ms for item in explain(lines, 'r-1').context] == [20_000]
+
+
 def test_unparsed_lines_are_counted() -> None:
     lines, unparsed = read_lines(['', 'Traceback', '{"time_ms": ', '{}'])
     assert (lines, unparsed) == ([], 2)
--- a/tests/processes/test_steering_node.py
+++ b/tests/processes/test_steering_node.py
@@ -176,6 +176,8 @@
         assert 'call="kv-watch"' in answer.text or 'kv-range' in answer.text
         assert 'gentianbank_attempt_duration' in answer.text
         assert 'gentianbank_store_age' in answer.text
+        assert 'gentianbank_store_era' in answer.text
+        assert 'gentianbank_store_unlisted' in answer.text
 
     run(test)
 
