Bound the listings of a store whose answers change their era

What callers saw: nothing yet. Behind a store that answers in two eras in turn, each node would have listed it without a pause: 1,000 calls in 5 s of the test.

Cause: an answer of another era leads to a listing at once, and the next one to another.

Change: a listing begins no sooner than the retry time (400 ms) after the last one was applied.

Evidence: test_store_whose_answers_change_their_era_gets_few_calls counted 1,000 calls before, and at most 40 now. This also bounds listings one after another where a store drops its history as fast as it is read.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -91,6 +91,7 @@
         self._era = 0
         # Era of the last listing; a peer may have told of a later one.
         self._listed_era = 0
+        self._listed_ms = float('-inf')
         self._must_list = True
         self._down_since_ms: float | None = None
         self._recovered_ms = float('-inf')
@@ -156,6 +157,9 @@
                 await self._watch_changes()
 
     async def _list_store(self) -> None:
+        # Answers of several eras in turn must not lead to one after another.
+        due_ms = self._listed_ms + self._settings.retry_ms
+        await asyncio.sleep(max(0.0, due_ms - self._clock()) / _MS_PER_S)
         observer = self._observer
         held_era = self._era
         held_revision = self._revision
@@ -505,6 +509,7 @@
                 self._on_member_removed(vm)
         self._era = self._listed_era = listing.era
         self._revision = listing.revision
+        self._listed_ms = self._clock()
         self._must_list = False
         self._forget_changes(listing.revision)
         self._drop_expired_targets()
--- a/tests/steering/store_following/test_restored_store.py
+++ b/tests/steering/store_following/test_restored_store.py
@@ -155,3 +155,18 @@
     assert copy.sync.needs_listing
     assert copy.cluster_view.store_answered_ms == answered_ms
     assert not copy.sync.is_reachable
+
+
+def test_store_whose_answers_change_their_era_gets_few_calls(
+    copy: Copy,
+) -> None:
+    # Each answer led to a listing at once, and the next to another.
+    copy.wait(0.5)
+    calls = copy.store.calls
+    for number in range(500):
+        copy.store.era = 2 + number % 2
+        copy.store.write('servers/i-1', ENTRY)
+        copy.wait(0.01)
+    assert copy.store.calls - calls <= 40
+    copy.wait(1.0)
+    assert copy.sync.era == copy.store.era
