Let a watch that is being ended be ended again

What callers saw: nothing yet; two followers that tell of a restore within a moment could have ended the task of a node that handles peers' messages with an error, until it was started again.

Cause: a timeout that is just expiring can't be set again, and raises.

Change: both places ask first. The pause between listings is a constant of its own, since the retry time may be set to a minute.

Evidence: test_listing_requested_again_while_a_watch_ends_fails_nothing failed before with "Cannot change state of expiring Timeout". For the client of the store, the same guard is not shown by a test: no script of the stand-in makes two answers come in that moment.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -304,7 +304,8 @@
                 'era of the store changed', extra={'era': stated, 'was': was}
             )
             for watch in self._watches:
-                watch.reschedule(asyncio.get_running_loop().time())
+                if not watch.expired():
+                    watch.reschedule(asyncio.get_running_loop().time())
         elif stated is None and was and not self._has_unreadable_era:
             self._has_unreadable_era = True
             logging.warning(
--- a/src/gentianbank/steering/store_following/following.py
+++ b/src/gentianbank/steering/store_following/following.py
@@ -326,7 +326,7 @@
     def _has_gone_back(self, update: StoreUpdate, confirmed_ms: float) -> bool:
         """Return whether the revision of the store is lower than it was.
 
-        A store that states no era shows only so that it was restored.
+        A store that states no era shows a restore in no other way.
 
         Parameters
         ----------
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -52,6 +52,8 @@
 # A node grants tokens of usage caps only while its view is recent, which an
 # answer without changes confirms too.
 CAPS_WATCH_MS = 1_000
+# Between a listing that was applied and the next one.
+MIN_LISTING_PERIOD_MS = 400.0
 _MS_PER_S = 1_000
 
 
@@ -158,7 +160,7 @@
 
     async def _list_store(self) -> None:
         # Answers of several eras in turn must not lead to one after another.
-        due_ms = self._listed_ms + self._settings.retry_ms
+        due_ms = self._listed_ms + MIN_LISTING_PERIOD_MS
         await asyncio.sleep(max(0.0, due_ms - self._clock()) / _MS_PER_S)
         observer = self._observer
         held_era = self._era
@@ -418,7 +420,7 @@
         revision of the restored store the same as that of the copy.
         """
         self._must_list = True
-        if self._watch is not None:
+        if self._watch is not None and not self._watch.expired():
             self._watch.reschedule(asyncio.get_running_loop().time())
 
     def retry_now(self) -> None:
--- a/tests/steering/store_following/test_restored_store.py
+++ b/tests/steering/store_following/test_restored_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -170,3 +171,18 @@
     assert copy.store.calls - calls <= 40
     copy.wait(1.0)
     assert copy.sync.era == copy.store.era
+
+
+def test_listing_requested_again_while_a_watch_ends_fails_nothing(
+    copy: Copy,
+) -> None:
+    async def request_often() -> None:
+        for _ in range(5):
+            copy.sync.request_listing()
+            await asyncio.sleep(0)
+
+    copy.wait(0.5)
+    copy.loop.run_until_complete(request_often())
+    copy.wait(0.5)
+    assert not copy.sync.needs_listing
+    assert not copy.task.done()
