--- a/tests/steering/store_following/test_machine_eras.py
+++ b/tests/steering/store_following/test_machine_eras.py
@@ -96,3 +96,22 @@
 
     monkeypatch.setattr(StoreSync, '_apply_listing', keep_era)
     catch('copy differs|copy went back')
+
+
+def test_mutant_that_takes_the_operators_keys_for_changes_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def apply(self: Any, values: Changes) -> None:
+        if values.era == self._era:
+            self._apply_changes(values)
+            return
+        replace_values(self, values)
+
+    def is_news(self: Any, answer: StoreChanges) -> bool:
+        held = self._sync.era, self._sync.revision
+        return (answer.era, answer.revision) > held
+
+    replace_values = StoreSync.replace_operator_values
+    monkeypatch.setattr(StoreSync, 'replace_operator_values', apply)
+    monkeypatch.setattr(StoreCatchUp, '_is_news', is_news)
+    catch('copy differs', 2_000)
