Test followers of an older release beside newer nodes

Their messages name no era. The newer nodes of the region then read the store themselves, and a change is in force in time; the design says so. The test passes on the code as it is.

--- a/tests/steering/store_following/test_following_eras.py
+++ b/tests/steering/store_following/test_following_eras.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
 import pytest
 
+from gentianbank.policy.store_followers import StoreRole
+from gentianbank.steering.store_following.messages import StoreUpdate
 from tests.support.store_fleet import StoreFleet
 
+if TYPE_CHECKING:
+    from gentianbank.control.messages import Message
+
 NODES = 9
 LOST_CHANGES = 10
 AGE_S = 3.0
@@ -34,3 +42,27 @@
     fleet.loop.end()
     assert evacuated == [{'east-1'}] * NODES
     assert revisions == {fleet.log.revision}
+
+
+def test_followers_of_an_older_release_hold_up_no_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Their messages have no era, and can't be told from those of a lost one.
+    send = StoreFleet.send
+
+    def send_without_era(
+        self: StoreFleet, source: str, to: str, message: Message
+    ) -> None:
+        if isinstance(message, StoreUpdate):
+            message = replace(message, era=0)
+        send(self, source, to, message)
+
+    monkeypatch.setattr(StoreFleet, 'send', send_without_era)
+    fleet = StoreFleet(NODES)
+    fleet.log.write('op/evacuate/east-1', b'{}')
+    fleet.advance(2.5)
+    evacuated = [n.cluster_view.evacuated for n in fleet.nodes.values()]
+    roles = {node.role for node in fleet.nodes.values()}
+    fleet.loop.end()
+    assert evacuated == [{'east-1'}] * NODES
+    assert roles == {StoreRole.FOLLOWER, StoreRole.READER}
