Compare the revision before a listing with its era

What callers saw: nothing yet; a node that a peer told of a new era during a listing could forget that again where the revisions of both eras were equal.

Cause: whether the copy had changed during a listing was asked of the revision alone.

Change: era and revision are compared.

Evidence: test_listing_overtaken_by_a_new_era_at_the_same_revision_reverts_nothing failed before, with the revision going from 9 back to 8.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -175,7 +175,7 @@
                 logging.info('listing of an earlier era; listing again')
             case Result(tag='ok', ok=listing) if (
                 listing.era == self._era
-                and held_revision != self._revision
+                and (held_era, held_revision) != (self._era, self._revision)
                 and listing.revision < self._revision
             ):
                 # As the store answers, peers are not asked during the next.
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -287,3 +287,28 @@
     pair.write('op/config', CONFIGURATION | {'version': 9})
     pair.wait(1.0)
     assert version_in_force(pair.refused) == 9
+
+
+def test_listing_overtaken_by_a_new_era_at_the_same_revision_reverts_nothing(
+    pair: Pair,
+) -> None:
+    # The revision before and after was compared without the era.
+    lose_changes(pair)
+    restore(pair)
+    for number in range(LOST_CHANGES - 1):
+        pair.write(f'servers/again-{number}', ENTRY)
+    pair.refused.store.bytes_per_s = SLOW_BYTES_PER_S
+    pair.refused.store.set_fault('')
+    held = pair.refused.sync.revision
+    pair.refused.wait(0.5)
+    pair.write(EVACUATION, {})
+    pair.refused.wait(0.5)
+    pair.wait(0.1)
+    assert (pair.refused.sync.era, pair.refused.sync.revision) == (2, held)
+    seen = set()
+    # Two listings take about seven seconds.
+    for _ in range(100):
+        pair.wait(0.1)
+        seen.add(pair.refused.sync.revision)
+    assert seen == {held}
+    assert not pair.refused.sync.needs_listing
