Apply what peers told during a listing after it

What callers saw: on a thin link, where a listing takes seconds, a node that came back to the store would have had no news for the time of a second one.

Change: it is applied, and then the changes that peers sent meanwhile, with no pause between. Only where changes between the two are missing, as after the operator's keys of a new era, the store is listed again.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -173,19 +173,21 @@
             ):
                 # A peer has told of the present era meanwhile.
                 logging.info('listing of an earlier era; listing again')
-            case Result(tag='ok', ok=listing) if (
-                listing.era == self._era
-                and (held_era, held_revision) != (self._era, self._revision)
-                and listing.revision < self._revision
-            ):
-                # As the store answers, peers are not asked during the next.
-                self._on_store_answer(listing.transfer_ms)
-                logging.info('listing older than changes; listing again')
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
+                later: Changes | None = Changes((), listing.revision)
+                if listing.era == self._era and (
+                    (held_era, held_revision) != (self._era, self._revision)
+                ):
+                    # Peers have told of changes meanwhile.
+                    later = self.changes_after(listing.revision)
+                if later is None:
+                    logging.info('listing older than changes; listing again')
+                    return
                 if _is_other_history(listing, self._listed_era, held_revision):
                     self._on_restored(listing)
                 self._apply_listing(listing)
+                self._apply_changes(later)
                 if observer:
                     observer.on_read_answered(0.0)
             case Result(error=error):
