End a watch on a silent connection when another call gets no answer

Silence counts as a reset, so a node is in touch again 3.0 s after it.

Cause: only the watch itself noticed the silence, after its wait of 4 s and the time-out of 0.9 s; a pause of 0.4 s followed. The renewal of the node's lease got no answer before that, and nobody drew the conclusion.

Change: a call that gets no answer on an open connection ends the watches that wait. The store is asked again on a new connection, without a pause after a call that took longer than the pause. No call is added: a watch waits as long as before, and a renewal is sent every 1.6 s.

Paths looked at: listings and pages have their own time-out of 0.9 s; nodes of regions with followers read at least every 0.6 s (worst 1.5 s before, 1.1 s after); a refused connection or a reset ends no watch, as it may concern one connection alone. If only the watch's connection falls silent and the renewal's does not, the watch still notices after 4.9 s.

The links of the soak can drop what open connections carry.

--- a/src/gentianbank/domain/steering_settings.py
+++ b/src/gentianbank/domain/steering_settings.py
@@ -46,7 +46,7 @@
     watch_ms
         Longest time that a watch waits for changes.
     retry_ms
-        Delay before the next call after a failed one.
+        Delay from the begin of a failed call to the next one, at least.
     lease_ms
         Lease of this node's entry: the store removes the entry this long
         after the node stopped renewing it.
--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -31,6 +31,8 @@
 from gentianbank.storage.prefix_store import PrefixStore
 from gentianbank.storage.prefix_store import Removal
 from gentianbank.storage.store import StoredValue
+from gentianbank.targets.transport import ConnectionLost
+from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import TargetRequest
 from gentianbank.targets.whole_body import BodyLimits
 from gentianbank.targets.whole_body import BodyLost
@@ -42,6 +44,7 @@
 
     from gentianbank.storage.prefix_store import WatchError
     from gentianbank.storage.store import Put
+    from gentianbank.targets.transport import SendError
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
 
@@ -112,7 +115,8 @@
         self._on_call = on_call
         self._era = StoreEra()
         self._has_unreadable_era = False
-        # Those that wait, which end when the store was restored.
+        # Those that wait. They end when the store was restored, or when
+        # another call gets no answer: the connections of all may be dead.
         self._watches: set[asyncio.Timeout] = set()
 
     async def list_prefix(
@@ -179,6 +183,7 @@
             'after': str(after_revision),
             'waitMs': str(wait_ms),
         }
+        era = self._era.current
         try:
             async with asyncio.timeout(None) as watch:
                 self._watches.add(watch)
@@ -190,6 +195,9 @@
                     max_bytes=max_bytes,
                 )
         except TimeoutError:
+            if era == self._era.current:
+                self._on_call('kv-watch', 'no answer')
+                return Error(StoreUnavailable('another call got no answer'))
             self._on_call('kv-watch', 'restored')
             return Error(HistoryCompacted())
         finally:
@@ -284,6 +292,8 @@
                 )
                 outcome = str(answer.status)
             case Result(error=failure):
+                if _is_silence(failure):
+                    self._end_watches()
                 result = Error(StoreUnavailable(failure.cause))
                 outcome = 'no answer'
         self._on_call(path.split('/')[1], outcome)
@@ -303,8 +313,7 @@
             logging.warning(
                 'era of the store changed', extra={'era': stated, 'was': was}
             )
-            for watch in self._watches:
-                watch.reschedule(asyncio.get_running_loop().time())
+            self._end_watches()
         elif stated is None and was and not self._has_unreadable_era:
             self._has_unreadable_era = True
             logging.warning(
@@ -312,6 +321,11 @@
             )
         return change
 
+    def _end_watches(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for watch in self._watches:
+            watch.reschedule(now_s)
+
     def _build_request(
         self,
         method: str,
@@ -370,6 +384,13 @@
         return Ok(_Document(raw, body.transfer_ms, era))
 
 
+def _is_silence(failure: SendError) -> bool:
+    """Return whether nothing came on a connection that did not end."""
+    return isinstance(failure, MaybeSent) and not isinstance(
+        failure, ConnectionLost
+    )
+
+
 def _to_unavailable(error: _CallError) -> StoreUnavailable:
     if isinstance(error, StoreUnavailable):
         return error
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -97,6 +97,7 @@
         self._has_listed = False
         self._drop_deadlines_ms: dict[str, float] = {}
         self._retry_requested = asyncio.Event()
+        self._called_ms = 0.0
         self._recent_changes: deque[StoredValue | Removal] = deque(
             maxlen=MAX_RECENT_CHANGES
         )
@@ -150,6 +151,7 @@
         while True:
             if self._observer:
                 await self._observer.wait_for_turn()
+            self._called_ms = self._clock()
             if self._must_list:
                 await self._list_store()
             else:
@@ -473,9 +475,12 @@
                 'store lost',
                 extra={'cause': error.cause, 'revision': self._revision},
             )
+        # A call that took long has been the pause itself.
+        took_ms = self._clock() - self._called_ms
+        pause_s = max(0.0, self._settings.retry_ms - took_ms) / _MS_PER_S
         self._retry_requested.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._settings.retry_ms / _MS_PER_S):
+            async with asyncio.timeout(pause_s):
                 await self._retry_requested.wait()
 
     def _apply_listing(self, listing: Listing) -> None:
--- a/src/gentianbank_standins/soak/links.py
+++ b/src/gentianbank_standins/soak/links.py
@@ -52,6 +52,7 @@
         self._open = asyncio.Event()
         self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._stalled: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener: asyncio.Server | None = None
 
@@ -90,6 +91,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def stall(self) -> None:
+        """Drop all further bytes of the open connections; new ones work."""
+        self._stalled.update(self._writers)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -121,12 +126,14 @@
                 )
             finally:
                 self._writers.discard(far_writer)
+                self._stalled.discard(far_writer)
                 far_writer.transport.abort()
         except _FAILURES:
             # One side broke off; the other learns it by a reset.
             return
         finally:
             self._writers.discard(writer)
+            self._stalled.discard(writer)
             self._tasks.discard(task)
             with contextlib.suppress(*_FAILURES):
                 writer.transport.abort()
@@ -145,6 +152,8 @@
                 await self._wait_transfer(len(data))
             while self._state in holding:
                 await self._open.wait()
+            if writer in self._stalled:
+                continue
             writer.write(data)
             await writer.drain()
         # The end of one direction ends the connection, as servers here
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -374,3 +374,22 @@
     assert isinstance(answer, HistoryCompacted)
     assert harness.loop.time() - began_s < 0.5
     assert len(harness.transport.given_up) == 1
+
+
+def test_watch_ends_when_another_call_gets_no_answer() -> None:
+    # Nothing ended the wait of 4 s on a connection that had fallen silent.
+    harness = StoreHarness(SILENT, SILENT)
+    began_s = harness.loop.time()
+
+    async def renew_during_watch() -> Result[Any, Any]:
+        watch = harness.store.wait_for_changes('', 9, 4_000)
+        watching = asyncio.create_task(watch)
+        await asyncio.sleep(0.1)
+        renewed = await harness.store.renew_lease(7)
+        assert renewed.is_error()
+        return await watching
+
+    answer = harness.run(renew_during_watch())
+    assert answer == StoreUnavailable('another call got no answer')
+    assert harness.loop.time() - began_s < 1.1
+    assert harness.outcomes[-1] == ('kv-watch', 'no answer')
