Play a restored store and silent connections in the soak

Both are faults now, in a module of their own. All checks stay, and there is one more: after the faults each node serves the route that only the newest version of the configuration has.

--- a/src/gentianbank_standins/soak/callers.py
+++ b/src/gentianbank_standins/soak/callers.py
@@ -28,6 +28,7 @@
 ORDER_PART = 0.4
 MAX_TRIES = 2
 _MS_PER_S = 1_000
+_NO_ROUTE = 404
 _NOT_REACHED = (httpx.ConnectError, httpx.ConnectTimeout)
 
 
@@ -167,3 +168,26 @@
     body = request_id if once else ''
     own = answer.headers.get('request-id') == request_id
     return own and answer.content == f'{stamp}/{body}'.encode()
+
+
+async def find_older_versions(
+    world: SoakWorld, promises: Promises
+) -> list[str]:
+    """Return a line for each node without the newest version's route."""
+    lines = []
+    name = f'version-{world.version}'
+    async with httpx.AsyncClient(timeout=PATIENCE_MS / _MS_PER_S) as client:
+        for node in world.nodes:
+            request_id = f'{name}-{node.vm}'
+            promises.probes.add(request_id)
+            headers = {
+                'host': HOST,
+                'request-id': request_id,
+                'deadline-ms': str(PATIENCE_MS),
+            }
+            answer = await client.get(
+                f'http://{node.callers}/{name}/1', headers=headers
+            )
+            if answer.status_code == _NO_ROUTE:
+                lines.append(f'{node.vm} has no route {name} after the faults')
+    return lines
--- a/src/gentianbank_standins/soak/main.py
+++ b/src/gentianbank_standins/soak/main.py
@@ -14,10 +14,12 @@
 import fire
 
 from gentianbank_standins.soak.callers import Caller
+from gentianbank_standins.soak.callers import find_older_versions
 from gentianbank_standins.soak.faults import FAULTS
 from gentianbank_standins.soak.promises import Promises
 from gentianbank_standins.soak.schedule import draw_schedule
 from gentianbank_standins.soak.schedule import LONGEST_S
+import gentianbank_standins.soak.store_faults  # noqa: F401 (registers)
 from gentianbank_standins.soak.world import SoakWorld
 from gentianbank_standins.soak.world import STOP_S
 
@@ -148,6 +150,7 @@
         ]
         work += [_play(world, fault) for fault in schedule]
         await asyncio.gather(*work)
+        older_versions = await find_older_versions(world, promises)
     finally:
         await world.stop()
     played: dict[str, int] = {}
@@ -155,7 +158,7 @@
         played[fault.kind] = played.get(fault.kind, 0) + 1
     return SoakResult(
         world.seed,
-        tuple(promises.broken(world.journal, calm_s)),
+        (*promises.broken(world.journal, calm_s), *older_versions),
         played,
         dict(promises.seen),
     )
--- a/src/gentianbank_standins/soak/promises.py
+++ b/src/gentianbank_standins/soak/promises.py
@@ -54,9 +54,16 @@
 
 @dataclass(slots=True)
 class Promises:
-    """Collects attempts and says which promises were broken."""
+    """Collects attempts and says which promises were broken.
+
+    Parameters
+    ----------
+    probes
+        Requests of the soak itself, which are no attempts of callers.
+    """
 
     attempts: list[Attempt] = field(default_factory=list)
+    probes: set[str] = field(default_factory=set)
     seen: Counter[str] = field(default_factory=Counter)
 
     def note(self, attempt: Attempt) -> None:
@@ -75,6 +82,7 @@
         """
         lines = []
         known = {attempt.request_id for attempt in self.attempts}
+        known |= self.probes
         lines += [
             f'request {name} ran, but no caller sent it'
             for name in journal.runs
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -27,6 +27,12 @@
     'store cut off',
 )
 SPOILING_KINDS = ('target reports no number', 'target answers without end')
+STORE_KINDS = (
+    'store restored',
+    'store connections silent',
+    'store cut off',
+    'node killed',
+)
 LIMIT_KINDS = ('target limited', 'node stopped', 'store cut off')
 
 
@@ -60,6 +66,14 @@
     assert result.faults.keys() == set(SPOILING_KINDS)
 
 
+def test_soak_keeps_the_promises_where_the_store_is_restored(
+    tmp_path: Path,
+) -> None:
+    result = run_soak(4, tmp_path, duration_s=LONG_S, kinds=STORE_KINDS)
+    assert result.broken == ()
+    assert result.faults['store restored']
+
+
 def test_soak_keeps_refusals_true_where_targets_fail_what_ran(
     tmp_path: Path,
 ) -> None:
