Move the items and events of the store to a module of their own

What decodes items and events does not call the store and moves to platform/store_items.py, unchanged.

--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import binascii
 from dataclasses import dataclass
 import json
 from typing import Any
@@ -17,9 +16,9 @@
 from expression import Result
 
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.platform.credentials import without_keys
-from gentianbank.platform.documents import CONFIGURATION_KEY
 from gentianbank.platform.headers import decode_store_era
+from gentianbank.platform.store_items import decode_event
+from gentianbank.platform.store_items import decode_value
 from gentianbank.policy.store_era import EraChange
 from gentianbank.policy.store_era import StoreEra
 from gentianbank.storage.prefix_store import Changes
@@ -29,8 +28,6 @@
 from gentianbank.storage.prefix_store import Listing
 from gentianbank.storage.prefix_store import MAX_CHANGES_BYTES
 from gentianbank.storage.prefix_store import PrefixStore
-from gentianbank.storage.prefix_store import Removal
-from gentianbank.storage.store import StoredValue
 from gentianbank.targets.transport import ConnectionLost
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import TargetRequest
@@ -44,6 +41,7 @@
 
     from gentianbank.storage.prefix_store import WatchError
     from gentianbank.storage.store import Put
+    from gentianbank.storage.store import StoredValue
     from gentianbank.targets.transport import SendError
     from gentianbank.targets.transport import TargetAnswer
     from gentianbank.targets.transport import TargetTransport
@@ -141,7 +139,7 @@
                 cause = 'the store was restored between pages'
                 return Error(StoreUnavailable(cause))
             try:
-                page = [_decode_value(item) for item in raw['items']]
+                page = [decode_value(item) for item in raw['items']]
                 has_more = bool(raw.get('hasMore', False))
                 revision = revision or int(raw['currentRev'])
             except _MALFORMED as error:
@@ -212,7 +210,7 @@
             case Result(error=error):
                 return Error(_to_unavailable(error))
         try:
-            events = tuple(_decode_event(item) for item in raw['events'])
+            events = tuple(decode_event(item) for item in raw['events'])
             revision = int(raw['currentRev'])
             return Ok(Changes(events, revision, transfer_ms, era))
         except _MALFORMED as error:
@@ -398,22 +396,3 @@
         cause = f'the answer is over {MAX_ANSWER_BYTES} bytes'
         return StoreUnavailable(cause)
     return StoreUnavailable(f'HTTP {error}')
-
-
-def _decode_value(raw: dict[str, Any]) -> StoredValue:
-    try:
-        value = base64.b64decode(raw.get('value') or '', validate=True)
-    except binascii.Error:
-        # Another client wrote invalid base64. An empty value fails only the
-        # decoding of this entry and not of the whole listing.
-        value = b''
-    key = str(raw['key'])
-    if key == CONFIGURATION_KEY:
-        value = without_keys(value)
-    return StoredValue(key, value, int(raw['revision']))
-
-
-def _decode_event(raw: dict[str, Any]) -> StoredValue | Removal:
-    if raw.get('removed'):
-        return Removal(str(raw['key']), int(raw['revision']))
-    return _decode_value(raw)
