--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -102,6 +102,7 @@
         self._has_listed = False
         self._drop_deadlines_ms: dict[str, float] = {}
         self._retry_requested = asyncio.Event()
+        self._called_ms = 0.0
         self._recent_changes: deque[StoredValue | Removal] = deque(
             maxlen=MAX_RECENT_CHANGES
         )
@@ -156,6 +157,7 @@
             if self._observer:
                 await self._observer.wait_for_turn()
             self._end_caution()
+            self._called_ms = self._clock()
             if self._must_list:
                 await self._list_store()
             else:
@@ -494,9 +496,12 @@
                 extra={'cause': error.cause, 'revision': self._revision},
             )
         self._end_caution()
+        # A call that took long has been the pause itself.
+        took_ms = self._clock() - self._called_ms
+        pause_s = max(0.0, self._settings.retry_ms - took_ms) / _MS_PER_S
         self._retry_requested.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._settings.retry_ms / _MS_PER_S):
+            async with asyncio.timeout(pause_s):
                 await self._retry_requested.wait()
 
     def _apply_listing(self, listing: Listing) -> None:
--- a/src/gentianbank_standins/soak/callers.py
+++ b/src/gentianbank_standins/soak/callers.py
@@ -29,6 +29,7 @@
 MAX_TRIES = 2
 LEAVING_HEADER = 'server-leaving'
 _MS_PER_S = 1_000
+_NO_ROUTE = 404
 _NOT_REACHED = (httpx.ConnectError, httpx.ConnectTimeout)
 
 
@@ -185,3 +186,26 @@
         return ''
     stamp: str = answer.headers.get('server-stamp', '')
     return stamp.partition('.')[0]
+
+
+async def find_older_versions(
+    world: SoakWorld, promises: Promises
+) -> list[str]:
+    """Return a line for each node without the newest version's route."""
+    lines = []
+    name = f'version-{world.version}'
+    async with httpx.AsyncClient(timeout=PATIENCE_MS / _MS_PER_S) as client:
+        for node in world.nodes:
+            request_id = f'{name}-{node.vm}'
+            promises.probes.add(request_id)
+            headers = {
+                'host': HOST,
+                'request-id': request_id,
+                'deadline-ms': str(PATIENCE_MS),
+            }
+            answer = await client.get(
+                f'http://{node.callers}/{name}/1', headers=headers
+            )
+            if answer.status_code == _NO_ROUTE:
+                lines.append(f'{node.vm} has no route {name} after the faults')
+    return lines
--- a/src/gentianbank_standins/soak/main.py
+++ b/src/gentianbank_standins/soak/main.py
@@ -14,11 +14,13 @@
 import fire
 
 from gentianbank_standins.soak.callers import Caller
+from gentianbank_standins.soak.callers import find_older_versions
 from gentianbank_standins.soak.faults import FAULTS
-import gentianbank_standins.soak.leaving_faults  # noqa: F401 (registers)
+import gentianbank_standins.soak.leaving_faults
 from gentianbank_standins.soak.promises import Promises
 from gentianbank_standins.soak.schedule import draw_schedule
 from gentianbank_standins.soak.schedule import LONGEST_S
+import gentianbank_standins.soak.store_faults  # noqa: F401 (registers)
 from gentianbank_standins.soak.world import SoakWorld
 from gentianbank_standins.soak.world import STOP_S
 
@@ -149,6 +151,7 @@
         ]
         work += [_play(world, fault) for fault in schedule]
         await asyncio.gather(*work)
+        older_versions = await find_older_versions(world, promises)
     finally:
         await world.stop()
     played: dict[str, int] = {}
@@ -156,7 +159,7 @@
         played[fault.kind] = played.get(fault.kind, 0) + 1
     return SoakResult(
         world.seed,
-        tuple(promises.broken(world.journal, calm_s)),
+        (*promises.broken(world.journal, calm_s), *older_versions),
         played,
         dict(promises.seen),
     )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -424,3 +424,22 @@
     lease = harness.run(store.grant_lease_ms(1_000))
     put = store.put(Put('nodes/vm-1', b'v', lease.number, lease.era))
     assert harness.run(put) == LeaseExpired()
+
+
+def test_watch_ends_when_another_call_gets_no_answer() -> None:
+    # Nothing ended the wait of 4 s on a connection that had fallen silent.
+    harness = StoreHarness(SILENT, SILENT)
+    began_s = harness.loop.time()
+
+    async def renew_during_watch() -> Result[Any, Any]:
+        watch = harness.store.wait_for_changes('', 9, 4_000)
+        watching = asyncio.create_task(watch)
+        await asyncio.sleep(0.1)
+        renewed = await harness.store.renew_lease(Lease(7))
+        assert renewed.is_error()
+        return await watching
+
+    answer = harness.run(renew_during_watch())
+    assert answer == StoreUnavailable('another call got no answer')
+    assert harness.loop.time() - began_s < 1.1
+    assert harness.outcomes[-1] == ('kv-watch', 'no answer')
