--- a/src/gentianbank/platform/store.py
+++ b/src/gentianbank/platform/store.py
@@ -322,7 +322,8 @@
     def _end_watches(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for watch in self._watches:
-            watch.reschedule(now_s)
+            if not watch.expired():
+                watch.reschedule(now_s)
 
     def _build_request(
         self,
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -52,6 +52,8 @@
 # A node grants tokens of usage caps only while its view is recent, which an
 # answer without changes confirms too.
 CAPS_WATCH_MS = 1_000
+# Between a listing that was applied and the next one.
+MIN_LISTING_PERIOD_MS = 400.0
 _MS_PER_S = 1_000
 
 
@@ -91,6 +93,7 @@
         self._era = 0
         # Era of the last listing; a peer may have told of a later one.
         self._listed_era = 0
+        self._listed_ms = float('-inf')
         self._must_list = True
         self._down_since_ms: float | None = None
         self._recovered_ms = float('-inf')
@@ -158,6 +161,9 @@
                 await self._watch_changes()
 
     async def _list_store(self) -> None:
+        # Answers of several eras in turn must not lead to one after another.
+        due_ms = self._listed_ms + MIN_LISTING_PERIOD_MS
+        await asyncio.sleep(max(0.0, due_ms - self._clock()) / _MS_PER_S)
         observer = self._observer
         held_era = self._era
         held_revision = self._revision
@@ -169,19 +175,21 @@
             ):
                 # A peer has told of the present era meanwhile.
                 logging.info('listing of an earlier era; listing again')
-            case Result(tag='ok', ok=listing) if (
-                listing.era == self._era
-                and held_revision != self._revision
-                and listing.revision < self._revision
-            ):
-                # As the store answers, peers are not asked during the next.
-                self._on_store_answer(listing.transfer_ms)
-                logging.info('listing older than changes; listing again')
             case Result(tag='ok', ok=listing):
                 self._on_store_answer(listing.transfer_ms)
+                later: Changes | None = Changes((), listing.revision)
+                if listing.era == self._era and (
+                    (held_era, held_revision) != (self._era, self._revision)
+                ):
+                    # Peers have told of changes meanwhile.
+                    later = self.changes_after(listing.revision)
+                if later is None:
+                    logging.info('listing older than changes; listing again')
+                    return
                 if _is_other_history(listing, self._listed_era, held_revision):
                     self._on_restored(listing)
                 self._apply_listing(listing)
+                self._apply_changes(later)
                 if observer:
                     observer.on_read_answered(0.0)
             case Result(error=error):
@@ -416,7 +424,7 @@
         revision of the restored store the same as that of the copy.
         """
         self._must_list = True
-        if self._watch is not None:
+        if self._watch is not None and not self._watch.expired():
             self._watch.reschedule(asyncio.get_running_loop().time())
 
     def retry_now(self) -> None:
@@ -510,6 +518,7 @@
                 self._on_member_removed(vm)
         self._era = self._listed_era = listing.era
         self._revision = listing.revision
+        self._listed_ms = self._clock()
         self._must_list = False
         self._forget_changes(listing.revision)
         self._drop_expired_targets()
