Begin the times of a route with those of its service

Cause: the first answer created the route's own estimate from its objective, which then held alone for ten seconds; only answers without a wait, which a busy service has few of, moved it, by a twentieth each.

Change: the own estimate begins as a copy of the service's.

Evidence: test_route_added_to_a_busy_service_waits_like_the_others with 1 and 5 own answers before got 503 on the code before.

--- a/src/gentianbank/policy/route_times.py
+++ b/src/gentianbank/policy/route_times.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import NamedTuple
 
 # Assumed work time for a cold and for a warm object before the first answer,
@@ -160,6 +161,8 @@
         if shared is None:
             initial = RouteTimes.initial(objective_ms)
             shared = self._services[kind] = _Measured(initial)
+        elif own.answered_ms == float('-inf'):
+            own.times = replace(shared.times)
         for measured in (own, shared):
             measured.answered_ms = now_ms
             measured.times.on_answer(
