Forget the entries of an earlier listing when the store is listed again

Cause: the entry of a target that was gone is kept beside the copy until the caution ends; a later listing without it dropped only targets in the view.

Evidence: test_target_that_a_later_listing_lacks_is_not_used_after_the_caution found the target usable on the code before.

--- a/src/gentianbank/steering/store_following/restore_caution.py
+++ b/src/gentianbank/steering/store_following/restore_caution.py
@@ -76,6 +76,10 @@
         )
         self._held_back.clear()
 
+    def on_listing(self) -> None:
+        """Forget the entries in the store, all of which are listed now."""
+        self._held_back.clear()
+
     def on_listed(self, evacuated: frozenset[str]) -> frozenset[str]:
         """Log what is kept beside a listing, once its entries are checked.
 
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -508,6 +508,7 @@
         first = not self._has_listed
         self._has_listed = True
         self._operator_values.clear()
+        self._caution.on_listing()
         keys = set()
         evacuated = set()
         for stored in listing.values:
--- a/tests/steering/store_following/test_restore_caution.py
+++ b/tests/steering/store_following/test_restore_caution.py
@@ -291,3 +291,16 @@
         ('state from before the restore kept', 1, 1),
         ('state from before the restore given up', 1, 1),
     ]
+
+
+def test_target_that_a_later_listing_lacks_is_not_used_after_the_caution(
+    case: Restored,
+) -> None:
+    # Its entry was kept from the listing before.
+    case.store.remove('servers/i-9')
+    case.restore()
+    assert not case.is_usable('i-9')
+    case.store.remove('servers/i-9')
+    case.store.forget_history()
+    case.node.wait(CAUTION_S + 5.0)
+    assert not case.is_usable('i-9')
