Keep the later start of a target that is gone over two restores

Evidence: test_later_start_of_a_target_that_is_gone_is_kept_over_two_restores found it usable on the code before.

--- a/src/gentianbank/steering/store_following/restore_caution.py
+++ b/src/gentianbank/steering/store_following/restore_caution.py
@@ -61,7 +61,7 @@
         now_ms = self._clock()
         gone = self._gone.recent(now_ms)
         if self._known:
-            gone |= self._known.gone
+            gone = self._known.gone | gone
         draining = {
             target_id: target.registration.born_ms
             for target_id, target in self._cluster_view.targets.items()
--- a/tests/steering/store_following/test_restore_caution.py
+++ b/tests/steering/store_following/test_restore_caution.py
@@ -25,6 +25,7 @@
 CAUTION_S = CAUTION_MS / 1_000
 DRAINING = ENTRY | {'state': 'draining'}
 EVACUATION = 'op/evacuate/east-1'
+LATER_BORN_MS = 2_000_000_000_000
 
 
 class Restored:
@@ -304,3 +305,16 @@
     case.store.forget_history()
     case.node.wait(CAUTION_S + 5.0)
     assert not case.is_usable('i-9')
+
+
+def test_later_start_of_a_target_that_is_gone_is_kept_over_two_restores(
+    case: Restored,
+) -> None:
+    # The start known before the first restore replaced it.
+    case.store.remove('servers/i-9')
+    case.restore({'servers/i-9': ENTRY | {'born': LATER_BORN_MS}})
+    case.back_up()
+    case.store.remove('servers/i-9')
+    case.node.wait(3.0)
+    case.restore()
+    assert not case.is_usable('i-9')
