Tell a request of era 0 from one of an older release

Cause: era 0 in its request was taken for that of a release that knows no eras, so peers sent it changes of the new era, which it did not apply.

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -31,6 +31,8 @@
 # Size up to which the store takes values.
 MAX_VALUE_BYTES = 1024 * 1024
 _MAX_REVISION = 2**53
+# Of a message of a release that knows no eras.
+NO_ERA = -1
 
 
 @register_message('news-request')
@@ -45,7 +47,7 @@
     """
 
     after_revision: int = schema.integer(0, _MAX_REVISION)
-    era: int = schema.integer(0, _MAX_REVISION, default=0)
+    era: int = schema.integer(NO_ERA, _MAX_REVISION, default=NO_ERA)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,7 +145,7 @@
         if not self._sync.is_reachable or request.era > self._sync.era:
             return
         # A node of a release without eras takes each answer for changes.
-        if 0 < request.era < self._sync.era:
+        if NO_ERA < request.era < self._sync.era:
             self._send_operator_values(vm)
             return
         changes = self._sync.changes_after(request.after_revision)
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -317,3 +317,15 @@
         seen.add(pair.refused.sync.revision)
     assert seen == {held}
     assert not pair.refused.sync.needs_listing
+
+
+def test_node_turned_away_follows_a_store_whose_first_era_is_0() -> None:
+    # The era of its request was taken for that of an older release.
+    pair = Pair(era=0)
+    lose_changes(pair)
+    pair.refuse_store_calls()
+    pair.restore(era=1)
+    pair.write('op/config', CONFIGURATION | {'version': 9})
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 9
+    pair.refused.loop.end()
