Tell a node that is turned away the operator's keys for want of changes

Cause: peers answered only with changes, and those before their last listing they no longer hold.

Change: for want of all changes they answer with the operator's keys, which the node takes in place of its own until it can list the store itself. They are taken only as the answer to a request of the same era, so none that is late leaves a gap.

--- a/src/gentianbank/steering/store_following/catch_up.py
+++ b/src/gentianbank/steering/store_following/catch_up.py
@@ -69,12 +69,16 @@
     ----------
     operator_only
         Whether these are all keys of the operator, and no others. They are
-        the answer to a request of an earlier era.
+        the answer to a request of an earlier era, or to one after which not
+        all changes are held any more.
+    asked_era
+        Era in the request that is answered.
     """
 
     revision: int = schema.integer(0, _MAX_REVISION)
     era: int = schema.integer(0, _MAX_REVISION, default=0)
     operator_only: bool = schema.flag(default=False)
+    asked_era: int = schema.integer(NO_ERA, _MAX_REVISION, default=NO_ERA)
     changes: tuple[StoreChange, ...] = schema.sequence(StoreChange)
 
 
@@ -146,10 +150,15 @@
             return
         # A node of a release without eras takes each answer for changes.
         if NO_ERA < request.era < self._sync.era:
-            self._send_operator_values(vm)
+            self._send_operator_values(vm, request.era)
             return
         changes = self._sync.changes_after(request.after_revision)
-        if changes is None or not changes.events:
+        if changes is None:
+            is_same_era = request.era == self._sync.era
+            if is_same_era and not self._sync.needs_listing:
+                self._send_operator_values(vm, request.era)
+            return
+        if not changes.events:
             return
         newest = without_replaced(changes.events)
         events = first_answer(newest)
@@ -160,13 +169,14 @@
         answer = StoreChanges(revision=revision, era=changes.era, changes=rows)
         self._peers.send(vm, answer)
 
-    def _send_operator_values(self, vm: str) -> None:
-        """Send what the operator has written, as the peer's era is over."""
+    def _send_operator_values(self, vm: str, asked_era: int) -> None:
+        """Send what the operator has written, for want of all changes."""
         values = self._sync.operator_values()
         answer = StoreChanges(
             revision=values.revision,
             era=values.era,
             operator_only=True,
+            asked_era=asked_era,
             changes=encode_changes(values.events),
         )
         self._peers.send(vm, answer)
@@ -198,10 +208,11 @@
         The operator's keys alone are no changes of an era that the copy has
         reached since it asked: those of other keys are missing between them.
         """
-        if answer.operator_only:
-            return answer.era > self._sync.era
-        is_same_era = answer.era == self._sync.era
-        return is_same_era and answer.revision > self._sync.revision
+        if answer.era != self._sync.era:
+            return answer.operator_only and answer.era > self._sync.era
+        if answer.operator_only and answer.asked_era != answer.era:
+            return False
+        return answer.revision > self._sync.revision
 
 
 def without_replaced(
--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -372,18 +372,19 @@
             self._apply_changes(changes)
 
     def replace_operator_values(self, values: Changes) -> None:
-        """Take all keys of the operator from a peer of a later era.
+        """Take all keys of the operator from a peer with a later version.
 
         What the copy has of other keys is kept. They are taken from the
         store when that can be reached.
         """
-        if values.era <= self._era:
+        if (values.era, values.revision) <= (self._era, self._revision):
             return
-        logging.warning(
-            'peer told of a restored store',
-            extra={'era': values.era, 'held_era': self._era},
-        )
-        self._on_other_era(values.revision)
+        if values.era > self._era:
+            logging.warning(
+                'peer told of a restored store',
+                extra={'era': values.era, 'held_era': self._era},
+            )
+            self._on_other_era(values.revision)
         self._operator_values.clear()
         self._era = values.era
         self._revision = 0
--- a/tests/steering/store_following/test_catch_up_eras.py
+++ b/tests/steering/store_following/test_catch_up_eras.py
@@ -329,3 +329,22 @@
     pair.wait(1.0)
     assert version_in_force(pair.refused) == 9
     pair.refused.loop.end()
+
+
+def test_node_turned_away_follows_a_peer_that_lists_the_store_again(
+    pair: Pair,
+) -> None:
+    # The peer no longer held the changes that were asked for.
+    lose_changes(pair)
+    restore(pair)
+    pair.wait(1.0)
+    pair.write('servers/other', ENTRY)
+    pair.served.store.forget_history()
+    pair.wait(1.0)
+    pair.write('op/config', CONFIGURATION | {'version': 10})
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 10
+    pair.write('op/config', CONFIGURATION | {'version': 11})
+    pair.wait(1.0)
+    assert version_in_force(pair.refused) == 11
+    assert pair.refused.sync.needs_listing
