Accept either sign of a copy that trusts a follower past its time

Replayed step by step, the machine holds without the mutant (the node reads the store itself after 1.2 s), and with it a passive node that hears nothing keeps an evacuation from before a restore past its ten seconds. So the message is another effect of the mutant, which exists since the machine knows restores; the other mutants of the copy are matched in the same way. The check on the unbroken machine is unchanged.

--- a/tests/steering/store_following/test_machine.py
+++ b/tests/steering/store_following/test_machine.py
@@ -308,7 +308,8 @@
 ) -> None:
     monkeypatch.setattr(store_followers, 'FRESH_MS', 6_000.0)
     monkeypatch.setattr(following, 'FRESH_MS', 6_000.0)
-    catch('change late', 2_000)
+    # Such a copy also keeps what was known before a restore for too long.
+    catch('change late|copy differs', 2_000)
 
 
 def test_mutant_that_skips_a_gap_is_caught(
