End an answer that its target does not end in time

The same where a target went silent after 1 MiB, stated a length that it sent too slowly, or where no memory was left to read ahead.

Cause: the deadline bounded the head of an answer and the part that is read ahead. What came behind was read with no bound on time.

Change: the target has until the deadline to end the body.

Weighed: a bound on the whole, which cuts ready answers at slow callers; the time outside of waits for the target, in which a node short of processor time gives the target more time than it has.

Tests changed: the reading callers of test_endless_answers.py ask again once their answer has ended, so that the load on memory goes on for the whole of the test as before.

Paths looked at: steering/answers.py, answer_body.py and sending.py (here); large answers that wait for a slot or for their turn on a connection (their target's time does not run meanwhile; the answer in front ends by its own deadline); answers to others and interim answers (bounded by the time limit of the head); status checks of both interfaces (1 s for the body); answers of the store (silence, rate and size bounded). The relay and the outcomes of the own interface have the same cause and follow.

--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from typing import TYPE_CHECKING
 
+from gentianbank.targets.timed_body import LateBodyError
+from gentianbank.targets.timed_body import TimedBody
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from gentianbank.policy.buffer_budget import Budget
     from gentianbank.targets.transport import TargetAnswer
@@ -18,6 +23,7 @@
 READ_AHEAD_BUDGET_BYTES = 24 * 1024 * 1024
 # A body up to this size is read whether or not any of that is left.
 UNBUDGETED_BYTES = 16 * 1024
+_MS_PER_S = 1_000
 
 
 class AnswerBody:
@@ -27,6 +33,10 @@
     ----------
     budget
         Bytes that all requests together may read ahead.
+    deadline_ms
+        Time by which the target has to end the body.
+    clock
+        Returns the monotonic time in milliseconds.
 
     Attributes
     ----------
@@ -36,12 +46,21 @@
         Whether that is the whole body.
     """
 
-    def __init__(self, answer: TargetAnswer, budget: Budget) -> None:
+    def __init__(
+        self,
+        answer: TargetAnswer,
+        budget: Budget,
+        deadline_ms: float,
+        clock: Callable[[], float],
+    ) -> None:
         self.size_bytes = 0
         self.is_complete = False
         self._answer = answer
         self._budget = budget
+        self._deadline_ms = deadline_ms
+        self._clock = clock
         self._chunks = answer.chunks()
+        self._rest: TimedBody | None = None
         self._parts: deque[bytes] = deque()
         self._taken_bytes = 0
 
@@ -56,13 +75,18 @@
         Raises
         ------
         TruncatedBodyError
-            If the body ends early.
+            If the body ends early, or not in time.
         """
-        async for chunk in self._chunks:
-            self._parts.append(chunk)
-            self.size_bytes += len(chunk)
-            if not self._may_read_on():
-                return
+        try:
+            async with asyncio.timeout(self._left_ms() / _MS_PER_S):
+                async for chunk in self._chunks:
+                    self._parts.append(chunk)
+                    self.size_bytes += len(chunk)
+                    if not self._may_read_on():
+                        self._rest = TimedBody(self._chunks, self._left_ms())
+                        return
+        except TimeoutError as error:
+            raise LateBodyError('the target did not end it in time') from error
         self.is_complete = True
         await self._answer.close()
 
@@ -72,21 +96,26 @@
         Raises
         ------
         TruncatedBodyError
-            If the body ends early.
+            If the body ends early, or not in time.
         """
         while self._parts:
             yield self._parts.popleft()
         self._give_back()
-        if not self.is_complete:
-            async for chunk in self._chunks:
-                yield chunk
+        if self._rest is not None:
+            async for part in self._rest.parts():
+                yield part
 
     async def close(self) -> None:
         """Drop what is held, and abandon an unfinished answer; idempotent."""
         self._parts.clear()
         self._give_back()
+        if self._rest is not None:
+            await self._rest.close()
         await self._answer.close()
 
+    def _left_ms(self) -> float:
+        return max(0.0, self._deadline_ms - self._clock())
+
     def _may_read_on(self) -> bool:
         if self.size_bytes > MAX_READ_AHEAD_BYTES:
             return False
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 from typing import TYPE_CHECKING
 
@@ -51,7 +50,6 @@
 
 CONNECT_TIMEOUT_MS = 300.0
 _MIN_SERVER_ERROR = 500
-_MS_PER_S = 1_000
 _SUCCESS_STATUSES = range(200, 300)
 
 
@@ -135,7 +133,10 @@
         match await self._transport.send(target_request):
             case Result(tag='ok', ok=answer):
                 answer_body = AnswerBody(
-                    answer, exchange.answer_budget(self.read_ahead_budget)
+                    answer,
+                    exchange.answer_budget(self.read_ahead_budget),
+                    request.deadline_ms,
+                    self._clock,
                 )
                 return await self._read_answer(
                     request, answer, answer_body, placed, sent_ms
@@ -213,7 +214,7 @@
             if _shows_staying(headers, meaning):
                 self._leaving.on_not_said(target, sent_ms, 'answer')
         unusable: Rejected | Broken | None
-        unusable = await self._read_ahead(request, target, status, body)
+        unusable = await self._read_ahead(target, status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
         if unusable is not None:
             await body.close()
@@ -223,18 +224,12 @@
         return Delivered(status, headers, body)
 
     async def _read_ahead(
-        self,
-        request: CallerRequest,
-        target: TargetLoad,
-        status: int,
-        body: AnswerBody,
+        self, target: TargetLoad, status: int, body: AnswerBody
     ) -> Broken | None:
         """Read the body as far as it may be held; return what went wrong."""
-        left_ms = request.deadline_ms - self._clock()
         try:
-            async with asyncio.timeout(max(0.0, left_ms) / _MS_PER_S):
-                await body.read_ahead()
-        except (TruncatedBodyError, TimeoutError) as error:
+            await body.read_ahead()
+        except TruncatedBodyError as error:
             target.on_broken(self._clock())
             if isinstance(error, BodyConnectionLostError):
                 self._checks.on_connection_lost(target)
--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -31,6 +31,8 @@
 DURATION_S = 5.0
 # Targets are cold at first.
 SETTLE_S = 4.0
+# Many times the timeout of the route.
+END_LIMIT_S = 30.0
 # So many that the node sends on all of the answers at once.
 SLOTS = 200
 NEVER = 10**9
@@ -76,36 +78,54 @@
 
 
 class EndlessCallers:
-    """Callers that read no answer, or read it for as long as it comes."""
+    """Callers that read no answer, or read one after the other."""
 
-    def __init__(self) -> None:
+    def __init__(self, node: SoakNode) -> None:
+        self._address = node.callers
         self._tasks: list[asyncio.Task[None]] = []
         self._sockets: list[socket.socket] = []
+        self._sent = 0
+        self.read_to_end = 0
 
-    async def send(self, node: SoakNode, count: int, *, read: bool) -> None:
+    async def send(self, count: int, *, read: bool) -> None:
         """Send a read for each caller."""
-        host, _, port = node.callers.rpartition(':')
         loop = asyncio.get_running_loop()
-        for number in range(count):
-            connection = socket.socket()
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
-            connection.setblocking(False)
-            self._sockets.append(connection)
-            await loop.sock_connect(connection, (host, int(port)))
-            lines = (
-                f'GET /read/{number} HTTP/1.1',
-                f'Host: {HOST}',
-                f'Request-Id: endless-{number}',
-                f'Affinity-Key: {number}',
-                'Deadline-Ms: 60000',
-            )
-            await loop.sock_sendall(
-                connection, '\r\n'.join((*lines, '', '')).encode()
-            )
+        for _ in range(count):
+            connection = await self._send()
             if read:
-                self._tasks.append(loop.create_task(_read_all(connection)))
+                self._tasks.append(loop.create_task(self._read_on(connection)))
+
+    async def _send(self) -> socket.socket:
+        host, _, port = self._address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        connection = socket.socket()
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        connection.setblocking(False)
+        self._sockets.append(connection)
+        await loop.sock_connect(connection, (host, int(port)))
+        number = self._sent
+        self._sent += 1
+        lines = (
+            f'GET /read/{number} HTTP/1.1',
+            f'Host: {HOST}',
+            f'Request-Id: endless-{number}',
+            f'Affinity-Key: {number}',
+            'Deadline-Ms: 60000',
+        )
+        await loop.sock_sendall(
+            connection, '\r\n'.join((*lines, '', '')).encode()
+        )
+        return connection
+
+    async def _read_on(self, connection: socket.socket) -> None:
+        """Read an answer until the node ends it, and ask again."""
+        while True:
+            await _read_all(connection)
+            connection.close()
+            self.read_to_end += 1
+            connection = await self._send()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -145,6 +165,14 @@
     asyncio.run(play_callers(tmp_path, answer, READING_CALLERS, read=True))
 
 
+@pytest.mark.parametrize('answer', [send_chunks, send_until_closed])
+def test_node_ends_answers_that_their_target_does_not_end(
+    tmp_path: Path, answer: Answer
+) -> None:
+    """Such an answer went on until its caller left (review/14)."""
+    asyncio.run(play_ends(tmp_path, answer))
+
+
 def test_orders_are_answered_in_time_while_failures_do_not_end(
     tmp_path: Path,
 ) -> None:
@@ -162,16 +190,17 @@
 ) -> None:
     """Let callers get answers without end, and others send orders."""
     world = SoakWorld(folder, 1, 0, seed=0)
-    callers = EndlessCallers()
+    callers: EndlessCallers | None = None
     try:
         await world.start()
         (node,) = world.nodes
+        callers = EndlessCallers(node)
         faults = (answer, answer, None)
         async with raw_targets(world, *faults, slots=SLOTS) as targets:
             await asyncio.sleep(SETTLE_S)
             for target in targets[:2]:
                 target.fault_period = 1
-            await callers.send(node, count, read=read)
+            await callers.send(count, read=read)
             await asyncio.sleep(DURATION_S)
             assert len(targets[0].spoiled) >= count / 2
             for target in targets[:2]:
@@ -184,7 +213,30 @@
             assert 200 in orders.statuses.values()
             await callers.close()
     finally:
-        await callers.close()
+        if callers is not None:
+            await callers.close()
+        await world.stop()
+
+
+async def play_ends(folder: Path, answer: Answer) -> None:
+    """Let a caller read answers without end until some have ended."""
+    world = SoakWorld(folder, 1, 0, seed=0)
+    callers: EndlessCallers | None = None
+    try:
+        await world.start()
+        callers = EndlessCallers(world.nodes[0])
+        async with raw_targets(world, answer, slots=SLOTS) as targets:
+            await asyncio.sleep(SETTLE_S)
+            targets[0].fault_period = 1
+            await callers.send(1, read=True)
+            async with asyncio.timeout(END_LIMIT_S):
+                while callers.read_to_end < 2:
+                    await asyncio.sleep(0.1)
+            assert len(targets[0].spoiled) >= 2
+            await callers.close()
+    finally:
+        if callers is not None:
+            await callers.close()
         await world.stop()
 
 
--- a/tests/steering/test_answer_body.py
+++ b/tests/steering/test_answer_body.py
@@ -26,6 +26,7 @@
 
 T = TypeVar('T')
 LIMIT_BYTES = 300_000
+DEADLINE_MS = 60_000.0
 
 
 @pytest.fixture(autouse=True)
@@ -51,7 +52,7 @@
 
 def body_of(size_bytes: int, budget: BufferBudget) -> AnswerBody:
     answer = ScriptedAnswer(Script(body=b'x' * size_bytes), b'r-1')
-    body = AnswerBody(answer, budget)
+    body = AnswerBody(answer, budget, DEADLINE_MS, lambda: 0.0)
     run(body.read_ahead())
     return body
 
@@ -91,7 +92,7 @@
 def test_body_that_ends_early_gives_its_bytes_back() -> None:
     budget = BufferBudget(LIMIT_BYTES)
     answer = ScriptedAnswer(Script(body=b'x' * 50_000, cut=True), b'r-1')
-    body = AnswerBody(answer, budget)
+    body = AnswerBody(answer, budget, DEADLINE_MS, lambda: 0.0)
 
     async def read_ahead() -> None:
         with pytest.raises(TruncatedBodyError):
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+import enum
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -86,6 +87,14 @@
 }
 
 
+class BodyEnd(enum.Enum):
+    """What follows the body of a script."""
+
+    WHOLE = 'the answer is whole'
+    SILENT = 'nothing, and the connection stays open'
+    ENDLESS = 'the last part, again and again'
+
+
 @dataclass(frozen=True)
 class Script:
     """What a target does with a request."""
@@ -99,6 +108,7 @@
     bytes_per_s: float = 0.0
     failure: SendError | None = None
     cut: bool = False
+    end: BodyEnd = BodyEnd.WHOLE
     request_id: bytes | None = None
     names_request: bool = True
     followed: bool = False
@@ -132,13 +142,22 @@
             yield self._script.body[:1]
             raise TruncatedBodyError('reset')
         size = self._script.chunk_bytes
+        chunk = b''
         while self._unread:
             chunk = self._unread[:size]
             self._unread = self._unread[size:]
-            if self._script.bytes_per_s:
-                await asyncio.sleep(len(chunk) / self._script.bytes_per_s)
+            await self._produce(chunk)
+            yield chunk
+        if self._script.end is BodyEnd.SILENT:
+            await asyncio.Event().wait()
+        while self._script.end is BodyEnd.ENDLESS:
+            await self._produce(chunk)
             yield chunk
 
+    async def _produce(self, chunk: bytes) -> None:
+        if self._script.bytes_per_s:
+            await asyncio.sleep(len(chunk) / self._script.bytes_per_s)
+
     async def close(self) -> None:
         return
 
@@ -198,10 +217,15 @@
 
     status: int = 0
     headers: RawHeaders = field(default_factory=list)
-    body: bytes = b''
+    parts: list[bytes] = field(default_factory=list)
     complete: bool = False
     at_ms: float = 0.0
 
+    @property
+    def body(self) -> bytes:
+        """Return what has arrived of the body."""
+        return b''.join(self.parts)
+
 
 class Caller:
     """Sends one request over ASGI messages."""
@@ -212,6 +236,8 @@
         self._is_unfinished = False
         self.part_delay_s = 0.0
         self.stalls = False
+        # Speed at which the answer is taken; 0 for all at once.
+        self.read_bytes_per_s = 0.0
         self.gone = asyncio.Event()
         self.reply = Reply()
         headers = {
@@ -265,7 +291,10 @@
             return
         if self.stalls:
             await asyncio.Event().wait()
-        reply.body += message.get('body', b'')
+        part = message.get('body', b'')
+        if self.read_bytes_per_s:
+            await asyncio.sleep(len(part) / self.read_bytes_per_s)
+        reply.parts.append(part)
         if not message.get('more_body', False):
             reply.complete = True
             reply.at_ms = self._loop.now_ms()
