--- a/tests/dataplane/test_pipelining.py
+++ b/tests/dataplane/test_pipelining.py
@@ -362,7 +362,7 @@
             for run in app.runs.values():
                 run.result.set_result('answer')
             sending = asyncio.create_task(send_on(writer))
-            read = b''
+            read = bytearray()
             while part := await reader.read(READ_BYTES):
                 read += part
                 await asyncio.sleep(0.001)
