Bound the wait for the rest of an answer on the own interface

What callers see: an order whose target begins an answer and does not end it gets no answer, and its key no outcome, until the target closes. A large transfer waits for a silent target for good and keeps its permit.

Cause: outcomes are read into memory before they are sent, and that read had no bound on time. Large transfers have no deadline, and nothing else bounded them.

Change: the body that the sender hands on is one whose waits are bounded. The target has until the deadline; the outcome is then unknown. In a large transfer it may be silent for 30 s, and bytes that come at 1 KiB/s or more renew that time; the time in which the node paces the transfer does not count.

Paths looked at: relay and replay (dataplane/answers.py), outcomes (forwarder.py), rejections (attempts.py: 0.1 s, 16 KiB), health checks (1 s). Left: a small answer as a whole still ends at its deadline, also at a slow caller, because the budget of its permit may be on loan until then.

--- a/src/gentianbank/dataplane/answers.py
+++ b/src/gentianbank/dataplane/answers.py
@@ -89,21 +89,21 @@
         """Relay an answer of a target to the caller.
 
         If the target cuts the body short, or the deadline passes, the answer
-        to the caller is left incomplete. Large transfers have no deadline.
+        to the caller is left incomplete. Large transfers have no deadline,
+        but end when their target stops sending.
         """
         progress.outcome = 'answered'
         progress.result = str(answer.answer.status)
         headers = http_headers.for_caller(answer.answer.headers)
         headers += self._own_headers(request.request_id, key)
         large = is_large(request.service)
-        chunks = answer.chunks or answer.answer.chunks()
         limit_s = None
         if not large:
             limit_s = max(0.0, request.end_ms - self._clock()) / _MS_PER_S
         try:
             async with asyncio.timeout(limit_s):
                 await exchange.start(answer.answer.status, headers)
-                async for chunk in chunks:
+                async for chunk in answer.chunks:
                     await self._budgets.pace(
                         answer.permit.region,
                         self._region,
--- a/src/gentianbank/dataplane/attempts.py
+++ b/src/gentianbank/dataplane/attempts.py
@@ -19,6 +19,8 @@
 from gentianbank.policy.retry import MAX_ATTEMPTS
 from gentianbank.policy.retry import RetryBudget
 from gentianbank.policy.run_evidence import AnswerMeaning
+from gentianbank.targets.awaited_body import AwaitBounds
+from gentianbank.targets.awaited_body import read_awaited
 from gentianbank.targets.transport import MaybeSent
 from gentianbank.targets.transport import NotAllowed
 from gentianbank.targets.transport import NotSent
@@ -44,6 +46,9 @@
 # Bytes and time for the body of an answer that says "not run".
 MAX_REJECTION_BYTES = 16 * 1024
 REJECTION_TIMEOUT_S = 0.1
+# A large transfer has no deadline, but its target must go on sending.
+LARGE_SILENCE_MS = 30_000.0
+MIN_LARGE_BYTES_PER_S = 1_024
 _MS_PER_S = 1_000
 
 
@@ -54,14 +59,13 @@
     Parameters
     ----------
     chunks
-        Body to read instead of the answer's own, once a part of that has
-        been read ahead.
+        Body of the answer, which its target must send in time.
     """
 
     answer: TargetAnswer
     permit: Permit
     routing: Routing
-    chunks: AsyncIterator[bytes] | None = None
+    chunks: AsyncIterator[bytes]
 
     async def close(self) -> None:
         """Close the answer and release the permit."""
@@ -151,7 +155,10 @@
                 request, source, key, permit, len(tried)
             ):
                 case Result(tag='ok', ok=answer):
-                    return Ok(OpenAnswer(answer, permit, self._routing))
+                    chunks = self._read_in_time(request, answer)
+                    return Ok(
+                        OpenAnswer(answer, permit, self._routing, chunks)
+                    )
                 case Result(error=failure):
                     self._routing.release(permit)
             if isinstance(failure, NotAllowed):
@@ -331,6 +338,23 @@
             )
             yield chunk
 
+    def _read_in_time(
+        self, request: Request, answer: TargetAnswer
+    ) -> AsyncIterator[bytes]:
+        """Return the body of an answer; it fails if the target is late."""
+        if is_large(request.service):
+            wait_ms = LARGE_SILENCE_MS
+            min_bytes_per_s = MIN_LARGE_BYTES_PER_S
+        else:
+            wait_ms = request.end_ms - self._clock()
+            min_bytes_per_s = 0
+        bounds = AwaitBounds(
+            wait_ms=wait_ms,
+            min_bytes_per_s=min_bytes_per_s,
+            max_bytes=self._limits.max_body_bytes,
+        )
+        return read_awaited(answer.chunks(), bounds)
+
     def _is_retry_safe(
         self, request: Request, failure: _AttemptFailure
     ) -> bool:
--- a/src/gentianbank/dataplane/forwarder.py
+++ b/src/gentianbank/dataplane/forwarder.py
@@ -280,7 +280,7 @@
             if name.lower() != b'content-length'
         )
         status = answer.answer.status
-        buffered = BufferedBody(answer.answer.chunks())
+        buffered = BufferedBody(answer.chunks)
         try:
             await buffered.fill(self._limits.max_retained_answer_bytes)
             if buffered.is_complete:
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -40,6 +40,10 @@
 LATE_S = 4.0
 WATCH_S = 0.1
 FILLING = b'x' * 1_000
+# Pause between the parts of an answer that does not end.
+FILLING_S = 0.1
+# Silence of a target in the middle of an answer.
+SILENCE_S = 3_600.0
 # Rejections of requests that ran, in which something else speaks for a run.
 DOUBTFUL_REFUSALS = (
     'answer behind refusal',
@@ -244,13 +248,18 @@
         self._cut = cut
         self.chunk_s = CALL_S
         self.ends = True
+        # Parts of an answer that does not end, and the pause between them.
+        self.filling = FILLING
+        self.filling_s = 0.0
 
     async def chunks(self) -> AsyncIterator[bytes]:
         half = len(self._body) // 2
         yield self._body[:half]
         await asyncio.sleep(self.chunk_s)
         while not self.ends:
-            yield FILLING
+            yield self.filling
+            if self.filling_s:
+                await asyncio.sleep(self.filling_s)
         if self._cut:
             raise TruncatedBodyError('cut')
         yield self._body[half:]
@@ -345,8 +354,17 @@
             (b'content-length', str(len(answer)).encode()),
             (b'x-request-id', echo),
         ]
-        cut = fault == 'cut answer'
-        return Ok(FakeAnswer(200, head, answer, cut))
+        found = FakeAnswer(200, head, answer, fault == 'cut answer')
+        if fault == 'silent answer':
+            found.chunk_s = SILENCE_S
+        if fault == 'trickled answer':
+            found.ends = False
+            found.filling = b'x'
+            found.filling_s = FILLING_S
+        if fault == 'answer without end':
+            found.ends = False
+            found.filling_s = FILLING_S
+        return Ok(found)
 
     async def _run(self, address: str, token: str, work_s: float) -> None:
         self.running[address] += 1
