Count a large answer that is not whole against its target

What callers see: a target whose large answers break off, or do not end in time, goes on getting requests like a sound one.

Cause: the health of a target was told only by what is read ahead of an answer. Beyond that, a cut or late end was logged and no more; a connection that was lost there did not begin a check for a restart either.

Change: the body tells its sender of each cut, wherever it is noticed.

Evidence: both forms of test_large_answer_that_is_not_whole_counts_against_its_target fail on (failure rate 0 after a late and after a cut answer).

Paths looked at: the part that is read ahead (as before, now by the same call), failures passed on and rejections (read ahead as a whole).

--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -8,6 +8,7 @@
 
 from gentianbank.targets.timed_body import LateBodyError
 from gentianbank.targets.timed_body import TimedBody
+from gentianbank.targets.transport import TruncatedBodyError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -37,6 +38,8 @@
         Time by which the target has to end the body.
     clock
         Returns the monotonic time in milliseconds.
+    on_cut
+        Called when the body turns out to end early, or not in time.
 
     Attributes
     ----------
@@ -52,6 +55,7 @@
         budget: Budget,
         deadline_ms: float,
         clock: Callable[[], float],
+        on_cut: Callable[[TruncatedBodyError], None] = lambda _: None,
     ) -> None:
         self.size_bytes = 0
         self.is_complete = False
@@ -59,6 +63,7 @@
         self._budget = budget
         self._deadline_ms = deadline_ms
         self._clock = clock
+        self._on_cut = on_cut
         self._chunks = answer.chunks()
         self._rest: TimedBody | None = None
         self._parts: deque[bytes] = deque()
@@ -77,6 +82,13 @@
         TruncatedBodyError
             If the body ends early, or not in time.
         """
+        try:
+            await self._read_in_time()
+        except TruncatedBodyError as error:
+            self._on_cut(error)
+            raise
+
+    async def _read_in_time(self) -> None:
         try:
             async with asyncio.timeout(self._left_ms() / _MS_PER_S):
                 async for chunk in self._chunks:
@@ -101,9 +113,14 @@
         while self._parts:
             yield self._parts.popleft()
         self._give_back()
-        if self._rest is not None:
+        if self._rest is None:
+            return
+        try:
             async for part in self._rest.parts():
                 yield part
+        except TruncatedBodyError as error:
+            self._on_cut(error)
+            raise
 
     async def close(self) -> None:
         """Drop what is held, and abandon an unfinished answer; idempotent."""
--- a/src/gentianbank/steering/sending.py
+++ b/src/gentianbank/steering/sending.py
@@ -137,6 +137,7 @@
                     exchange.answer_budget(self.read_ahead_budget),
                     request.deadline_ms,
                     self._clock,
+                    functools.partial(self._on_cut, target),
                 )
                 return await self._read_answer(
                     request, answer, answer_body, placed, sent_ms
@@ -214,7 +215,7 @@
             if _shows_staying(headers, meaning):
                 self._leaving.on_not_said(target, sent_ms, 'answer')
         unusable: Rejected | Broken | None
-        unusable = await self._read_ahead(target, status, body)
+        unusable = await self._read_ahead(status, body)
         unusable = unusable or self._check_answer(answer, meaning, target)
         if unusable is not None:
             await body.close()
@@ -224,15 +225,12 @@
         return Delivered(status, headers, body)
 
     async def _read_ahead(
-        self, target: TargetLoad, status: int, body: AnswerBody
+        self, status: int, body: AnswerBody
     ) -> Broken | None:
         """Read the body as far as it may be held; return what went wrong."""
         try:
             await body.read_ahead()
         except TruncatedBodyError as error:
-            target.on_broken(self._clock())
-            if isinstance(error, BodyConnectionLostError):
-                self._checks.on_connection_lost(target)
             return Broken(f'the answer was cut short: {error}')
         except BaseException:
             await body.close()
@@ -241,6 +239,12 @@
             return Broken('the failure of the target is too large')
         return None
 
+    def _on_cut(self, target: TargetLoad, error: TruncatedBodyError) -> None:
+        """Record that a target did not end its answer, or not in time."""
+        target.on_broken(self._clock())
+        if isinstance(error, BodyConnectionLostError):
+            self._checks.on_connection_lost(target)
+
     def _check_answer(
         self, answer: TargetAnswer, meaning: AnswerMeaning, target: TargetLoad
     ) -> Rejected | Broken | None:
--- a/tests/steering/test_late_bodies.py
+++ b/tests/steering/test_late_bodies.py
@@ -144,3 +144,19 @@
     assert not reply.complete
     # The caller takes 1.28 s for what had arrived.
     assert took_ms <= 1_280.0 + READ.timeout_ms + SLACK_MS
+
+
+@pytest.mark.parametrize(
+    'script',
+    [SILENT, Script(body=b'x' * 3 * MB, cuts_after_bytes=2 * MB)],
+    ids=['late', 'cut'],
+)
+def test_large_answer_that_is_not_whole_counts_against_its_target(
+    script: Script,
+) -> None:
+    """Only what was read ahead told the health of a target."""
+    path = Path(targets=1)
+    path.transport.default = script
+    reply, _ = ask(path)
+    assert not reply.complete
+    assert path.cluster_view.targets['desk-1'].failure_rate > 0.0
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -108,6 +108,8 @@
     bytes_per_s: float = 0.0
     failure: SendError | None = None
     cut: bool = False
+    # Bytes after which the connection ends; 0 for an answer that is whole.
+    cuts_after_bytes: int = 0
     end: BodyEnd = BodyEnd.WHOLE
     request_id: bytes | None = None
     names_request: bool = True
@@ -148,12 +150,19 @@
             self._unread = self._unread[size:]
             await self._produce(chunk)
             yield chunk
+            if self._is_cut():
+                raise TruncatedBodyError('reset')
         if self._script.end is BodyEnd.SILENT:
             await asyncio.Event().wait()
         while self._script.end is BodyEnd.ENDLESS:
             await self._produce(chunk)
             yield chunk
 
+    def _is_cut(self) -> bool:
+        cuts_after_bytes = self._script.cuts_after_bytes
+        sent_bytes = len(self._script.body) - len(self._unread)
+        return bool(cuts_after_bytes) and sent_bytes >= cuts_after_bytes
+
     async def _produce(self, chunk: bytes) -> None:
         if self._script.bytes_per_s:
             await asyncio.sleep(len(chunk) / self._script.bytes_per_s)
