Move what applies the entries of the store to a module of its own

Nothing else changes. One mutant of the state machine calls the entry point of the new module instead of the two methods that stood behind it, and is caught as before.

--- a/src/gentianbank/steering/store_following/store_sync.py
+++ b/src/gentianbank/steering/store_following/store_sync.py
@@ -12,36 +12,25 @@
 from expression import Ok
 from expression import Result
 
-from gentianbank.domain.errors import InvalidDocument
 from gentianbank.domain.errors import StoreUnavailable
-from gentianbank.domain.registration import MemberRegistration
-from gentianbank.domain.registration import NodeRegistration
-from gentianbank.domain.registration import TargetRegistration
-from gentianbank.domain.route_table import RouteTable
 from gentianbank.platform import keyspace
 from gentianbank.platform.documents import CONFIGURATION_KEY
-from gentianbank.platform.documents import OPERATOR_PREFIX
-from gentianbank.platform.keyspace import ConfigurationKey
-from gentianbank.platform.keyspace import EvacuationKey
-from gentianbank.platform.keyspace import MemberKey
-from gentianbank.platform.keyspace import NodeKey
-from gentianbank.platform.keyspace import TargetKey
-from gentianbank.policy.fleet_members import MemberSource
 from gentianbank.steering.store_following import newest_values
-from gentianbank.steering.store_following.restore_caution import RestoreCaution
+from gentianbank.steering.store_following.stored_entries import StoredEntries
 from gentianbank.storage.prefix_store import Changes
 from gentianbank.storage.prefix_store import ChangesTooLarge
 from gentianbank.storage.prefix_store import HistoryCompacted
-from gentianbank.storage.prefix_store import Removal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from gentianbank.domain.steering_settings import SteeringStore
+    from gentianbank.policy.fleet_members import MemberSource
     from gentianbank.steering.cluster_view import ClusterView
     from gentianbank.steering.store_following.reads import ReadObserver
     from gentianbank.storage.prefix_store import Listing
     from gentianbank.storage.prefix_store import PrefixStore
+    from gentianbank.storage.prefix_store import Removal
     from gentianbank.storage.prefix_store import WatchError
     from gentianbank.storage.store import StoredValue
 
@@ -83,14 +72,17 @@
         on_own_entry_gone: Callable[[MemberSource], None],
         clock: Callable[[], float],
     ) -> None:
-        self._vm = vm
         self._store = store
         self._settings = settings
         self._cluster_view = cluster_view
-        self._grace_ms = grace_ms
-        self._on_own_entry_gone = on_own_entry_gone
         self._clock = clock
-        self._caution = RestoreCaution(cluster_view, clock)
+        self._entries = StoredEntries(
+            vm=vm,
+            cluster_view=cluster_view,
+            grace_ms=grace_ms,
+            on_own_entry_gone=on_own_entry_gone,
+            clock=clock,
+        )
         self._revision = 0
         self._era = 0
         # Era of the last listing; a peer may have told of a later one.
@@ -98,16 +90,12 @@
         self._listed_ms = float('-inf')
         self._must_list = True
         self._down_since_ms: float | None = None
-        self._recovered_ms = float('-inf')
         self._has_listed = False
-        self._drop_deadlines_ms: dict[str, float] = {}
         self._retry_requested = asyncio.Event()
         self._called_ms = 0.0
         self._recent_changes: deque[StoredValue | Removal] = deque(
             maxlen=MAX_RECENT_CHANGES
         )
-        self._configuration_bytes = 0
-        self._operator_values: dict[str, StoredValue] = {}
         # All changes after this revision are in ``_recent_changes``.
         self._recent_after_revision = 0
         self._observer: ReadObserver | None = None
@@ -156,7 +144,7 @@
         while True:
             if self._observer:
                 await self._observer.wait_for_turn()
-            self._end_caution()
+            self._entries.end_caution()
             self._called_ms = self._clock()
             if self._must_list:
                 await self._list_store()
@@ -248,7 +236,9 @@
                     keyspace.ALL_KEYS_PREFIX,
                     self._revision,
                     wait_ms,
-                    newest_values.max_changes_bytes(self._configuration_bytes),
+                    newest_values.max_changes_bytes(
+                        self._entries.configuration_bytes
+                    ),
                 )
         except TimeoutError:
             return None
@@ -263,7 +253,7 @@
         """
         if not self._has_listed:
             return
-        self._recovered_ms = self._clock()
+        self._entries.on_recovered()
         logging.warning(
             'store was restored from a copy',
             extra={
@@ -275,13 +265,7 @@
         )
         if listing.era == self._listed_era or listing.era != self._era:
             # No peer has told of it before.
-            self._on_other_era(listing.revision)
-
-    def _on_other_era(self, revision: int) -> None:
-        """Keep what is known, and have the own entries written anew."""
-        self._caution.begin(revision)
-        for source in MemberSource:
-            self._on_own_entry_gone(source)
+            self._entries.on_other_era(listing.revision)
 
     async def _read_newest(self) -> Result[Changes, WatchError]:
         """Read the changes without the versions that were replaced."""
@@ -289,7 +273,7 @@
             self._observer.on_read_sent()
         began_ms = self._clock()
         answer = await newest_values.read_newest(
-            self._store, self._revision, self._possible_evacuations
+            self._store, self._revision, self._entries.possible_evacuations
         )
         match answer:
             case Result(tag='ok', ok=changes):
@@ -305,12 +289,6 @@
                 return Ok(replace(changes, transfer_ms=transfer_ms))
         return answer
 
-    def _possible_evacuations(self) -> list[str]:
-        """Return the keys under which a known failure domain is evacuated."""
-        view = self._cluster_view
-        domains = view.evacuated | view.regions.keys()
-        return [keyspace.evacuation_key(domain) for domain in domains]
-
     async def _on_changes(self, changes: Changes, waited_ms: float) -> None:
         """Apply an answer of the store, and wait a moment for further ones.
 
@@ -359,7 +337,7 @@
             stored
             if stored.key == CONFIGURATION_KEY
             else replace(stored, value=b'')
-            for stored in self._operator_values.values()
+            for stored in self._entries.operator_values
         )
         return Changes(values, self._revision, era=self._era)
 
@@ -384,15 +362,13 @@
                 'peer told of a restored store',
                 extra={'era': values.era, 'held_era': self._era},
             )
-            self._on_other_era(values.revision)
-        self._operator_values.clear()
+            self._entries.on_other_era(values.revision)
+        self._entries.forget_operator_values()
         self._era = values.era
         self._revision = 0
         self._must_list = True
         self._apply_changes(values)
-        self._cluster_view.set_evacuated_domains(
-            self._caution.on_listed(self._stored_evacuations()), self._clock()
-        )
+        self._entries.list_evacuations()
         self._forget_changes(self._revision)
 
     def apply_follower_changes(
@@ -457,12 +433,10 @@
         table = self._cluster_view.table
         if table is not None and table.has_caps:
             longest_ms = min(longest_ms, CAPS_WATCH_MS)
-        deadlines_ms = [*self._drop_deadlines_ms.values()]
-        if (caution_ends_ms := self._caution.ends_ms) is not None:
-            deadlines_ms.append(caution_ends_ms)
-        if not deadlines_ms:
+        deadline_ms = self._entries.next_deadline_ms
+        if deadline_ms is None:
             return longest_ms
-        left_ms = min(deadlines_ms) - self._clock()
+        left_ms = deadline_ms - self._clock()
         return min(longest_ms, max(1, int(left_ms) + 1))
 
     def _on_store_answer(self, transfer_ms: float) -> None:
@@ -485,7 +459,7 @@
             },
         )
         self._down_since_ms = None
-        self._recovered_ms = now_ms
+        self._entries.on_recovered()
 
     async def _on_failure(self, error: StoreUnavailable) -> None:
         is_passive = self._observer is not None and self._observer.is_passive
@@ -497,7 +471,7 @@
                 'store lost',
                 extra={'cause': error.cause, 'revision': self._revision},
             )
-        self._end_caution()
+        self._entries.end_caution()
         # A call that took long has been the pause itself.
         took_ms = self._clock() - self._called_ms
         pause_s = max(0.0, self._settings.retry_ms - took_ms) / _MS_PER_S
@@ -509,35 +483,13 @@
     def _apply_listing(self, listing: Listing) -> None:
         first = not self._has_listed
         self._has_listed = True
-        self._operator_values.clear()
-        self._caution.on_listing()
-        keys = set()
-        evacuated = set()
-        for stored in listing.values:
-            keys.add(stored.key)
-            subject = keyspace.kind_of_key(stored.key)
-            if isinstance(subject, EvacuationKey):
-                evacuated.add(subject.name)
-            self._apply_value(stored, first=first)
-        self._cluster_view.set_evacuated_domains(
-            self._caution.on_listed(frozenset(evacuated)), self._clock()
-        )
-        for target_id in list(self._cluster_view.targets):
-            if keyspace.target_key(target_id) not in keys:
-                self._on_target_removed(target_id)
-        for vm in list(self._cluster_view.nodes):
-            if keyspace.node_key(vm) not in keys:
-                self._on_node_removed(vm)
-        members = self._cluster_view.members
-        for vm in members.named_by(MemberSource.LASTING):
-            if keyspace.member_key(vm) not in keys:
-                self._on_member_removed(vm)
+        self._entries.replace_all(listing, first=first)
         self._era = self._listed_era = listing.era
         self._revision = listing.revision
         self._listed_ms = self._clock()
         self._must_list = False
         self._forget_changes(listing.revision)
-        self._drop_expired_targets()
+        self._entries.drop_expired_targets()
 
     def _forget_changes(self, revision: int) -> None:
         """Hold no changes up to a revision any more."""
@@ -551,172 +503,15 @@
                 # The change has already been received from a peer.
                 continue
             self._record_change(event)
-            if isinstance(event, Removal):
-                self._apply_removal(event)
-            else:
-                self._apply_value(event, first=False)
+            self._entries.apply(event)
         self._revision = max(self._revision, changes.revision)
-        self._drop_expired_targets()
+        self._entries.drop_expired_targets()
 
     def _record_change(self, event: StoredValue | Removal) -> None:
         if len(self._recent_changes) == MAX_RECENT_CHANGES:
             self._recent_after_revision = self._recent_changes[0].mod_revision
         self._recent_changes.append(event)
 
-    def _apply_value(self, stored: StoredValue, *, first: bool) -> None:
-        """Apply a value; one that cannot be applied costs only itself."""
-        if stored.key.startswith(OPERATOR_PREFIX):
-            self._operator_values[stored.key] = stored
-        try:
-            self._apply_decoded(stored, first=first)
-        except Exception:
-            # Else the same entry would fail the next listing too.
-            logging.exception('entry not applied', extra={'key': stored.key})
-            self._drop_target_of(stored.key)
-
-    def _apply_decoded(self, stored: StoredValue, *, first: bool) -> None:
-        if stored.key == CONFIGURATION_KEY:
-            self._configuration_bytes = len(stored.value)
-        match keyspace.decode(stored):
-            case Result(tag='ok', ok=RouteTable() as table):
-                self._cluster_view.put_table(table)
-            case Result(tag='ok', ok=TargetRegistration() as entry):
-                usable = self._caution.check_target(entry, stored.mod_revision)
-                if usable:
-                    self._apply_target(usable, first=first)
-            case Result(tag='ok', ok=NodeRegistration() as node):
-                self._cluster_view.put_node(node)
-            case Result(tag='ok', ok=MemberRegistration(vm=vm, region=region)):
-                self._cluster_view.members.put(
-                    vm, region, MemberSource.LASTING
-                )
-            case Result(tag='ok', ok=EvacuationKey(name)):
-                self._caution.on_evacuated(name, stored.mod_revision)
-                domains = self._cluster_view.evacuated | {name}
-                self._cluster_view.set_evacuated_domains(
-                    domains, self._clock()
-                )
-                logging.info(
-                    'failure domain evacuated', extra={'failure_domain': name}
-                )
-            case Result(error=InvalidDocument() as error):
-                self._reject_value(stored, error)
-
-    def _apply_target(self, entry: TargetRegistration, *, first: bool) -> None:
-        self._drop_deadlines_ms.pop(entry.target_id, None)
-        self._cluster_view.put_target(
-            entry, self._clock(), from_first_listing=first
-        )
-        logging.info(
-            'target registered',
-            extra={
-                'target': entry.target_id,
-                'draining': entry.draining,
-                'cold_left_ms': entry.cold_left_ms,
-                'failure_domain': entry.failure_domain,
-            },
-        )
-
-    def _reject_value(
-        self, stored: StoredValue, error: InvalidDocument
-    ) -> None:
-        subject = keyspace.kind_of_key(stored.key)
-        if isinstance(subject, ConfigurationKey):
-            self._cluster_view.reject_table(str(error))
-            return
-        logging.warning('invalid entry ignored', extra={'cause': str(error)})
-        self._drop_target_of(stored.key)
-
-    def _drop_target_of(self, key: str) -> None:
-        """Drop the target whose entry cannot be used any more, if any."""
-        subject = keyspace.kind_of_key(key)
-        if isinstance(subject, TargetKey):
-            self._remove_target(subject.target_id)
-
-    def _apply_removal(self, removal: Removal) -> None:
-        was_stored = self._operator_values.pop(removal.key, None) is not None
-        match keyspace.kind_of_key(removal.key):
-            case TargetKey(target_id):
-                self._on_target_removed(target_id)
-            case NodeKey(vm):
-                self._on_node_removed(vm)
-            case MemberKey(vm):
-                self._on_member_removed(vm)
-            case EvacuationKey(name) if name in self._cluster_view.evacuated:
-                if self._caution.keeps_evacuation(name, was_stored=was_stored):
-                    return
-                domains = self._cluster_view.evacuated - {name}
-                self._cluster_view.set_evacuated_domains(
-                    domains, self._clock()
-                )
-                logging.info(
-                    'failure domain is back', extra={'failure_domain': name}
-                )
-
-    def _on_target_removed(self, target_id: str) -> None:
-        """Drop a target whose entry is missing.
-
-        During the grace time after an outage the target is only marked as
-        doubtful, and dropped later if its entry has not come back.
-        """
-        now_ms = self._clock()
-        self._caution.on_target_entry_gone(target_id)
-        if now_ms - self._recovered_ms < self._grace_ms:
-            self._drop_deadlines_ms.setdefault(
-                target_id, self._recovered_ms + self._grace_ms
-            )
-            self._cluster_view.mark_target_unconfirmed(target_id)
-            return
-        self._remove_target(target_id)
-        logging.info('target gone', extra={'target': target_id})
-
-    def _remove_target(self, target_id: str) -> None:
-        self._caution.on_target_gone(target_id)
-        self._cluster_view.remove_target(target_id, self._clock())
-
-    def _on_node_removed(self, vm: str) -> None:
-        if vm == self._vm:
-            self._cluster_view.members.on_entry_gone(vm, self._clock())
-            self._on_own_entry_gone(MemberSource.NODE)
-            return
-        self._cluster_view.remove_node(vm, self._clock())
-        logging.info('node gone', extra={'vm': vm})
-
-    def _on_member_removed(self, vm: str) -> None:
-        self._cluster_view.members.on_entry_gone(
-            vm, self._clock(), MemberSource.LASTING
-        )
-        if vm == self._vm:
-            self._on_own_entry_gone(MemberSource.LASTING)
-
-    def _stored_evacuations(self) -> frozenset[str]:
-        """Return the failure domains that the operator's keys evacuate."""
-        subjects = map(keyspace.kind_of_key, self._operator_values)
-        return frozenset(
-            subject.name
-            for subject in subjects
-            if isinstance(subject, EvacuationKey)
-        )
-
-    def _end_caution(self) -> None:
-        """Let the content of a restored store hold in due time."""
-        if not self._caution.is_over:
-            return
-        evacuated = self._stored_evacuations()
-        entries = self._caution.end(evacuated)
-        self._cluster_view.set_evacuated_domains(evacuated, self._clock())
-        for entry in entries:
-            self._apply_target(entry, first=False)
-
-    def _drop_expired_targets(self) -> None:
-        self._end_caution()
-        now_ms = self._clock()
-        for target_id, deadline_ms in list(self._drop_deadlines_ms.items()):
-            if now_ms >= deadline_ms:
-                del self._drop_deadlines_ms[target_id]
-                self._remove_target(target_id)
-                logging.info('target gone', extra={'target': target_id})
-
 
 def _is_other_history(
     answer: Changes | Listing, held_era: int, held_revision: int
--- a/tests/steering/store_following/test_machine.py
+++ b/tests/steering/store_following/test_machine.py
@@ -19,8 +19,6 @@
 from gentianbank.steering.store_following import following
 from gentianbank.steering.store_following import newest_values
 from gentianbank.steering.store_following.store_sync import StoreSync
-from gentianbank.storage.prefix_store import Changes
-from gentianbank.storage.prefix_store import Removal
 from tests.support.machines import check_machine
 from tests.support.machines import check_mutant
 from tests.support.store_fleet import StoreFleet
@@ -28,6 +26,8 @@
 if TYPE_CHECKING:
     import pytest
 
+    from gentianbank.storage.prefix_store import Changes
+
 NODES = 9
 EXAMPLES = 60
 MUTANT_EXAMPLES = 400
@@ -279,10 +279,7 @@
     def apply_all(self: Any, changes: Changes) -> None:
         for event in changes.events:
             self._record_change(event)
-            if isinstance(event, Removal):
-                self._apply_removal(event)
-            else:
-                self._apply_value(event, first=False)
+            self._entries.apply(event)
         self._revision = changes.revision
 
     monkeypatch.setattr(StoreSync, '_apply_changes', apply_all)
