--- a/src/gentianbank_standins/soak/callers.py
+++ b/src/gentianbank_standins/soak/callers.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from gentianbank_standins.soak.promises import Attempt
+from gentianbank_standins.soak.attempts import Attempt
 from gentianbank_standins.soak.world import DOMAINS
 from gentianbank_standins.soak.world import HOST
 from gentianbank_standins.soak.world import ORDER_TIMEOUT_MS
--- a/src/gentianbank_standins/soak/leaving.py
+++ b/src/gentianbank_standins/soak/leaving.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from gentianbank_standins.soak.promises import Attempt
+    from gentianbank_standins.soak.attempts import Attempt
     from gentianbank_standins.users_targets import Journal
     from gentianbank_standins.users_targets import TargetEvent
 
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from gentianbank_standins.soak.attempts import Attempt
 from gentianbank_standins.soak.leaving import requests_after_leaving
 from gentianbank_standins.soak.limits import exceeded_limits
 from gentianbank_standins.soak.limits import overloaded_cold_targets
 from gentianbank_standins.soak.main import run_soak
-from gentianbank_standins.soak.promises import Attempt
 from gentianbank_standins.users_targets import ColdPeriod
 from gentianbank_standins.users_targets import Journal
 from gentianbank_standins.users_targets import LimitPeriod
