--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from gentianbank.targets.timed_body import LateBodyError
+from gentianbank.targets.timed_body import NOT_ENDED
 from gentianbank.targets.timed_body import TimedBody
 from gentianbank.targets.transport import TruncatedBodyError
 
@@ -98,7 +99,7 @@
                         self._rest = TimedBody(self._chunks, self._left_ms())
                         return
         except TimeoutError as error:
-            raise LateBodyError('the target did not end it in time') from error
+            raise LateBodyError(NOT_ENDED) from error
         self.is_complete = True
         await self._answer.close()
 
--- a/src/gentianbank/targets/timed_body.py
+++ b/src/gentianbank/targets/timed_body.py
@@ -14,9 +14,10 @@
 # Bytes that are read before the reader takes them. With more of them unread
 # the reader counts as slower than the target.
 WINDOW_BYTES = 64 * 1024
-# Bytes that are read of one answer after its deadline. A slow reader and an
-# answer without end cannot be told from a large answer that was ready in time.
+# Bytes of one answer that are read after its deadline. At a slow reader an
+# answer without end looks like a large one that was ready in time.
 MAX_LATE_BYTES = 16 * 1024 * 1024
+NOT_ENDED = 'the target did not end the body in time'
 _MS_PER_S = 1_000
 
 
@@ -88,7 +89,7 @@
                     if self._window_bytes >= WINDOW_BYTES:
                         await self._wait_room(limit)
         except TimeoutError as error:
-            raise LateBodyError('the target did not end it in time') from error
+            raise LateBodyError(NOT_ENDED) from error
 
     async def _wait_room(self, limit: asyncio.Timeout) -> None:
         """Wait until parts were taken, and give that time to the target."""
@@ -104,7 +105,7 @@
             self._late_bytes += len(chunk)
         if self._late_bytes > MAX_LATE_BYTES:
             raise LateBodyError(
-                f'{MAX_LATE_BYTES} bytes after its deadline are no end of it'
+                f'no end {MAX_LATE_BYTES} bytes after the deadline'
             )
         self._window.append(chunk)
         self._window_bytes += len(chunk)
