Do not blame a target for an answer that the node left unread

What callers see: found on reading, which counts each cut of a large answer against its target. A target may end a connection on which its answer is left unread for some seconds, as a slow caller, or a wait for a turn, brings about. A sound target then counted as failing and as perhaps restarted.

Change: a cut or late end does not count once the body was left unread for over a second.

--- a/src/gentianbank/steering/answer_body.py
+++ b/src/gentianbank/steering/answer_body.py
@@ -25,6 +25,8 @@
 READ_AHEAD_BUDGET_BYTES = 24 * 1024 * 1024
 # A body up to this size is read whether or not any of that is left.
 UNBUDGETED_BYTES = 16 * 1024
+# A body that was left unread for longer is not late or cut by its target.
+MAX_UNREAD_S = 1.0
 _MS_PER_S = 1_000
 
 
@@ -40,7 +42,7 @@
     clock
         Returns the monotonic time in milliseconds.
     on_cut
-        Called when the body turns out to end early, or not in time.
+        Called when the target ends the body early, or not in time.
 
     Attributes
     ----------
@@ -120,7 +122,8 @@
             async for part in self._rest.parts():
                 yield part
         except TruncatedBodyError as error:
-            self._on_cut(error)
+            if self._rest.unread_s <= MAX_UNREAD_S:
+                self._on_cut(error)
             raise
 
     async def close(self) -> None:
--- a/src/gentianbank/targets/timed_body.py
+++ b/src/gentianbank/targets/timed_body.py
@@ -38,9 +38,17 @@
         The body.
     left_ms
         Time that the target has left.
+
+    Attributes
+    ----------
+    unread_s
+        Time for which nothing was read, as the reader was behind. A target
+        may end the connection for that.
     """
 
     def __init__(self, chunks: AsyncIterator[bytes], left_ms: float) -> None:
+        self.unread_s = 0.0
+        self._made_s = asyncio.get_running_loop().time()
         self._chunks = chunks
         self._left_s = max(0.0, left_ms) / _MS_PER_S
         self._deadline_s = 0.0
@@ -81,6 +89,7 @@
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
+        self.unread_s = loop.time() - self._made_s
         self._deadline_s = loop.time() + self._left_s
         try:
             async with asyncio.timeout_at(self._deadline_s) as limit:
@@ -94,10 +103,12 @@
     async def _wait_room(self, limit: asyncio.Timeout) -> None:
         """Wait until parts were taken, and give that time to the target."""
         loop = asyncio.get_running_loop()
-        left_s = (limit.when() or 0.0) - loop.time()
+        began_s = loop.time()
+        left_s = (limit.when() or 0.0) - began_s
         limit.reschedule(None)
         self._has_room.clear()
         await self._has_room.wait()
+        self.unread_s += loop.time() - began_s
         limit.reschedule(loop.time() + left_s)
 
     def _put(self, chunk: bytes) -> None:
--- a/tests/steering/test_late_bodies.py
+++ b/tests/steering/test_late_bodies.py
@@ -160,3 +160,16 @@
     reply, _ = ask(path)
     assert not reply.complete
     assert path.cluster_view.targets['desk-1'].failure_rate > 0.0
+
+
+def test_answer_cut_at_a_slow_caller_does_not_count_against_its_target() -> (
+    None
+):
+    """Targets end connections on which an answer is left unread."""
+    path = Path(targets=1)
+    path.transport.default = Script(
+        body=b'x' * 3 * MB, cuts_after_bytes=2 * MB
+    )
+    reply, _ = ask(path, read_bytes_per_s=0.2 * MB)
+    assert not reply.complete
+    assert path.cluster_view.targets['desk-1'].failure_rate == 0.0
